--- /dev/null
+++ b/jackdawfield/gateway/daemon.py
@@ -0,0 +1,300 @@
+"""Runs one instance of the gateway."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+from collections.abc import Iterable
+from dataclasses import dataclass
+import logging
+import secrets
+import signal
+import time
+from typing import Any
+
+from result import Err
+from result import Result
+
+from jackdawfield.drivers.peers import PeerLinks
+from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.admission import Admission
+from jackdawfield.gateway.calls import CallHeaders
+from jackdawfield.gateway.connections import ConnectionPool
+from jackdawfield.gateway.dispatch import Dispatcher
+from jackdawfield.gateway.dispatch import WireNames
+from jackdawfield.gateway.entry import Entry
+from jackdawfield.gateway.follower import TableFollower
+from jackdawfield.gateway.front import Front
+from jackdawfield.gateway.front import Received
+from jackdawfield.gateway.front import Reply
+from jackdawfield.gateway.members import Members
+from jackdawfield.gateway.members import MEMBERS_TABLE
+from jackdawfield.gateway.model import FleetConfiguration
+from jackdawfield.gateway.model import GatewaySettings
+from jackdawfield.gateway.model import ServerEntry
+from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.rows import RowStore
+from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.gateway.servers import RETURN_S
+from jackdawfield.gateway.servers import Servers
+from jackdawfield.gateway.store_path import StorePath
+from jackdawfield.gateway.turn_calls import TurnCalls
+from jackdawfield.gateway.turn_store import TurnStore
+from jackdawfield.logs import log_event
+from jackdawfield.model import ServerId
+
+LOG = logging.getLogger(__name__)
+BYTES_PER_MB = 1024 * 1024
+# Share of an instance's memory for turns that it has served.
+CACHE_SHARE = 0.15
+CHECK_S = 0.1
+JOIN_PAUSE_S = 0.3
+# The balancer asks once a second and needs two misses to take an instance
+# out; new connections arrive until then.
+LISTEN_AFTER_STOP_S = 3.0
+# Left of the grace for closing what remains.
+STOP_MARGIN_S = 0.8
+
+
+@dataclass(frozen=True, slots=True)
+class Adapter:
+    """Translates between a platform's wire and the gateway's types."""
+
+    names: WireNames
+    configuration_row: RowKey
+    servers_table: str
+    decode_headers: Callable[[Iterable[tuple[str, str]]], CallHeaders]
+    decode_configuration: Callable[
+        [bytes], Result[FleetConfiguration, Exception]
+    ]
+    decode_server: Callable[[str, bytes], Result[ServerEntry, Exception]]
+    open_store: Callable[[StorePath], RowStore]
+
+
+class Gateway:
+    """Owns the parts of one instance, their start and their stop."""
+
+    def __init__(self, settings: GatewaySettings, adapter: Adapter) -> None:
+        self.settings = settings
+        self._adapter = adapter
+        self._incarnation = secrets.token_hex(4)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.stopping = False
+        self._build_store()
+        self._build_calls()
+        self._followers = self._build_followers()
+        self.front = Front(self._serve)
+        self._health = Front(self._answer_health)
+
+    def _build_store(self) -> None:
+        settings = self.settings
+        self.links = PeerLinks()
+        self.peers = PeerServer()
+        self.store_pool = ConnectionPool()
+        self.store_path = StorePath(
+            self.store_pool,
+            settings.store_host,
+            settings.store_port,
+            self.links,
+            lambda: self.members.relay_addresses(),
+        )
+        self.store = self._adapter.open_store(self.store_path)
+        self.members = Members(settings, self.store, self._incarnation)
+
+    def _build_calls(self) -> None:
+        settings = self.settings
+        self.servers = Servers(
+            settings.domain_id, dict(settings.regions_by_domain)
+        )
+        self.server_pool = ConnectionPool()
+        self.dispatcher = Dispatcher(
+            self.servers, self.server_pool, self._adapter.names
+        )
+        self.turns = TurnStore(
+            self.store,
+            f'{settings.instance_id}.{self._incarnation}',
+            settings.store.row_bytes,
+            int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE),
+        )
+        self.turn_calls = TurnCalls(self.dispatcher, self.turns)
+        self.admission = Admission()
+        self.entry = Entry(self.dispatcher, self.turn_calls, self.admission)
+
+    def _build_followers(self) -> list[TableFollower]:
+        take_configuration = self._take_configuration
+        return [
+            TableFollower(
+                self.store,
+                self._adapter.configuration_row.table,
+                take_configuration,
+                take_configuration,
+            ),
+            TableFollower(
+                self.store,
+                self._adapter.servers_table,
+                self._take_servers,
+                self._take_server_changes,
+                RETURN_S,
+            ),
+            TableFollower(
+                self.store,
+                MEMBERS_TABLE,
+                self.members.take_all,
+                self.members.take_changes,
+            ),
+        ]
+
+    async def start(self) -> None:
+        """Listen, then follow the store."""
+        settings = self.settings
+        self.store_path.register(self.peers)
+        await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
+        self.front.listen(settings.host, settings.caller_port)
+        self._health.listen(settings.host, settings.health_port)
+        for follower in self._followers:
+            self._spawn(follower.run())
+        self._spawn(self._join())
+        self._spawn(self._check())
+        log_event(
+            LOG,
+            'started',
+            incarnation=self._incarnation,
+            domain=settings.domain_id,
+        )
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            LOG.error('event=task_failed', exc_info=task.exception())
+
+    async def _join(self) -> None:
+        while not await self.members.join():
+            await asyncio.sleep(JOIN_PAUSE_S)
+        log_event(LOG, 'joined', incarnation=self._incarnation)
+
+    async def _check(self) -> None:
+        while True:
+            await asyncio.sleep(CHECK_S)
+            for server_id in self.servers.expire(time.monotonic()):
+                log_event(LOG, 'server_gone', server=server_id)
+
+    def _take_configuration(
+        self, rows: tuple[StoredRow, ...], _: bool
+    ) -> None:
+        for row in rows:
+            if row.key == self._adapter.configuration_row and row.value:
+                self._apply(row.value)
+
+    def _apply(self, data: bytes) -> None:
+        decoded = self._adapter.decode_configuration(data)
+        if isinstance(decoded, Err):
+            log_event(
+                LOG,
+                'configuration_unreadable',
+                logging.ERROR,
+                reason=decoded.err_value,
+            )
+            return
+        configuration = decoded.ok_value
+        before = self.entry.configuration
+        if before is not None and configuration.version <= before.version:
+            return
+        self.entry.configuration = configuration
+        self.turn_calls.configuration = configuration
+        log_event(LOG, 'configuration_applied', version=configuration.version)
+
+    def _decode_servers(
+        self, rows: tuple[StoredRow, ...]
+    ) -> list[ServerEntry]:
+        entries = []
+        for row in rows:
+            if row.value is None:
+                continue
+            decoded = self._adapter.decode_server(row.key.key, row.value)
+            if isinstance(decoded, Err):
+                log_event(LOG, 'server_unreadable', reason=decoded.err_value)
+                continue
+            entries.append(decoded.ok_value)
+        return entries
+
+    def _take_servers(
+        self, rows: tuple[StoredRow, ...], doubtful: bool
+    ) -> None:
+        entries = self._decode_servers(rows)
+        self.servers.list_all(entries, time.monotonic(), doubtful)
+        log_event(LOG, 'servers_listed', count=len(entries))
+
+    def _take_server_changes(
+        self, rows: tuple[StoredRow, ...], doubtful: bool
+    ) -> None:
+        entries = {e.server_id: e for e in self._decode_servers(rows)}
+        for row in rows:
+            server_id = ServerId(row.key.key)
+            entry = entries.get(server_id)
+            if entry is None:
+                # A row that cannot be read names no server to use.
+                self.servers.remove(
+                    server_id, time.monotonic(), doubtful and not row.value
+                )
+                log_event(
+                    LOG, 'server_unlisted', server=server_id, held=doubtful
+                )
+                continue
+            self.servers.put(entry)
+            log_event(
+                LOG,
+                'server_listed',
+                server=server_id,
+                service=entry.service,
+                leaving=entry.leaving,
+            )
+
+    async def _serve(self, received: Received, reply: Reply) -> None:
+        headers = self._adapter.decode_headers(received.pairs)
+        await self.entry.serve(received, headers, reply)
+
+    @property
+    def ready(self) -> bool:
+        """Return whether the instance can serve callers."""
+        if self.stopping or self.entry.configuration is None:
+            return False
+        return bool(self.servers.by_id)
+
+    async def _answer_health(self, _: Received, reply: Reply) -> None:
+        reply.send(200 if self.ready else 503, 'ready' if self.ready else '')
+
+    async def stop(self) -> None:
+        """Shut down gracefully within the grace."""
+        self.stopping = True
+        started_s = time.monotonic()
+        grace_s = self.settings.bounds.grace_s
+        last_s = started_s + grace_s - STOP_MARGIN_S
+        self.front.close_after_answers()
+        log_event(LOG, 'stopping', in_flight=self.front.in_flight)
+        await asyncio.sleep(LISTEN_AFTER_STOP_S)
+        while self.front.in_flight and time.monotonic() < last_s:
+            await asyncio.sleep(CHECK_S)
+        self.front.stop_listening()
+        await self.members.leave()
+        log_event(LOG, 'stopped', in_flight=self.front.in_flight)
+        for task in list(self._tasks):
+            task.cancel()
+
+
+async def run(settings: GatewaySettings, adapter: Adapter) -> None:
+    """Serve until SIGTERM."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    loop.add_signal_handler(
+        signal.SIGHUP, lambda: log_event(LOG, 'reload_requested')
+    )
+    gateway = Gateway(settings, adapter)
+    await gateway.start()
+    await stop.wait()
+    await gateway.stop()
--- /dev/null
+++ b/jackdawfield/gateway/dispatch.py
@@ -0,0 +1,313 @@
+"""Sends a call to a backend server and to another only if that is safe."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import logging
+import time
+
+from result import Err
+
+from jackdawfield.gateway.calls import Call
+from jackdawfield.gateway.calls import Failure
+from jackdawfield.gateway.calls import ForwardedHeaders
+from jackdawfield.gateway.calls import HeaderPairs
+from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.connections import BodyEnd
+from jackdawfield.gateway.connections import Connection
+from jackdawfield.gateway.connections import ConnectionPool
+from jackdawfield.gateway.connections import OutgoingRequest
+from jackdawfield.gateway.connections import ResponseHead
+from jackdawfield.gateway.servers import note_failure
+from jackdawfield.gateway.servers import note_full
+from jackdawfield.gateway.servers import note_success
+from jackdawfield.gateway.servers import Servers
+from jackdawfield.gateway.servers import ServerState
+from jackdawfield.gateway.servers import Wanted
+from jackdawfield.logs import log_event
+from jackdawfield.model import ServerId
+from jackdawfield.model import ServiceName
+
+LOG = logging.getLogger(__name__)
+CONNECT_TIMEOUT_S = 0.4
+# Servers tried in vain, without having been sent the request, for one call.
+VAIN_TRIES = 4
+STATUS_MISDIRECTED = 421
+STATUS_FULL = 503
+SUCCESS_CLASS = 2
+# What is left of a call's time below which no server is asked.
+LEAST_TIME_S = 0.02
+# An idempotent call goes to a second server after this many times the
+# route's target latency, and not before this time.
+SLOW_FACTOR = 2.0
+LEAST_SLOW_S = 0.3
+RETRY_SOON_S = 0.1
+
+
+# Answers to idempotent calls up to this size are held until they are whole.
+COLLECT_BYTES = 262144
+
+
+@dataclass(frozen=True, slots=True)
+class WireNames:
+    """Names the headers that dispatch itself reads and writes."""
+
+    request_id: str
+    not_run: str
+    signature: str
+    encode: Callable[[ForwardedHeaders], list[tuple[str, str]]]
+
+
+@dataclass(slots=True)
+class Running:
+    """Holds a call whose answer has begun."""
+
+    server: ServerState
+    connection: Connection
+    head: ResponseHead
+    pieces: list[bytes] = field(default_factory=list)
+    end: BodyEnd | None = None
+
+    async def next_part(self) -> bytes | BodyEnd:
+        """Return the next piece of the body, then its end."""
+        if self.pieces:
+            return self.pieces.pop(0)
+        if self.end is not None:
+            return self.end
+        part = await self.connection.next_part()
+        assert not isinstance(part, ResponseHead)
+        return part
+
+
+@dataclass(frozen=True, slots=True)
+class _NotRun:
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Lost:
+    reason: str
+
+
+class Dispatcher:
+    """Chooses servers and exchanges requests with them."""
+
+    def __init__(
+        self, servers: Servers, pool: ConnectionPool, names: WireNames
+    ) -> None:
+        self.servers = servers
+        self.pool = pool
+        self._names = names
+
+    async def start(
+        self,
+        call: Call,
+        service: ServiceName,
+        body: bytes,
+        preferred: ServerId | None,
+    ) -> Running | Refusal | Failure:
+        """Return a begun answer, or why there is none."""
+        excluded: set[ServerId] = set()
+        sent = 0
+        reason = 'no backend server'
+        for _ in range(VAIN_TRIES + call.route.attempt_limit):
+            now_s = time.monotonic()
+            if call.deadline_s - now_s < LEAST_TIME_S:
+                break
+            wanted = Wanted(
+                service,
+                call.headers.line_id or call.request_id,
+                preferred,
+                frozenset(excluded),
+            )
+            server = self.servers.choose(wanted, now_s)
+            if server is None:
+                break
+            excluded.add(server.entry.server_id)
+            more = sent + 1 < call.route.attempt_limit
+            outcome = await self._attempt(call, server, body, more)
+            match outcome:
+                case Running():
+                    return outcome
+                case _NotRun(reason):
+                    sent += reason != 'unreached'
+                case _Lost(reason):
+                    sent += 1
+                    if not call.route.kind.repeatable:
+                        return Failure(502, reason)
+            if sent >= call.route.attempt_limit:
+                break
+        if sent and call.route.kind.repeatable:
+            return Failure(502, reason)
+        return Refusal(503, reason, RETRY_SOON_S)
+
+    async def _attempt(
+        self, call: Call, server: ServerState, body: bytes, more: bool
+    ) -> Running | _NotRun | _Lost:
+        entry = server.entry
+        server.in_flight += 1
+        kept = False
+        try:
+            outcome = await self._exchange(call, server, body, more)
+            kept = isinstance(outcome, Running)
+        finally:
+            if not kept:
+                server.in_flight -= 1
+        if not isinstance(outcome, Running):
+            log_event(
+                LOG,
+                'attempt_failed',
+                request=call.request_id,
+                server=entry.server_id,
+                run='no' if isinstance(outcome, _NotRun) else 'unknown',
+                reason=outcome.reason,
+            )
+        return outcome
+
+    async def _exchange(
+        self, call: Call, server: ServerState, body: bytes, more: bool
+    ) -> Running | _NotRun | _Lost:
+        entry = server.entry
+        acquired = await self.pool.acquire(
+            entry.host, entry.port, CONNECT_TIMEOUT_S
+        )
+        now_s = time.monotonic()
+        if isinstance(acquired, Err):
+            self._note_failure(server, now_s, acquired.err_value.reason)
+            return _NotRun('unreached')
+        connection = acquired.ok_value
+        left_s = call.deadline_s - now_s
+        if left_s < LEAST_TIME_S:
+            connection.abort('too late to send')
+            return _NotRun('unreached')
+        request = self._request(call, server, body, left_s)
+        if isinstance(connection.send(request), Err):
+            return _NotRun('unreached')
+        try:
+            async with asyncio.timeout(_answer_limit_s(call, left_s, more)):
+                begun = await self._begin(call, server, connection)
+        except TimeoutError:
+            connection.abort('no answer in time')
+            self._note_failure(server, time.monotonic(), 'no answer in time')
+            return _Lost('no answer in time')
+        except asyncio.CancelledError:
+            connection.abort('caller left')
+            raise
+        if begun is None:
+            self._note_failure(server, time.monotonic(), 'answer lost')
+            connection.abort('answer lost')
+            return _Lost(connection.lost_reason or 'answer lost')
+        head = begun.head
+        if self._says_not_run(head):
+            await self._drop_refusal(server, connection, head)
+            return _NotRun(f'server answered {head.status}, not run')
+        return begun
+
+    async def _begin(
+        self, call: Call, server: ServerState, connection: Connection
+    ) -> Running | None:
+        """Return a begun answer, None if it is lost or no valid one."""
+        head = await connection.next_part()
+        if not isinstance(head, ResponseHead):
+            return None
+        running = Running(server, connection, head)
+        if self._says_not_run(head):
+            return running
+        succeeded = head.status // 100 == SUCCESS_CLASS
+        if succeeded and head.get(self._names.signature) is None:
+            return None
+        if call.route.kind.repeatable:
+            await _collect(running)
+        return None if running.end is BodyEnd.CUT else running
+
+    def _request(
+        self, call: Call, server: ServerState, body: bytes, left_s: float
+    ) -> OutgoingRequest:
+        headers: HeaderPairs = call.headers.passed_on
+        encoded = self._names.encode(
+            ForwardedHeaders(
+                server.entry.server_id, call.organisation_id, left_s, headers
+            )
+        )
+        return OutgoingRequest(
+            call.method,
+            call.target,
+            tuple(encoded),
+            body,
+            self._names.request_id,
+            call.request_id,
+        )
+
+    def _says_not_run(self, head: ResponseHead) -> bool:
+        if head.status == STATUS_MISDIRECTED:
+            return True
+        return head.get(self._names.not_run) is not None
+
+    async def _drop_refusal(
+        self, server: ServerState, connection: Connection, head: ResponseHead
+    ) -> None:
+        entry = server.entry
+        if head.status == STATUS_FULL:
+            note_full(server, time.monotonic())
+        else:
+            self._note_failure(
+                server, time.monotonic(), f'refused with {head.status}'
+            )
+        try:
+            async with asyncio.timeout(RETRY_SOON_S):
+                while isinstance(await connection.next_part(), bytes):
+                    pass
+        except TimeoutError:
+            connection.abort('refusal without end')
+            return
+        self.pool.release(entry.host, entry.port, connection)
+
+    def end(self, running: Running, end: BodyEnd | None) -> None:
+        """Give a call's connection back; None if the caller has left."""
+        server = running.server
+        server.in_flight -= 1
+        if end is None:
+            running.connection.abort('caller left')
+            return
+        if end is BodyEnd.CUT:
+            running.connection.abort('answer cut')
+            self._note_failure(server, time.monotonic(), 'answer cut')
+            return
+        note_success(server)
+        entry = server.entry
+        self.pool.release(entry.host, entry.port, running.connection)
+
+    def _note_failure(
+        self, server: ServerState, now_s: float, reason: str
+    ) -> None:
+        if note_failure(server, now_s):
+            log_event(
+                LOG,
+                'server_avoided',
+                server=server.entry.server_id,
+                failures=server.failures,
+                reason=reason,
+            )
+
+
+async def _collect(running: Running) -> None:
+    """Read a body to its end, or up to what is held back of one."""
+    pieces: list[bytes] = []
+    size = 0
+    while size < COLLECT_BYTES:
+        match await running.connection.next_part():
+            case bytes(piece):
+                pieces.append(piece)
+                size += len(piece)
+            case BodyEnd() as end:
+                running.end = end
+                break
+    running.pieces = pieces
+
+
+def _answer_limit_s(call: Call, left_s: float, more: bool) -> float:
+    if not call.route.kind.repeatable or not more:
+        return left_s
+    slow_s = max(LEAST_SLOW_S, SLOW_FACTOR * call.route.target_latency_s)
+    return min(left_s, slow_s)
--- /dev/null
+++ b/jackdawfield/gateway/entry.py
@@ -0,0 +1,189 @@
+"""Decides what becomes of a caller's request and carries it out."""
+
+import asyncio
+from dataclasses import dataclass
+import logging
+import time
+
+from jackdawfield.gateway.admission import Admission
+from jackdawfield.gateway.calls import Call
+from jackdawfield.gateway.calls import CallHeaders
+from jackdawfield.gateway.calls import Failure
+from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.connections import BodyEnd
+from jackdawfield.gateway.dispatch import Dispatcher
+from jackdawfield.gateway.dispatch import Running
+from jackdawfield.gateway.front import Received
+from jackdawfield.gateway.front import Reply
+from jackdawfield.gateway.model import FleetConfiguration
+from jackdawfield.gateway.routes import choose_service
+from jackdawfield.gateway.routes import find_route
+from jackdawfield.gateway.turn_calls import TurnCalls
+from jackdawfield.logs import log_event
+from jackdawfield.model import OrganisationId
+
+LOG = logging.getLogger(__name__)
+# Before the first configuration has come.
+RETRY_UNCONFIGURED_S = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class _Refused(Exception):
+    refusal: Refusal
+
+
+class Entry:
+    """Serves the requests that reach this instance."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        turn_calls: TurnCalls,
+        admission: Admission,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._turn_calls = turn_calls
+        self._admission = admission
+        self.configuration: FleetConfiguration | None = None
+
+    async def serve(
+        self, received: Received, headers: CallHeaders, reply: Reply
+    ) -> None:
+        """Answer a request."""
+        checked = self._check(received, headers)
+        if isinstance(checked, Refusal):
+            self._refuse(headers.request_id, checked, reply)
+            return
+        refusal = await self._admission.admit(checked)
+        if refusal is not None:
+            self._refuse(headers.request_id, refusal, reply)
+            return
+        try:
+            async with asyncio.timeout_at(loop_time(checked.deadline_s)):
+                await self._run(checked, reply)
+        except TimeoutError:
+            self._time_out(checked, reply)
+        log_event(
+            LOG,
+            'call_ended',
+            request=checked.request_id,
+            route=checked.route.name,
+            organisation=checked.organisation_id,
+            status=reply.status,
+            ms=round((time.monotonic() - checked.arrived_at_s) * 1000),
+        )
+
+    def _check(
+        self, received: Received, headers: CallHeaders
+    ) -> Call | Refusal:
+        configuration = self.configuration
+        if configuration is None:
+            return Refusal(503, 'no configuration yet', RETRY_UNCONFIGURED_S)
+        if len(received.body) > configuration.limits.body_bytes:
+            return Refusal(413, 'body too large')
+        route = find_route(configuration, headers.host, received.target)
+        if route is None:
+            return Refusal(404, 'no such route')
+        organisation_id: OrganisationId | None = None
+        if headers.key is not None:
+            organisation_id = configuration.organisation_ids_by_key.get(
+                headers.key
+            )
+        needs_key = configuration.needs_keys and not route.open
+        if needs_key and organisation_id is None:
+            return Refusal(401, 'unknown key')
+        time_left_s = route.timeout_s
+        if headers.time_left_s is not None:
+            time_left_s = min(time_left_s, headers.time_left_s)
+        return Call(
+            request_id=headers.request_id,
+            method=received.method,
+            target=received.target,
+            headers=headers,
+            body=received.body,
+            route=route,
+            organisation_id=organisation_id,
+            arrived_at_s=received.arrived_at_s,
+            deadline_s=received.arrived_at_s + time_left_s,
+        )
+
+    async def _run(self, call: Call, reply: Reply) -> None:
+        service = choose_service(call.route, call.request_id)
+        if service is None:
+            self._refuse(
+                call.request_id, Refusal(503, 'route without service'), reply
+            )
+            return
+        if call.route.keeps_turns:
+            outcome = await self._turn_calls.serve(call, service, reply)
+        else:
+            outcome = await self._forward(call, service, reply)
+        match outcome:
+            case Refusal():
+                self._refuse(call.request_id, outcome, reply)
+            case Failure(status, reason):
+                log_event(
+                    LOG,
+                    'call_failed',
+                    request=call.request_id,
+                    status=status,
+                    reason=reason,
+                )
+                reply.send(status, reason)
+
+    async def _forward(
+        self, call: Call, service: str, reply: Reply
+    ) -> Refusal | Failure | None:
+        running = await self._dispatcher.start(call, service, call.body, None)
+        if not isinstance(running, Running):
+            return running
+        end: BodyEnd | None = None
+        try:
+            reply.start(running.head)
+            end = await pass_on(running, reply)
+        finally:
+            self._dispatcher.end(running, end)
+        if end is BodyEnd.WHOLE:
+            reply.finish()
+        else:
+            reply.cut()
+        return None
+
+    def _refuse(self, request_id: str, refusal: Refusal, reply: Reply) -> None:
+        log_event(
+            LOG,
+            'call_refused',
+            request=request_id,
+            status=refusal.status,
+            reason=refusal.reason,
+            retry_after_s=refusal.retry_after_s,
+        )
+        reply.send(refusal.status, refusal.reason, refusal.retry_after_s)
+
+    def _time_out(self, call: Call, reply: Reply) -> None:
+        log_event(
+            LOG, 'call_timed_out', request=call.request_id, begun=reply.started
+        )
+        if reply.ended:
+            return
+        if reply.started:
+            reply.cut()
+            return
+        reply.send(504, 'timeout')
+
+
+async def pass_on(running: Running, reply: Reply) -> BodyEnd | None:
+    """Pass an answer's body on; None if the caller has left."""
+    while True:
+        match await running.next_part():
+            case bytes(piece):
+                if not await reply.write(piece):
+                    return None
+            case BodyEnd() as end:
+                return end
+
+
+def loop_time(monotonic_s: float) -> float:
+    """Return a moment of the monotonic clock on the loop's clock."""
+    loop = asyncio.get_running_loop()
+    return loop.time() + monotonic_s - time.monotonic()
--- /dev/null
+++ b/jackdawfield/gateway/follower.py
@@ -0,0 +1,92 @@
+"""Follows a table of the store: all rows first, then each change."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import time
+
+from result import Err
+
+from jackdawfield.gateway.rows import RowStore
+from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.logs import log_event
+
+LOG = logging.getLogger(__name__)
+# A change is known soon; a connection that went silent is noticed in time.
+WAIT_S = 2.0
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.5
+
+TakeAll = Callable[[tuple[StoredRow, ...], bool], None]
+TakeChanges = Callable[[tuple[StoredRow, ...], bool], None]
+
+
+class TableFollower:
+    """Calls back with a table's rows and their changes.
+
+    The callbacks' second argument says whether missing rows are doubtful,
+    since the store has just been away.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        table: str,
+        take_all: TakeAll,
+        take_changes: TakeChanges,
+        doubt_s: float = 0.0,
+    ) -> None:
+        self._store = store
+        self._table = table
+        self._take_all = take_all
+        self._take_changes = take_changes
+        self._doubt_s = doubt_s
+        self._failed_at_s = float('-inf')
+        self._pause_s = FIRST_PAUSE_S
+        self.version: int | None = None
+        self.synced_at_s: float | None = None
+
+    async def run(self) -> None:
+        """Follow the table for ever."""
+        while True:
+            if self.version is None:
+                done = await self._read_all()
+            else:
+                done = await self._read_changes(self.version)
+            if done:
+                self._pause_s = FIRST_PAUSE_S
+                continue
+            self._failed_at_s = time.monotonic()
+            await asyncio.sleep(self._pause_s)
+            self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
+
+    @property
+    def _doubtful(self) -> bool:
+        return time.monotonic() - self._failed_at_s < self._doubt_s
+
+    async def _read_all(self) -> bool:
+        asked_at_s = time.monotonic()
+        found = await self._store.read(self._table, '')
+        if isinstance(found, Err):
+            self._log_failure(found.err_value.reason)
+            return False
+        self.version = found.ok_value.version
+        self.synced_at_s = asked_at_s
+        self._take_all(found.ok_value.rows, self._doubtful)
+        return True
+
+    async def _read_changes(self, after: int) -> bool:
+        found = await self._store.changes(self._table, after, WAIT_S)
+        if isinstance(found, Err):
+            self._log_failure(found.err_value.reason)
+            if found.err_value.history_gone:
+                self.version = None
+            return found.err_value.history_gone
+        self.version = max(after, found.ok_value.version)
+        self.synced_at_s = time.monotonic()
+        if found.ok_value.rows:
+            self._take_changes(found.ok_value.rows, self._doubtful)
+        return True
+
+    def _log_failure(self, reason: str) -> None:
+        log_event(LOG, 'table_unread', table=self._table, reason=reason)
--- /dev/null
+++ b/jackdawfield/gateway/front.py
@@ -0,0 +1,226 @@
+"""Takes callers' requests over HTTP and writes their answers."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import logging
+import time
+
+from tornado import httputil
+from tornado.http1connection import HTTP1Connection
+from tornado.httpserver import HTTPServer
+from tornado.iostream import StreamClosedError
+
+from jackdawfield.gateway.connections import ResponseHead
+
+LOG = logging.getLogger(__name__)
+# Above what any configuration allows; the configured limit is checked later.
+MAX_BODY_BYTES = 64 * 1024 * 1024
+MAX_HEADER_BYTES = 262144
+# Idle connections end after the configured limit; this is the last resort.
+IDLE_LIMIT_S = 120.0
+REASONS_BY_STATUS = httputil.responses
+# Headers of an answer that concern one connection only.
+CONNECTION_HEADERS = frozenset(
+    ('connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'trailer')
+)
+
+
+class Received:
+    """Holds a caller's request as it came in."""
+
+    __slots__ = ('arrived_at_s', 'body', 'method', 'pairs', 'target')
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        pairs: list[tuple[str, str]],
+        body: bytes,
+        arrived_at_s: float,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.pairs = pairs
+        self.body = body
+        self.arrived_at_s = arrived_at_s
+
+
+class Reply:
+    """Writes one answer to a caller."""
+
+    def __init__(self, connection: HTTP1Connection) -> None:
+        self._connection = connection
+        self.started = False
+        self.ended = False
+        self.status = 0
+
+    def send(
+        self, status: int, reason: str, retry_after_s: float | None = None
+    ) -> None:
+        """Write a whole answer of the system's own."""
+        body = reason.encode() + b'\n'
+        headers = httputil.HTTPHeaders(
+            {'Content-Type': 'text/plain', 'Content-Length': str(len(body))}
+        )
+        if retry_after_s is not None:
+            headers['Retry-After'] = f'{retry_after_s:.3f}'
+        self._write_head(status, headers, body)
+        self.finish()
+
+    def start(self, head: ResponseHead) -> None:
+        """Write the status and the headers of a server's answer."""
+        headers = httputil.HTTPHeaders()
+        for name, value in head.headers:
+            if name.lower() not in CONNECTION_HEADERS:
+                headers.add(name, value)
+        self._write_head(head.status, headers, b'')
+
+    def _write_head(
+        self, status: int, headers: httputil.HTTPHeaders, body: bytes
+    ) -> None:
+        self.started = True
+        self.status = status
+        phrase = REASONS_BY_STATUS.get(status, 'Unknown')
+        line = httputil.ResponseStartLine('HTTP/1.1', status, phrase)
+        ignore_lost(self._connection.write_headers(line, headers, body))
+
+    async def write(self, piece: bytes) -> bool:
+        """Write a piece of the body; False if the caller has left."""
+        try:
+            await self._connection.write(piece)
+        except StreamClosedError:
+            return False
+        return True
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        self.ended = True
+        try:
+            self._connection.finish()
+        except httputil.HTTPOutputError:
+            LOG.warning('event=answer_shorter_than_announced')
+
+    def cut(self) -> None:
+        """Close the connection so that the answer is not complete."""
+        self.ended = True
+        self._connection.close()
+
+
+def ignore_lost(written: Awaitable[None]) -> None:
+    """Let a write to a caller that has left fail silently.
+
+    The connection's own close callback tells the handler.
+    """
+    future = asyncio.ensure_future(written)
+    future.add_done_callback(lambda f: f.cancelled() or f.exception())
+
+
+Handler = Callable[[Received, Reply], Awaitable[None]]
+
+
+class _Exchange(httputil.HTTPMessageDelegate):
+    """Collects one request and runs its handler."""
+
+    def __init__(self, front: 'Front', connection: HTTP1Connection) -> None:
+        self._front = front
+        self._connection = connection
+        self._pieces: list[bytes] = []
+        self._line: httputil.RequestStartLine | None = None
+        self._pairs: list[tuple[str, str]] = []
+        self._arrived_at_s = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        """Take in the request's head."""
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self._line = start_line
+        self._pairs = list(headers.get_all())
+        self._arrived_at_s = time.monotonic()
+        self._front.in_flight += 1
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take in a piece of the body."""
+        self._pieces.append(chunk)
+
+    def finish(self) -> None:
+        """Run the handler of the whole request."""
+        self._connection.stream.set_nodelay(True)
+        self._task = asyncio.create_task(self._run())
+        self._connection.set_close_callback(self._left)
+
+    def on_connection_close(self) -> None:
+        """Forget a request that did not come in whole."""
+        if self._line is not None and self._task is None:
+            self._front.in_flight -= 1
+
+    def _left(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        reply = Reply(self._connection)
+        line = self._line
+        assert line is not None
+        received = Received(
+            line.method,
+            line.path,
+            self._pairs,
+            b''.join(self._pieces),
+            self._arrived_at_s,
+        )
+        try:
+            await self._front.handler(received, reply)
+        except asyncio.CancelledError:
+            reply.cut()
+        except Exception:
+            LOG.exception('event=handler_failed')
+            if reply.started:
+                reply.cut()
+            else:
+                reply.send(500, 'internal error')
+        finally:
+            self._front.in_flight -= 1
+            if not reply.ended:
+                reply.cut()
+
+
+class Front(httputil.HTTPServerConnectionDelegate):
+    """Listens for callers."""
+
+    def __init__(self, handler: Handler) -> None:
+        self.handler = handler
+        self.in_flight = 0
+        self._server = HTTPServer(
+            self,
+            max_body_size=MAX_BODY_BYTES,
+            max_header_size=MAX_HEADER_BYTES,
+            idle_connection_timeout=IDLE_LIMIT_S,
+        )
+
+    def start_request(
+        self, server_conn: object, request_conn: httputil.HTTPConnection
+    ) -> httputil.HTTPMessageDelegate:
+        """Return what takes in the next request of a connection."""
+        assert isinstance(request_conn, HTTP1Connection)
+        return _Exchange(self, request_conn)
+
+    def listen(self, host: str, port: int) -> None:
+        """Listen on an address."""
+        self._server.listen(port, host, backlog=1024)
+
+    def close_after_answers(self) -> None:
+        """Let each connection end after the answer under way."""
+        self._server.conn_params.no_keep_alive = True
+
+    def stop_listening(self) -> None:
+        """Take no more connections."""
+        self._server.stop()
+
+    async def close(self) -> None:
+        """Close every connection."""
+        await self._server.close_all_connections()
--- /dev/null
+++ b/jackdawfield/gateway/model.py
@@ -0,0 +1,166 @@
+"""Defines what the gateway knows of routes, organisations and servers."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import NewType
+
+from jackdawfield.model import DomainId
+from jackdawfield.model import InstanceId
+from jackdawfield.model import OrganisationId
+from jackdawfield.model import RegionId
+from jackdawfield.model import RouteName
+from jackdawfield.model import ServerId
+from jackdawfield.model import ServiceName
+from jackdawfield.model import Version
+
+TurnId = NewType('TurnId', str)
+
+
+class CallKind(Enum):
+    """Says how often a request may run and how it is answered."""
+
+    IDEMPOTENT = 'idempotent'
+    AT_MOST_ONCE = 'at most once'
+    STREAM = 'stream'
+
+    @property
+    def repeatable(self) -> bool:
+        """Return whether a request may run more than once."""
+        return self is CallKind.IDEMPOTENT
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """Names a service of a route and its share of the requests."""
+
+    service: ServiceName
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class CallRoute:
+    """Describes a host and path prefix and how its requests are served."""
+
+    name: RouteName
+    host: str
+    prefix: str
+    kind: CallKind
+    targets: tuple[Target, ...]
+    timeout_s: float
+    target_latency_s: float
+    priority: int
+    attempt_limit: int
+    keeps_turns: bool
+    retention_s: float
+    open: bool
+    sticky: bool
+    gap_limit_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Service:
+    """Describes a kind of backend server."""
+
+    name: ServiceName
+    health_path: str
+    connection_limit: int
+    slots: int | None
+    cache_tokens: int
+    tokens_per_event: int
+
+
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """Holds an organisation's rank and contract; rate 0 means no limit."""
+
+    organisation_id: OrganisationId
+    priority: int | None
+    rate_per_s: float
+    burst: float
+
+
+@dataclass(frozen=True, slots=True)
+class RequestLimits:
+    """Bounds what a caller may send and how long it may stay idle."""
+
+    header_bytes: int
+    body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class FleetConfiguration:
+    """Holds one version of everything that operators set."""
+
+    version: Version
+    routes_by_host: Mapping[str, tuple[CallRoute, ...]]
+    services_by_name: Mapping[ServiceName, Service]
+    organisations_by_id: Mapping[OrganisationId, Organisation]
+    organisation_ids_by_key: Mapping[str, OrganisationId]
+    limits: RequestLimits
+
+    @property
+    def needs_keys(self) -> bool:
+        """Return whether requests need a key, but for open routes."""
+        return bool(self.organisations_by_id)
+
+
+@dataclass(frozen=True, slots=True)
+class ServerEntry:
+    """Describes a backend server as the platform lists it."""
+
+    server_id: ServerId
+    service: ServiceName
+    host: str
+    port: int
+    domain_id: DomainId
+    slots: int
+    leaving: bool
+    started_ms: int
+
+    @property
+    def address(self) -> str:
+        """Return the address in the form HOST:PORT."""
+        return f'{self.host}:{self.port}'
+
+
+@dataclass(frozen=True, slots=True)
+class StoreBounds:
+    """Holds the store's limits for one row and its history."""
+
+    row_bytes: int
+    transaction_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PromiseBounds:
+    """Holds the time limits, in seconds, that operators count on."""
+
+    drain_s: float
+    grace_s: float
+    apply_s: float
+    rate_window_s: float
+    rate_overshoot: float
+    rate_slack: float
+
+
+@dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Holds what an instance is told at its start."""
+
+    instance_id: InstanceId
+    domain_id: DomainId
+    region_id: RegionId
+    regions_by_domain: Mapping[DomainId, RegionId]
+    host: str
+    caller_port: int
+    health_port: int
+    peer_port: int
+    metrics_port: int
+    memory_mb: int
+    store_host: str
+    store_port: int
+    store: StoreBounds
+    bounds: PromiseBounds
--- /dev/null
+++ b/jackdawfield/gateway/servers.py
@@ -0,0 +1,168 @@
+"""Tracks the backend servers that the platform lists and their load."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from dataclasses import field
+
+from jackdawfield.decisions.placement import score
+from jackdawfield.gateway.model import ServerEntry
+from jackdawfield.model import DomainId
+from jackdawfield.model import RegionId
+from jackdawfield.model import ServerId
+from jackdawfield.model import ServiceName
+
+# Entries that lapsed in an outage return within 2 s of its end.
+RETURN_S = 2.0
+# A server that refused a request as full is left alone for this long.
+FULL_S = 0.1
+# Failures in a row after which a server is avoided, and for how long.
+FAILURES_TO_AVOID = 2
+AVOID_S = 1.0
+MAX_AVOID_S = 8.0
+# Load, as a share of the slots, that a nearer server is worth.
+OTHER_DOMAIN_COST = 0.15
+OTHER_REGION_COST = 1.5
+# Load up to which a line of turns stays where its prompt is cached.
+STAY_LOAD = 0.9
+
+
+@dataclass(slots=True)
+class ServerState:
+    """Holds what this instance knows of one backend server."""
+
+    entry: ServerEntry
+    in_flight: int = 0
+    failures: int = 0
+    avoid_until_s: float = 0.0
+    full_until_s: float = 0.0
+    missing_since_s: float | None = None
+
+    @property
+    def load(self) -> float:
+        """Return this instance's requests as a share of the slots."""
+        return self.in_flight / max(1, self.entry.slots)
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """Says what a request asks of its server."""
+
+    service: ServiceName
+    key: str
+    preferred: ServerId | None = None
+    excluded: frozenset[ServerId] = field(default_factory=frozenset)
+
+
+class Servers:
+    """Holds the backend servers by id and chooses among them."""
+
+    def __init__(
+        self, domain_id: DomainId, regions_by_domain: dict[DomainId, RegionId]
+    ) -> None:
+        self._domain_id = domain_id
+        self._regions_by_domain = regions_by_domain
+        self.by_id: dict[ServerId, ServerState] = {}
+
+    def list_all(
+        self, entries: Iterable[ServerEntry], now_s: float, doubtful: bool
+    ) -> None:
+        """Take over a whole list; a doubtful one only adds."""
+        listed = {entry.server_id: entry for entry in entries}
+        for entry in listed.values():
+            self.put(entry)
+        for server_id in list(self.by_id):
+            if server_id not in listed:
+                self.remove(server_id, now_s, doubtful)
+
+    def put(self, entry: ServerEntry) -> None:
+        """Add a server or take over what changed of it."""
+        state = self.by_id.get(entry.server_id)
+        if state is None or state.entry.started_ms != entry.started_ms:
+            self.by_id[entry.server_id] = ServerState(entry)
+            return
+        state.entry = entry
+        state.missing_since_s = None
+
+    def remove(
+        self, server_id: ServerId, now_s: float, doubtful: bool
+    ) -> None:
+        """Forget a server, or wait for its return after an outage."""
+        state = self.by_id.get(server_id)
+        if state is None:
+            return
+        if not doubtful:
+            del self.by_id[server_id]
+            return
+        if state.missing_since_s is None:
+            state.missing_since_s = now_s
+
+    def expire(self, now_s: float) -> list[ServerId]:
+        """Forget servers that did not return, and return their ids."""
+        gone = [
+            server_id
+            for server_id, state in self.by_id.items()
+            if state.missing_since_s is not None
+            and now_s - state.missing_since_s >= RETURN_S
+        ]
+        for server_id in gone:
+            del self.by_id[server_id]
+        return gone
+
+    def choose(self, wanted: Wanted, now_s: float) -> ServerState | None:
+        """Return the server for a request, None if there is none."""
+        usable = [
+            state
+            for state in self.by_id.values()
+            if state.entry.service == wanted.service
+            and not state.entry.leaving
+            and state.entry.server_id not in wanted.excluded
+        ]
+        if not usable:
+            return None
+        good = [s for s in usable if s.avoid_until_s <= now_s]
+        candidates = good or usable
+        for state in candidates:
+            if state.entry.server_id == wanted.preferred:
+                if state.load < STAY_LOAD and state.full_until_s <= now_s:
+                    return state
+        return min(
+            candidates, key=lambda state: self._cost(state, wanted, now_s)
+        )
+
+    def _cost(
+        self, state: ServerState, wanted: Wanted, now_s: float
+    ) -> tuple[bool, float, int]:
+        entry = state.entry
+        cost = state.load
+        if entry.domain_id != self._domain_id:
+            cost += OTHER_DOMAIN_COST
+        if self._region_of(entry.domain_id) != self._region_of(
+            self._domain_id
+        ):
+            cost += OTHER_REGION_COST
+        rank = -score(wanted.key, entry.server_id)
+        return state.full_until_s > now_s, cost, rank
+
+    def _region_of(self, domain_id: DomainId) -> RegionId | None:
+        return self._regions_by_domain.get(domain_id)
+
+
+def note_success(state: ServerState) -> None:
+    """Trust a server again after a whole answer."""
+    state.failures = 0
+    state.avoid_until_s = 0.0
+
+
+def note_full(state: ServerState, now_s: float) -> None:
+    """Leave a server alone that refused a request as full."""
+    state.full_until_s = now_s + FULL_S
+
+
+def note_failure(state: ServerState, now_s: float) -> bool:
+    """Count a failure and return whether the server is avoided from now."""
+    state.failures += 1
+    if state.failures < FAILURES_TO_AVOID:
+        return False
+    doublings = min(state.failures - FAILURES_TO_AVOID, 3)
+    state.avoid_until_s = now_s + min(MAX_AVOID_S, AVOID_S * 2**doublings)
+    return True
--- /dev/null
+++ b/jackdawfield/gateway/store_path.py
@@ -0,0 +1,191 @@
+"""Carries calls to the store, directly or through another instance."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import time
+
+from result import Err
+from result import Ok
+from result import Result
+
+from jackdawfield.drivers.peers import PeerFault
+from jackdawfield.drivers.peers import PeerLinks
+from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.connections import BodyEnd
+from jackdawfield.gateway.connections import Connection
+from jackdawfield.gateway.connections import ConnectionPool
+from jackdawfield.gateway.connections import ExchangeError
+from jackdawfield.gateway.connections import Fault
+from jackdawfield.gateway.connections import OutgoingRequest
+from jackdawfield.gateway.connections import ResponseHead
+from jackdawfield.logs import log_event
+from jackdawfield.messages.store_calls import StoreCall
+from jackdawfield.messages.store_calls import StoreReply
+from jackdawfield.messages.store_calls import StoreUnreached
+
+LOG = logging.getLogger(__name__)
+CONNECT_TIMEOUT_S = 0.5
+# How long the direct path is tried last after it failed.
+AVOID_S = 1.0
+RELAYS_TRIED = 2
+RELAY_MARGIN_S = 0.2
+# The store refuses work with these, and did nothing.
+REFUSED = (429, 503)
+
+
+class StorePath:
+    """Calls the store and falls back on instances that reach it."""
+
+    def __init__(
+        self,
+        pool: ConnectionPool,
+        host: str,
+        port: int,
+        links: PeerLinks,
+        relay_addresses: Callable[[], list[str]],
+    ) -> None:
+        self._pool = pool
+        self._host = host
+        self._port = port
+        self._links = links
+        self._relay_addresses = relay_addresses
+        self._avoid_until_s = 0.0
+        self._good_relay: str | None = None
+        self.calls = 0
+        self.reached_at_s = time.monotonic()
+        self.direct = True
+
+    def register(self, server: PeerServer) -> None:
+        """Pass on the calls of other instances."""
+        server.handle(StoreCall, self._answer)
+
+    @property
+    def avoided(self) -> bool:
+        """Return whether the direct path failed a moment ago."""
+        return time.monotonic() < self._avoid_until_s
+
+    async def call(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> Result[StoreReply, ExchangeError]:
+        """Return the store's answer by the first path that has one."""
+        if self.avoided:
+            relayed = await self._relayed(method, target, body, timeout_s)
+            if isinstance(relayed, Ok):
+                return relayed
+        found = await self._direct(method, target, body, timeout_s)
+        if self._served(found):
+            return found
+        relayed = await self._relayed(method, target, body, timeout_s)
+        if isinstance(relayed, Ok):
+            return relayed
+        return found
+
+    def _served(self, found: Result[StoreReply, ExchangeError]) -> bool:
+        served = isinstance(found, Ok) and found.ok_value.status not in REFUSED
+        if served:
+            self._note_direct(True, '')
+            self._avoid_until_s = 0.0
+            return True
+        reason = (
+            found.err_value.reason if isinstance(found, Err) else 'refused'
+        )
+        self._note_direct(False, reason)
+        self._avoid_until_s = time.monotonic() + AVOID_S
+        return False
+
+    def _note_direct(self, direct: bool, reason: str) -> None:
+        if direct:
+            self.reached_at_s = time.monotonic()
+        if direct == self.direct:
+            return
+        self.direct = direct
+        name = 'store_regained' if direct else 'store_lost'
+        log_event(LOG, name, reason=reason)
+
+    async def _relayed(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> Result[StoreReply, ExchangeError]:
+        addresses = self._relay_addresses()
+        if self._good_relay in addresses:
+            addresses.remove(self._good_relay)
+            addresses.insert(0, self._good_relay)
+        message = StoreCall(method, target, body, timeout_s)
+        fault = Fault.NOT_SENT
+        for address in addresses[:RELAYS_TRIED]:
+            found = await self._links.request(
+                address, message, timeout_s + RELAY_MARGIN_S
+            )
+            match found:
+                case Ok(StoreReply() as reply):
+                    self._good_relay = address
+                    self.reached_at_s = time.monotonic()
+                    return Ok(reply)
+                case Ok(StoreUnreached(sent=True)):
+                    fault = Fault.LOST
+                case Err(error) if error.fault is not PeerFault.NOT_SENT:
+                    fault = Fault.LOST
+            self._good_relay = None
+        return Err(ExchangeError(fault, 'no instance reaches the store'))
+
+    async def _answer(self, call: StoreCall) -> object:
+        if self.avoided:
+            return StoreUnreached(False, 'the store is away from here too')
+        found = await self._direct(
+            call.method, call.target, call.body, call.timeout_s
+        )
+        if self._served(found):
+            return found.unwrap()
+        if isinstance(found, Err):
+            error = found.err_value
+            return StoreUnreached(error.fault is Fault.LOST, error.reason)
+        return StoreUnreached(False, f'store answered {found.ok_value.status}')
+
+    async def _direct(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> Result[StoreReply, ExchangeError]:
+        self.calls += 1
+        acquired = await self._pool.acquire(
+            self._host, self._port, min(CONNECT_TIMEOUT_S, timeout_s)
+        )
+        if isinstance(acquired, Err):
+            return acquired
+        connection = acquired.ok_value
+        headers = [('Host', f'{self._host}:{self._port}')]
+        if body:
+            headers.append(('Content-Type', 'application/json'))
+        request = OutgoingRequest(method, target, tuple(headers), body)
+        sent = connection.send(request)
+        if isinstance(sent, Err):
+            return sent
+        try:
+            async with asyncio.timeout(timeout_s):
+                reply = await read_reply(connection)
+        except TimeoutError:
+            connection.abort('timeout')
+            return Err(ExchangeError(Fault.LOST, 'timeout'))
+        except asyncio.CancelledError:
+            connection.abort('cancelled')
+            raise
+        if reply is None:
+            reason = connection.lost_reason
+            connection.abort(reason)
+            return Err(ExchangeError(Fault.LOST, reason))
+        self._pool.release(self._host, self._port, connection)
+        return Ok(reply)
+
+
+async def read_reply(connection: Connection) -> StoreReply | None:
+    """Return a whole answer, None if it was cut."""
+    head = await connection.next_part()
+    if not isinstance(head, ResponseHead):
+        return None
+    pieces = []
+    while True:
+        match await connection.next_part():
+            case bytes(piece):
+                pieces.append(piece)
+            case BodyEnd.WHOLE:
+                return StoreReply(head.status, b''.join(pieces))
+            case _:
+                return None
--- /dev/null
+++ b/jackdawfield/gateway/turn_calls.py
@@ -0,0 +1,241 @@
+"""Serves turns: their chain, their budget and their record."""
+
+import asyncio
+import logging
+import time
+
+from jackdawfield.gateway.calls import Call
+from jackdawfield.gateway.calls import Failure
+from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.connections import BodyEnd
+from jackdawfield.gateway.dispatch import Dispatcher
+from jackdawfield.gateway.dispatch import Running
+from jackdawfield.gateway.event_stream import EventReader
+from jackdawfield.gateway.front import Reply
+from jackdawfield.gateway.ledger import Settle
+from jackdawfield.gateway.model import FleetConfiguration
+from jackdawfield.gateway.model import TurnId
+from jackdawfield.gateway.turn_store import Chain
+from jackdawfield.gateway.turn_store import Missing
+from jackdawfield.gateway.turn_store import TurnStore
+from jackdawfield.gateway.turn_store import Uncertain
+from jackdawfield.gateway.turn_store import Verdict
+from jackdawfield.gateway.turns import program_key
+from jackdawfield.gateway.turns import ProgramKey
+from jackdawfield.gateway.turns import prompt_of
+from jackdawfield.gateway.turns import TurnRecord
+from jackdawfield.logs import log_event
+from jackdawfield.model import ServerId
+from jackdawfield.model import ServiceName
+
+LOG = logging.getLogger(__name__)
+STATUS_OK = 200
+# When to come back while the store does not answer.
+RETRY_STORE_S = 0.4
+# How long unused tokens of a turn that failed are offered to the store.
+SETTLE_LIMIT_S = 10.0
+
+
+class _Turn:
+    """Holds one turn under way."""
+
+    def __init__(self, call: Call, program: ProgramKey) -> None:
+        self.call = call
+        self.program = program
+        self.chain: tuple[TurnRecord, ...] = ()
+        self.reservation: asyncio.Task[Verdict] | None = None
+        self.reader = EventReader()
+        self.settled = False
+        self.passed_bytes = 0
+        self.whole = False
+
+    @property
+    def parent(self) -> TurnRecord | None:
+        """Return the turn that this one continues."""
+        return self.chain[-1] if self.chain else None
+
+
+class TurnCalls:
+    """Serves the calls of routes that keep turns."""
+
+    def __init__(self, dispatcher: Dispatcher, turns: TurnStore) -> None:
+        self._dispatcher = dispatcher
+        self._turns = turns
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.configuration: FleetConfiguration | None = None
+
+    async def serve(
+        self, call: Call, service: ServiceName, reply: Reply
+    ) -> Refusal | Failure | None:
+        """Serve a turn, or return why it is not answered yet."""
+        headers = call.headers
+        program = program_key(
+            call.organisation_id, headers.program_id or call.request_id
+        )
+        turn = _Turn(call, program)
+        if headers.previous_turn is not None:
+            refusal = await self._read_chain(turn, headers.previous_turn)
+            if refusal is not None:
+                return refusal
+        try:
+            refusal = await self._begin_reservation(turn)
+            if refusal is not None:
+                return refusal
+            return await self._run(turn, service, reply)
+        finally:
+            self._settle_failed(turn, service)
+
+    async def _read_chain(
+        self, turn: _Turn, previous: TurnId
+    ) -> Refusal | None:
+        call = turn.call
+        found = await self._turns.chain(
+            call.organisation_id, turn.program, previous
+        )
+        match found:
+            case Chain(records):
+                turn.chain = records
+                return None
+            case Missing():
+                return Refusal(404, 'no such turn')
+            case Uncertain(reason):
+                text = f'turn not readable now: {reason}'
+                return Refusal(503, text, RETRY_STORE_S)
+
+    async def _begin_reservation(self, turn: _Turn) -> Refusal | None:
+        headers = turn.call.headers
+        budget = headers.budget_tokens
+        if budget is None:
+            return None
+        tokens = headers.max_tokens
+        likely = self._turns.surely_fits(turn.program, tokens, budget)
+        turn.reservation = asyncio.create_task(
+            self._turns.reserve(
+                turn.program, tokens, budget, turn.call.deadline_s
+            )
+        )
+        # The server reads the prompt while the store is written; only a
+        # reservation in doubt is waited for, since 402 says not run.
+        if likely:
+            return None
+        match await asyncio.shield(turn.reservation):
+            case Verdict.SPENT:
+                return Refusal(402, 'token budget spent')
+            case Verdict.UNKNOWN:
+                return Refusal(503, 'budget not readable now', RETRY_STORE_S)
+        return None
+
+    async def _run(
+        self, turn: _Turn, service: ServiceName, reply: Reply
+    ) -> Refusal | Failure | None:
+        parent = turn.parent
+        prompt = prompt_of(turn.chain, turn.call.body)
+        running = await self._dispatcher.start(
+            turn.call, service, prompt, parent.server_id if parent else None
+        )
+        if not isinstance(running, Running):
+            return running
+        server_id = running.server.entry.server_id
+        end: BodyEnd | None = None
+        try:
+            if not await self._reserved(turn):
+                return Failure(502, 'budget not reserved in time')
+            reply.start(running.head)
+            end = await self._pass_on(turn, running, reply)
+        finally:
+            self._dispatcher.end(running, end)
+        if end is not BodyEnd.WHOLE:
+            reply.cut()
+            return None
+        turn.whole = True
+        if running.head.status == STATUS_OK:
+            if not await self._commit(turn, service, server_id):
+                log_event(LOG, 'turn_not_kept', request=turn.call.request_id)
+                reply.cut()
+                return None
+        reply.finish()
+        return None
+
+    async def _reserved(self, turn: _Turn) -> bool:
+        if turn.reservation is None:
+            return True
+        return await asyncio.shield(turn.reservation) is Verdict.FITS
+
+    async def _pass_on(
+        self, turn: _Turn, running: Running, reply: Reply
+    ) -> BodyEnd | None:
+        while True:
+            match await running.next_part():
+                case bytes(piece):
+                    turn.reader.feed(piece)
+                    turn.passed_bytes += len(piece)
+                    if not await reply.write(piece):
+                        return None
+                case BodyEnd() as end:
+                    return end
+
+    async def _commit(
+        self, turn: _Turn, service: ServiceName, server_id: ServerId
+    ) -> bool:
+        call = turn.call
+        parent = turn.parent
+        record = TurnRecord(
+            turn_id=TurnId(call.request_id),
+            organisation_id=call.organisation_id,
+            program=turn.program.text,
+            parent_program=parent.program if parent else None,
+            parent_id=parent.turn_id if parent else None,
+            given=call.body,
+            answered=turn.reader.text,
+            server_id=server_id,
+            kept_until_s=time.time() + call.route.retention_s,
+        )
+        turn.settled = True
+        return await self._turns.commit(
+            turn.program,
+            record,
+            self._settlement(turn, service),
+            call.deadline_s,
+        )
+
+    def _settlement(self, turn: _Turn, service: ServiceName) -> Settle | None:
+        headers = turn.call.headers
+        if turn.reservation is None or headers.budget_tokens is None:
+            return None
+        reserved = headers.max_tokens
+        used = self._tokens_used(turn, service, reserved)
+        return Settle(reserved, min(used, reserved), headers.budget_tokens)
+
+    def _tokens_used(
+        self, turn: _Turn, service: ServiceName, most: int
+    ) -> int:
+        if not turn.passed_bytes:
+            return 0
+        found = None
+        if self.configuration is not None:
+            found = self.configuration.services_by_name.get(service)
+        if found is None or not found.tokens_per_event:
+            return most
+        # A stream that was cut may have ended amid one more event.
+        events = len(turn.reader.events) + (0 if turn.whole else 1)
+        return events * found.tokens_per_event
+
+    def _settle_failed(self, turn: _Turn, service: ServiceName) -> None:
+        if turn.settled or turn.reservation is None:
+            return
+        turn.settled = True
+        event = self._settlement(turn, service)
+        if event is None:
+            return
+        task = asyncio.create_task(self._settle_later(turn, event))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _settle_later(self, turn: _Turn, event: Settle) -> None:
+        assert turn.reservation is not None
+        verdict = await turn.reservation
+        if verdict is not Verdict.FITS:
+            return
+        await self._turns.settle(
+            turn.program, event, time.monotonic() + SETTLE_LIMIT_S
+        )
--- /dev/null
+++ b/jackdawfield/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translates between the users' platform and the gateway's types."""
--- /dev/null
+++ b/jackdawfield/platform/configuration.py
@@ -0,0 +1,209 @@
+"""Decodes the operators' configuration and the list of backend servers."""
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from jackdawfield.gateway.model import CallKind
+from jackdawfield.gateway.model import CallRoute
+from jackdawfield.gateway.model import FleetConfiguration
+from jackdawfield.gateway.model import Organisation
+from jackdawfield.gateway.model import RequestLimits
+from jackdawfield.gateway.model import ServerEntry
+from jackdawfield.gateway.model import Service
+from jackdawfield.gateway.model import Target
+from jackdawfield.model import DomainId
+from jackdawfield.model import OrganisationId
+from jackdawfield.model import RouteName
+from jackdawfield.model import ServerId
+from jackdawfield.model import ServiceName
+from jackdawfield.model import Version
+from jackdawfield.platform.settings import MS_PER_S
+from jackdawfield.platform.settings import split_address
+
+KINDS_BY_WORD = {
+    'safe': CallKind.IDEMPOTENT,
+    'unsafe': CallKind.AT_MOST_ONCE,
+    'streaming': CallKind.STREAM,
+}
+DEFAULT_ATTEMPT_LIMIT = 2
+LEAVING_WORD = 'draining'
+STATE_WORDS = ('ready', LEAVING_WORD)
+
+
+class WireError(Exception):
+    """Reports a row of the platform that cannot be understood."""
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, rename='camel'):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0
+    priority: int = 0
+    service: str | None = None
+    traffic_split: list[_Split] = msgspec.field(default_factory=list)
+    max_attempts: int = DEFAULT_ATTEMPT_LIMIT
+    retain_context: bool = False
+    retention_s: float = 0
+    public: bool = False
+    sticky: bool = False
+    gap_aim_ms: float = 0
+
+
+class _Engine(msgspec.Struct, rename='camel'):
+    slots: int
+    kv_capacity: int
+    chunk_tokens: int
+
+
+class _Service(msgspec.Struct, rename='camel'):
+    name: str
+    health_path: str
+    max_conns: int
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Tenant(msgspec.Struct, rename='camel'):
+    name: str
+    api_keys: list[str] = msgspec.field(default_factory=list)
+    priority: int | None = None
+    rate_per_s: float = 0
+    burst: float = 0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = msgspec.field(default_factory=list)
+
+
+class _Server(msgspec.Struct, rename='camel'):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    born: int = 0
+
+
+def decode_configuration(data: bytes) -> Result[FleetConfiguration, WireError]:
+    """Return the configuration of a row's value."""
+    try:
+        wire = msgspec.json.decode(data, type=_Configuration)
+        return Ok(_configuration(wire))
+    except (msgspec.MsgspecError, KeyError) as error:
+        return Err(WireError(f'configuration: {error}'))
+
+
+def _configuration(wire: _Configuration) -> FleetConfiguration:
+    routes_by_host: dict[str, list[CallRoute]] = {}
+    for route in wire.routes:
+        routes_by_host.setdefault(route.host.lower(), []).append(_route(route))
+    limits = wire.limits
+    return FleetConfiguration(
+        version=Version(wire.version),
+        routes_by_host={
+            host: tuple(sorted(routes, key=lambda r: -len(r.prefix)))
+            for host, routes in routes_by_host.items()
+        },
+        services_by_name={
+            ServiceName(service.name): _service(service)
+            for service in wire.services
+        },
+        organisations_by_id={
+            OrganisationId(tenant.name): Organisation(
+                OrganisationId(tenant.name),
+                tenant.priority,
+                tenant.rate_per_s,
+                tenant.burst,
+            )
+            for tenant in wire.tenants
+        },
+        organisation_ids_by_key={
+            key: OrganisationId(tenant.name)
+            for tenant in wire.tenants
+            for key in tenant.api_keys
+        },
+        limits=RequestLimits(
+            limits.max_header_bytes,
+            limits.max_body_bytes,
+            limits.header_timeout_ms / MS_PER_S,
+            limits.idle_timeout_ms / MS_PER_S,
+        ),
+    )
+
+
+def _route(wire: _Route) -> CallRoute:
+    splits = wire.traffic_split
+    targets = [Target(ServiceName(s.service), s.weight) for s in splits]
+    if not targets and wire.service is not None:
+        targets = [Target(ServiceName(wire.service), 1.0)]
+    return CallRoute(
+        name=RouteName(wire.name),
+        host=wire.host.lower(),
+        prefix=wire.prefix,
+        kind=KINDS_BY_WORD[wire.kind],
+        targets=tuple(targets),
+        timeout_s=wire.timeout_ms / MS_PER_S,
+        target_latency_s=wire.target_latency_ms / MS_PER_S,
+        priority=wire.priority,
+        attempt_limit=wire.max_attempts,
+        keeps_turns=wire.retain_context,
+        retention_s=wire.retention_s,
+        open=wire.public,
+        sticky=wire.sticky,
+        gap_limit_s=wire.gap_aim_ms / MS_PER_S,
+    )
+
+
+def _service(wire: _Service) -> Service:
+    engine = wire.engine
+    return Service(
+        name=ServiceName(wire.name),
+        health_path=wire.health_path,
+        connection_limit=wire.max_conns,
+        slots=engine.slots if engine else None,
+        cache_tokens=engine.kv_capacity if engine else 0,
+        tokens_per_event=engine.chunk_tokens if engine else 0,
+    )
+
+
+def decode_server(key: str, data: bytes) -> Result[ServerEntry, WireError]:
+    """Return the backend server that a row describes."""
+    try:
+        wire = msgspec.json.decode(data, type=_Server)
+        host, port = split_address(wire.address)
+    except (msgspec.MsgspecError, ValueError) as error:
+        return Err(WireError(f'server {key}: {error}'))
+    if wire.state not in STATE_WORDS:
+        return Err(WireError(f'server {key}: unknown state {wire.state}'))
+    return Ok(
+        ServerEntry(
+            ServerId(key),
+            ServiceName(wire.service),
+            host,
+            port,
+            DomainId(wire.zone),
+            wire.slots,
+            wire.state == LEAVING_WORD,
+            wire.born,
+        )
+    )
--- /dev/null
+++ b/jackdawfield/platform/settings.py
@@ -0,0 +1,114 @@
+"""Reads the settings file that the platform writes for an instance."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from jackdawfield.gateway.model import GatewaySettings
+from jackdawfield.gateway.model import PromiseBounds
+from jackdawfield.gateway.model import StoreBounds
+from jackdawfield.model import DomainId
+from jackdawfield.model import InstanceId
+from jackdawfield.model import RegionId
+
+MS_PER_S = 1000
+
+
+class PlatformSettingsError(Exception):
+    """Reports a settings file that cannot be read, with its path."""
+
+
+class _Listen(msgspec.Struct):
+    front: str
+    ready: str
+
+
+class _Limits(msgspec.Struct, rename='camel'):
+    memory_mb: int
+
+
+class _Bounds(msgspec.Struct, rename='camel'):
+    drain_ms: float = 2500
+    grace_s: float = 8
+    config_apply_ms: float = 2500
+    quota_window_s: float = 5
+    quota_overshoot: float = 0.1
+    quota_slack: float = 20
+
+
+class _Platform(msgspec.Struct, rename='camel'):
+    address: str
+    row_bytes: int = 65536
+    tx_ms: float = 5
+
+
+class _Settings(msgspec.Struct, rename='camel'):
+    node: str
+    ip: str
+    zone: str
+    region: str
+    zones: dict[str, str]
+    listen: _Listen
+    internal_ports: tuple[int, int]
+    limits: _Limits
+    platform: _Platform
+    bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return host and port; raise ValueError if there is no port."""
+    host, _, port = address.rpartition(':')
+    return host, int(port)
+
+
+def read_settings(
+    path: Path,
+) -> Result[GatewaySettings, PlatformSettingsError]:
+    """Return the settings of a file, or why it cannot be used."""
+    try:
+        return Ok(decode_settings(path.read_bytes()))
+    except (OSError, ValueError, msgspec.MsgspecError) as error:
+        return Err(PlatformSettingsError(f'{path}: {error}'))
+
+
+def decode_settings(data: bytes | str) -> GatewaySettings:
+    """Return the settings of a file's content; raise ValueError if bad."""
+    wire = msgspec.json.decode(data, type=_Settings)
+    return _translate(wire)
+
+
+def _translate(wire: Any) -> GatewaySettings:
+    store_host, store_port = split_address(wire.platform.address)
+    bounds = wire.bounds
+    return GatewaySettings(
+        instance_id=InstanceId(wire.node),
+        domain_id=DomainId(wire.zone),
+        region_id=RegionId(wire.region),
+        regions_by_domain={
+            DomainId(domain): RegionId(region)
+            for domain, region in wire.zones.items()
+        },
+        host=wire.ip,
+        caller_port=split_address(wire.listen.front)[1],
+        health_port=split_address(wire.listen.ready)[1],
+        peer_port=wire.internal_ports[0],
+        metrics_port=wire.internal_ports[0] + 1,
+        memory_mb=wire.limits.memory_mb,
+        store_host=store_host,
+        store_port=store_port,
+        store=StoreBounds(
+            wire.platform.row_bytes, wire.platform.tx_ms / MS_PER_S
+        ),
+        bounds=PromiseBounds(
+            drain_s=bounds.drain_ms / MS_PER_S,
+            grace_s=bounds.grace_s,
+            apply_s=bounds.config_apply_ms / MS_PER_S,
+            rate_window_s=bounds.quota_window_s,
+            rate_overshoot=bounds.quota_overshoot,
+            rate_slack=bounds.quota_slack,
+        ),
+    )
--- /dev/null
+++ b/jackdawfield/platform/store.py
@@ -0,0 +1,169 @@
+"""Speaks the wire of the platform's store of rows."""
+
+from base64 import b64decode
+from base64 import b64encode
+from urllib.parse import urlencode
+
+import msgspec
+from result import Err
+from result import Ok
+from result import Result
+
+from jackdawfield.decisions.table import Committed
+from jackdawfield.decisions.table import NotApplied
+from jackdawfield.decisions.table import OutcomeUnknown
+from jackdawfield.gateway.connections import ExchangeError
+from jackdawfield.gateway.connections import Fault
+from jackdawfield.gateway.rows import RowConflict
+from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.rows import RowOutcome
+from jackdawfield.gateway.rows import RowsChanged
+from jackdawfield.gateway.rows import RowsRead
+from jackdawfield.gateway.rows import RowTransaction
+from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.gateway.rows import StoreError
+from jackdawfield.gateway.store_path import StorePath
+from jackdawfield.platform.settings import MS_PER_S
+
+READ_TIMEOUT_S = 1.0
+# Beyond the wait that a call for changes asks for.
+WAIT_MARGIN_S = 1.2
+STATUS_OK = 200
+STATUS_HISTORY_GONE = 410
+STATUS_CONFLICT = 412
+# These say that nothing was done.
+STATUS_NOT_DONE = (400, 403, 404, 413, 429, 503, 507)
+
+
+class _Row(msgspec.Struct):
+    table: str = ''
+    part: str = ''
+    key: str = ''
+    value: str | None = None
+    ver: int = 0
+    deleted: bool = False
+
+
+class _Answer(msgspec.Struct, rename='camel'):
+    ver: int = 0
+    rows: list[_Row] = msgspec.field(default_factory=list)
+    has_more: bool = False
+
+
+def _decode_row(wire: _Row) -> StoredRow:
+    value = None
+    if wire.value is not None and not wire.deleted:
+        value = b64decode(wire.value)
+    return StoredRow(RowKey(wire.table, wire.part, wire.key), value, wire.ver)
+
+
+def _decode_answer(body: bytes) -> Result[_Answer, StoreError]:
+    try:
+        return Ok(msgspec.json.decode(body, type=_Answer))
+    except msgspec.MsgspecError as error:
+        return Err(StoreError(f'unreadable answer: {error}'))
+
+
+def _name(key: RowKey) -> dict[str, object]:
+    return {'table': key.table, 'part': key.part, 'key': key.key}
+
+
+def encode_transaction(transaction: RowTransaction) -> bytes:
+    """Return the body of a transaction."""
+    return msgspec.json.encode(
+        {
+            'precondition': [
+                {**_name(key), 'ver': version}
+                for key, version in transaction.expected
+            ],
+            'puts': [
+                {**_name(key), 'value': b64encode(value).decode()}
+                for key, value in transaction.puts
+            ],
+            'remove': [_name(key) for key in transaction.removes],
+        }
+    )
+
+
+class PlatformStore:
+    """Reads and writes rows, by whichever path reaches the store."""
+
+    def __init__(self, path: StorePath) -> None:
+        self._path = path
+
+    async def read(
+        self, table: str, part: str, first: str = '', last: str = ''
+    ) -> Result[RowsRead, StoreError]:
+        """Return the rows with keys from the first to before the last."""
+        rows: list[StoredRow] = []
+        version = 0
+        while True:
+            query = {'table': table, 'part': part}
+            if first:
+                query['from'] = first
+            if last:
+                query['to'] = last
+            found = await self._get('rows-get', query, READ_TIMEOUT_S)
+            if isinstance(found, Err):
+                return found
+            answer = found.ok_value
+            page = [_decode_row(row) for row in answer.rows]
+            rows += page
+            version = version or answer.ver
+            if not answer.has_more or not page:
+                return Ok(RowsRead(tuple(rows), version))
+            first = page[-1].key.key + '\0'
+
+    async def transact(
+        self, transaction: RowTransaction, timeout_s: float
+    ) -> RowOutcome:
+        """Write rows, sent once a path, and return what is known of it."""
+        body = encode_transaction(transaction)
+        found = await self._path.call('POST', '/-/rows-tx', body, timeout_s)
+        if isinstance(found, Err):
+            return _outcome_of_error(found.err_value)
+        status, data = found.ok_value.status, found.ok_value.body
+        if status in STATUS_NOT_DONE:
+            return NotApplied(f'store answered {status}')
+        if status not in (STATUS_OK, STATUS_CONFLICT):
+            return OutcomeUnknown(f'store answered {status}')
+        answer = _decode_answer(data)
+        if isinstance(answer, Err):
+            return OutcomeUnknown(answer.err_value.reason)
+        if status == STATUS_OK:
+            return Committed(answer.ok_value.ver)
+        rows = answer.ok_value.rows
+        return RowConflict(tuple(_decode_row(row) for row in rows))
+
+    async def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[RowsChanged, StoreError]:
+        """Return the rows changed after a version, waiting for some."""
+        wait_ms = int(wait_s * MS_PER_S)
+        query = {'table': table, 'after': str(after), 'waitMs': str(wait_ms)}
+        found = await self._get('rows-feed', query, wait_s + WAIT_MARGIN_S)
+        if isinstance(found, Err):
+            return found
+        answer = found.ok_value
+        rows = tuple(_decode_row(row) for row in answer.rows)
+        return Ok(RowsChanged(rows, answer.ver))
+
+    async def _get(
+        self, name: str, query: dict[str, str], timeout_s: float
+    ) -> Result[_Answer, StoreError]:
+        target = f'/-/{name}?{urlencode(query)}'
+        found = await self._path.call('GET', target, b'', timeout_s)
+        if isinstance(found, Err):
+            return Err(StoreError(found.err_value.reason))
+        status, data = found.ok_value.status, found.ok_value.body
+        if status == STATUS_HISTORY_GONE:
+            return Err(StoreError('history is gone', history_gone=True))
+        if status != STATUS_OK:
+            return Err(StoreError(f'store answered {status}'))
+        return _decode_answer(data)
+
+
+def _outcome_of_error(error: ExchangeError) -> RowOutcome:
+    if error.fault is Fault.NOT_SENT:
+        return NotApplied(error.reason)
+    return OutcomeUnknown(error.reason)
