--- a/jackdawfield/gateway/connections.py
+++ b/jackdawfield/gateway/connections.py
@@ -285,10 +285,11 @@
 def encode_request(parser: h11.Connection, request: OutgoingRequest) -> bytes:
     """Return a request's bytes and move the parser to await its answer."""
     headers = [
-        (name, value.encode('latin-1')) for name, value in request.headers
+        (name.encode('latin-1'), value.encode('latin-1'))
+        for name, value in request.headers
     ]
     if request.body or request.method in ('POST', 'PUT', 'PATCH'):
-        headers.append(('Content-Length', b'%d' % len(request.body)))
+        headers.append((b'Content-Length', b'%d' % len(request.body)))
     data = parser.send(
         h11.Request(
             method=request.method, target=request.target, headers=headers
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -21,6 +21,7 @@
 from jackdawfield.gateway.turn_calls import TurnCalls
 from jackdawfield.logs import log_event
 from jackdawfield.model import OrganisationId
+from jackdawfield.model import ServiceName
 
 LOG = logging.getLogger(__name__)
 # Before the first configuration has come.
@@ -132,7 +133,7 @@
                 reply.send(status, reason)
 
     async def _forward(
-        self, call: Call, service: str, reply: Reply
+        self, call: Call, service: ServiceName, reply: Reply
     ) -> Refusal | Failure | None:
         running = await self._dispatcher.start(call, service, call.body, None)
         if not isinstance(running, Running):
