--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -47,7 +47,8 @@
 # Share of an instance's memory for turns that it has served.
 CACHE_SHARE = 0.15
 CHECK_S = 0.1
-JOIN_PAUSE_S = 0.3
+# Often enough that the view of the members stays fresh.
+MEMBERS_WAIT_S = 0.8
 # The balancer asks once a second and needs two misses to take an instance
 # out; new connections arrive until then.
 LISTEN_AFTER_STOP_S = 3.0
@@ -98,7 +99,9 @@
             lambda: self.members.relay_addresses(),
         )
         self.store = self._adapter.open_store(self.store_path)
-        self.members = Members(settings, self.store, self._incarnation)
+        self.members = Members(
+            settings, self.store, self.links, self._incarnation
+        )
 
     def _build_calls(self) -> None:
         settings = self.settings
@@ -115,8 +118,10 @@
             settings.store.row_bytes,
             int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE),
         )
-        self.turn_calls = TurnCalls(self.dispatcher, self.turns)
-        self.admission = Admission()
+        self.admission = Admission(settings, self.members, self.links)
+        self.turn_calls = TurnCalls(
+            self.dispatcher, self.turns, self.admission
+        )
         self.entry = Entry(self.dispatcher, self.turn_calls, self.admission)
 
     def _build_followers(self) -> list[TableFollower]:
@@ -140,6 +145,8 @@
                 MEMBERS_TABLE,
                 self.members.take_all,
                 self.members.take_changes,
+                wait_s=MEMBERS_WAIT_S,
+                saw=self.admission.ownership.saw,
             ),
         ]
 
@@ -147,12 +154,14 @@
         """Listen, then follow the store."""
         settings = self.settings
         self.store_path.register(self.peers)
+        self.members.register(self.peers)
+        self.admission.register(self.peers)
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
         self.front.listen(settings.host, settings.caller_port)
         self._health.listen(settings.host, settings.health_port)
-        for follower in self._followers:
+        for follower in self._followers[:-1]:
             self._spawn(follower.run())
-        self._spawn(self._join())
+        self._spawn(self._follow_members())
         self._spawn(self._check())
         log_event(
             LOG,
@@ -171,10 +180,9 @@
         if not task.cancelled() and task.exception() is not None:
             LOG.error('event=task_failed', exc_info=task.exception())
 
-    async def _join(self) -> None:
-        while not await self.members.join():
-            await asyncio.sleep(JOIN_PAUSE_S)
-        log_event(LOG, 'joined', incarnation=self._incarnation)
+    async def _follow_members(self) -> None:
+        await self.members.join()
+        await self._followers[-1].run()
 
     async def _check(self) -> None:
         while True:
@@ -205,6 +213,7 @@
             return
         self.entry.configuration = configuration
         self.turn_calls.configuration = configuration
+        self.admission.configure(configuration)
         log_event(LOG, 'configuration_applied', version=configuration.version)
 
     def _decode_servers(
@@ -275,11 +284,11 @@
         last_s = started_s + grace_s - STOP_MARGIN_S
         self.front.close_after_answers()
         log_event(LOG, 'stopping', in_flight=self.front.in_flight)
+        await self.members.leave()
         await asyncio.sleep(LISTEN_AFTER_STOP_S)
         while self.front.in_flight and time.monotonic() < last_s:
             await asyncio.sleep(CHECK_S)
         self.front.stop_listening()
-        await self.members.leave()
         log_event(LOG, 'stopped', in_flight=self.front.in_flight)
         for task in list(self._tasks):
             task.cancel()
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -55,10 +55,6 @@
         if isinstance(checked, Refusal):
             self._refuse(headers.request_id, checked, reply)
             return
-        refusal = await self._admission.admit(checked)
-        if refusal is not None:
-            self._refuse(headers.request_id, refusal, reply)
-            return
         try:
             async with asyncio.timeout_at(loop_time(checked.deadline_s)):
                 await self._run(checked, reply)
@@ -135,7 +131,12 @@
     async def _forward(
         self, call: Call, service: ServiceName, reply: Reply
     ) -> Refusal | Failure | None:
+        refusal = await self._admission.admit(call)
+        if refusal is not None:
+            return refusal
         running = await self._dispatcher.start(call, service, call.body, None)
+        if isinstance(running, Refusal):
+            self._admission.give_back(call)
         if not isinstance(running, Running):
             return running
         end: BodyEnd | None = None
--- a/jackdawfield/gateway/follower.py
+++ b/jackdawfield/gateway/follower.py
@@ -3,10 +3,10 @@
 import asyncio
 from collections.abc import Callable
 import logging
-import time
 
 from result import Err
 
+from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.rows import RowStore
 from jackdawfield.gateway.rows import StoredRow
 from jackdawfield.logs import log_event
@@ -35,16 +35,19 @@
         take_all: TakeAll,
         take_changes: TakeChanges,
         doubt_s: float = 0.0,
+        wait_s: float = WAIT_S,
+        saw: Callable[[float], None] | None = None,
     ) -> None:
         self._store = store
         self._table = table
         self._take_all = take_all
         self._take_changes = take_changes
         self._doubt_s = doubt_s
+        self._wait_s = wait_s
+        self._saw = saw
         self._failed_at_s = float('-inf')
         self._pause_s = FIRST_PAUSE_S
         self.version: int | None = None
-        self.synced_at_s: float | None = None
 
     async def run(self) -> None:
         """Follow the table for ever."""
@@ -56,37 +59,42 @@
             if done:
                 self._pause_s = FIRST_PAUSE_S
                 continue
-            self._failed_at_s = time.monotonic()
+            self._failed_at_s = boot_time_s()
             await asyncio.sleep(self._pause_s)
             self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
 
     @property
     def _doubtful(self) -> bool:
-        return time.monotonic() - self._failed_at_s < self._doubt_s
+        return boot_time_s() - self._failed_at_s < self._doubt_s
 
     async def _read_all(self) -> bool:
-        asked_at_s = time.monotonic()
+        asked_at_s = boot_time_s()
         found = await self._store.read(self._table, '')
         if isinstance(found, Err):
             self._log_failure(found.err_value.reason)
             return False
         self.version = found.ok_value.version
-        self.synced_at_s = asked_at_s
         self._take_all(found.ok_value.rows, self._doubtful)
+        self._note(asked_at_s)
         return True
 
     async def _read_changes(self, after: int) -> bool:
-        found = await self._store.changes(self._table, after, WAIT_S)
+        asked_at_s = boot_time_s()
+        found = await self._store.changes(self._table, after, self._wait_s)
         if isinstance(found, Err):
             self._log_failure(found.err_value.reason)
             if found.err_value.history_gone:
                 self.version = None
             return found.err_value.history_gone
         self.version = max(after, found.ok_value.version)
-        self.synced_at_s = time.monotonic()
         if found.ok_value.rows:
             self._take_changes(found.ok_value.rows, self._doubtful)
+        self._note(asked_at_s)
         return True
 
+    def _note(self, asked_at_s: float) -> None:
+        if self._saw is not None:
+            self._saw(asked_at_s)
+
     def _log_failure(self, reason: str) -> None:
         log_event(LOG, 'table_unread', table=self._table, reason=reason)
--- a/jackdawfield/gateway/ledger.py
+++ b/jackdawfield/gateway/ledger.py
@@ -78,9 +78,9 @@
         self.version = version if data is not None else 0
         self.known = True
 
-    def surely_fits(self, tokens: int, budget: int) -> bool:
-        """Return whether a reservation is not refused by what is known."""
-        return self.row.granted - self.free + tokens <= budget
+    def surely_fits(self, tokens: int, waiting: int, budget: int) -> bool:
+        """Return whether a reservation fits beside those that wait."""
+        return self.row.granted - self.free + waiting + tokens <= budget
 
     def plan(self, events: Iterable[LedgerEvent]) -> LedgerPlan:
         """Return what some events change."""
--- /dev/null
+++ b/jackdawfield/gateway/member_rows.py
@@ -0,0 +1,35 @@
+"""Defines the rows by which instances know each other."""
+
+import msgspec
+
+from jackdawfield.model import DomainId
+from jackdawfield.model import RegionId
+
+
+class MemberRow(msgspec.Struct, frozen=True):
+    """Describes an instance; one that is suspended holds no rights."""
+
+    address: str
+    domain_id: DomainId
+    region_id: RegionId
+    incarnation: str
+    suspended: bool = False
+    # Its address refused connections, or a later incarnation answered.
+    proven_dead: bool = False
+
+    @property
+    def serving(self) -> bool:
+        """Return whether the instance may hold rights."""
+        return not self.suspended
+
+
+def decode_member(data: bytes) -> MemberRow:
+    """Return the member of a row; raise MsgspecError if unreadable."""
+    return msgspec.msgpack.decode(data, type=MemberRow)
+
+
+def suspended(row: MemberRow, proven_dead: bool) -> MemberRow:
+    """Return a member's row without its rights."""
+    return msgspec.structs.replace(
+        row, suspended=True, proven_dead=proven_dead
+    )
--- a/jackdawfield/gateway/members.py
+++ b/jackdawfield/gateway/members.py
@@ -1,92 +1,200 @@
-"""Tells the instances of each other through a table of the store."""
+"""Keeps this instance's row in the table of members, and reads the others.
 
+A row is written under its version, so that an instance that was suspended
+while it was away learns of it before it acts again.
+"""
+
+import asyncio
+from collections.abc import Callable
 import logging
-import time
+import random
 
 import msgspec
+from result import Err
 
 from jackdawfield.decisions.table import Committed
+from jackdawfield.drivers.peers import PeerLinks
+from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.member_rows import decode_member
+from jackdawfield.gateway.member_rows import MemberRow
+from jackdawfield.gateway.member_rows import suspended
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.rows import RowKey
 from jackdawfield.gateway.rows import RowStore
 from jackdawfield.gateway.rows import RowTransaction
 from jackdawfield.gateway.rows import StoredRow
 from jackdawfield.logs import log_event
-from jackdawfield.model import DomainId
+from jackdawfield.messages.fleet_rates import Ping
+from jackdawfield.messages.fleet_rates import Pong
 from jackdawfield.model import InstanceId
-from jackdawfield.model import RegionId
 
 LOG = logging.getLogger(__name__)
 MEMBERS_TABLE = 'members'
 WRITE_TIMEOUT_S = 1.0
-
-
-class MemberRow(msgspec.Struct, frozen=True):
-    """Describes an instance to the others."""
-
-    address: str
-    domain_id: DomainId
-    region_id: RegionId
-    incarnation: str
+RETRY_S = 0.3
+# An instance that has not answered for this long is checked.
+SUSPECT_S = 0.8
+PROBE_TIMEOUT_S = 0.4
+# Others asked before one is suspended; half of them must answer.
+WITNESSES = 4
 
 
 class Members:
-    """Holds the other instances by id."""
+    """Holds the instances by id, with this one."""
 
     def __init__(
-        self, settings: GatewaySettings, store: RowStore, incarnation: str
+        self,
+        settings: GatewaySettings,
+        store: RowStore,
+        links: PeerLinks,
+        incarnation: str,
     ) -> None:
+        self._own_id = settings.instance_id
         self._settings = settings
         self._store = store
+        self._links = links
         self.own = MemberRow(
             f'{settings.host}:{settings.peer_port}',
             settings.domain_id,
             settings.region_id,
             incarnation,
         )
-        self.others_by_id: dict[InstanceId, MemberRow] = {}
+        self.by_id: dict[InstanceId, MemberRow] = {}
+        self._versions_by_id: dict[InstanceId, int] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._silent_since_by_id: dict[InstanceId, float] = {}
+        self._checks: dict[InstanceId, asyncio.Task[None]] = {}
+        self._rejoining: asyncio.Task[None] | None = None
+        self.inherited = False
+        self.joined = False
+        self.leaving = False
+
+    def register(self, server: PeerServer) -> None:
+        """Answer the pings of other instances."""
+        server.handle(Ping, self._answer)
+
+    async def _answer(self, _: Ping) -> Pong:
+        return Pong(self.own.incarnation)
+
+    def listen(self, listener: Callable[[], None]) -> None:
+        """Call a listener after each change of the members."""
+        self._listeners.append(listener)
 
     @property
-    def _own_key(self) -> RowKey:
-        return RowKey(MEMBERS_TABLE, '', self._settings.instance_id)
+    def others_by_id(self) -> dict[InstanceId, MemberRow]:
+        """Return the other instances that serve."""
+        return {
+            instance_id: row
+            for instance_id, row in self.by_id.items()
+            if instance_id != self._own_id and row.serving
+        }
 
-    async def join(self) -> bool:
-        """Write the own row; False if the store did not take it."""
-        put = (self._own_key, msgspec.msgpack.encode(self.own))
+    def _key(self, instance_id: InstanceId) -> RowKey:
+        return RowKey(MEMBERS_TABLE, '', instance_id)
+
+    # The own row
+
+    async def join(self) -> None:
+        """Write the own row, however long the store takes."""
+        while not self.leaving and not await self._try_join():
+            await asyncio.sleep(RETRY_S)
+
+    async def _try_join(self) -> bool:
+        key = self._key(self._own_id)
+        read = await self._store.read(
+            MEMBERS_TABLE, '', key.key, key.key + '\0'
+        )
+        if isinstance(read, Err):
+            return False
+        found = read.ok_value.rows[0] if read.ok_value.rows else None
+        before = None
+        if found is not None and found.value is not None:
+            before = decode_member(found.value)
+        if before == self.own:
+            self.joined = True
+            return True
+        put = (key, msgspec.msgpack.encode(self.own))
+        version = found.version if found is not None else 0
         outcome = await self._store.transact(
-            RowTransaction((), (put,)), WRITE_TIMEOUT_S
+            RowTransaction(((key, version),), (put,)), WRITE_TIMEOUT_S
         )
-        return isinstance(outcome, Committed)
+        if not isinstance(outcome, Committed):
+            return False
+        # An earlier incarnation of the same machine has ended.
+        self.inherited = (
+            before is not None
+            and before.serving
+            and before.incarnation != self.own.incarnation
+        )
+        self.joined = True
+        log_event(
+            LOG,
+            'joined',
+            incarnation=self.own.incarnation,
+            inherited=self.inherited,
+        )
+        return True
 
     async def leave(self) -> None:
-        """Remove the own row."""
-        transaction = RowTransaction((), (), (self._own_key,))
+        """Remove the own row, so that others take over."""
+        self.leaving = True
+        transaction = RowTransaction((), (), (self._key(self._own_id),))
         await self._store.transact(transaction, WRITE_TIMEOUT_S)
 
+    def _rejoin_if_suspended(self) -> None:
+        own = self.by_id.get(self._own_id)
+        if own is None or own.serving or self.leaving or not self.joined:
+            return
+        if own.incarnation != self.own.incarnation:
+            return
+        if self._rejoining is not None and not self._rejoining.done():
+            return
+        log_event(LOG, 'suspended', incarnation=own.incarnation)
+        self._rejoining = asyncio.create_task(self.join())
+
+    # The others' rows
+
     def take_all(self, rows: tuple[StoredRow, ...], _: bool) -> None:
         """Take over the whole table."""
-        self.others_by_id.clear()
-        self.take_changes(rows, False)
+        listed = {InstanceId(row.key.key) for row in rows}
+        for instance_id in self.by_id.keys() - listed:
+            del self.by_id[instance_id]
+        self._take(rows)
 
     def take_changes(self, rows: tuple[StoredRow, ...], _: bool) -> None:
         """Take over rows that changed."""
+        self._take(rows)
+
+    def _take(self, rows: tuple[StoredRow, ...]) -> None:
         for row in rows:
-            instance_id = InstanceId(row.key.key)
-            if instance_id == self._settings.instance_id:
-                continue
-            if row.value is None:
-                self.others_by_id.pop(instance_id, None)
-                log_event(LOG, 'member_left', instance=instance_id)
-                continue
-            member = msgspec.msgpack.decode(row.value, type=MemberRow)
-            self.others_by_id[instance_id] = member
-            log_event(
-                LOG,
-                'member_known',
-                instance=instance_id,
-                incarnation=member.incarnation,
-                at_s=round(time.monotonic(), 3),
-            )
+            self._take_row(row)
+        self._rejoin_if_suspended()
+        for listener in self._listeners:
+            listener()
+
+    def _take_row(self, row: StoredRow) -> None:
+        instance_id = InstanceId(row.key.key)
+        if row.value is None:
+            self.by_id.pop(instance_id, None)
+            self._versions_by_id.pop(instance_id, None)
+            log_event(LOG, 'member_left', instance=instance_id)
+            return
+        try:
+            member = decode_member(row.value)
+        except msgspec.MsgspecError as error:
+            log_event(LOG, 'member_unreadable', reason=error)
+            return
+        self.by_id[instance_id] = member
+        self._versions_by_id[instance_id] = row.version
+        log_event(
+            LOG,
+            'member_known',
+            instance=instance_id,
+            incarnation=member.incarnation,
+            suspended=member.suspended,
+            proven_dead=member.proven_dead,
+            version=row.version,
+        )
 
     def relay_addresses(self) -> list[str]:
         """Return addresses to reach the store by, the nearest first."""
@@ -100,3 +208,72 @@
             ),
         )
         return [member.address for member in ranked]
+
+    # Instances that do not answer
+
+    def note_answer(self, instance_id: InstanceId) -> None:
+        """Note that an instance has answered."""
+        self._silent_since_by_id.pop(instance_id, None)
+
+    def note_silence(self, instance_id: InstanceId, now_s: float) -> None:
+        """Note that an instance did not answer, and check it after a while."""
+        since_s = self._silent_since_by_id.setdefault(instance_id, now_s)
+        if now_s - since_s < SUSPECT_S or instance_id in self._checks:
+            return
+        task = asyncio.create_task(self._check(instance_id))
+        self._checks[instance_id] = task
+        task.add_done_callback(lambda _: self._checks.pop(instance_id, None))
+
+    async def _check(self, instance_id: InstanceId) -> None:
+        row = self.by_id.get(instance_id)
+        version = self._versions_by_id.get(instance_id)
+        if row is None or version is None or not row.serving:
+            return
+        proven = await self._refuses(row)
+        if not proven and await self._answers(row):
+            self.note_answer(instance_id)
+            return
+        if not proven and not await self._has_witnesses(instance_id):
+            log_event(LOG, 'isolated', silent=instance_id)
+            return
+        key = self._key(instance_id)
+        put = (key, msgspec.msgpack.encode(suspended(row, proven)))
+        outcome = await self._store.transact(
+            RowTransaction(((key, version),), (put,)), WRITE_TIMEOUT_S
+        )
+        log_event(
+            LOG,
+            'member_suspended',
+            instance=instance_id,
+            incarnation=row.incarnation,
+            proven_dead=proven,
+            outcome=type(outcome).__name__,
+        )
+
+    async def _refuses(self, row: MemberRow) -> bool:
+        host, _, port = row.address.rpartition(':')
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
+    async def _answers(self, row: MemberRow) -> bool:
+        found = await self._links.request(row.address, Ping(), PROBE_TIMEOUT_S)
+        if isinstance(found, Err):
+            return False
+        return bool(found.ok_value.incarnation == row.incarnation)
+
+    async def _has_witnesses(self, instance_id: InstanceId) -> bool:
+        others = [
+            row
+            for other_id, row in self.others_by_id.items()
+            if other_id != instance_id
+        ]
+        asked = random.sample(others, min(WITNESSES, len(others)))
+        answers = await asyncio.gather(*(self._answers(r) for r in asked))
+        return 2 * sum(answers) >= len(asked)
--- a/jackdawfield/gateway/turn_calls.py
+++ b/jackdawfield/gateway/turn_calls.py
@@ -4,6 +4,7 @@
 import logging
 import time
 
+from jackdawfield.gateway.admission import Admission
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
@@ -58,8 +59,11 @@
 class TurnCalls:
     """Serves the calls of routes that keep turns."""
 
-    def __init__(self, dispatcher: Dispatcher, turns: TurnStore) -> None:
+    def __init__(
+        self, dispatcher: Dispatcher, turns: TurnStore, admission: Admission
+    ) -> None:
         self._dispatcher = dispatcher
+        self._admission = admission
         self._turns = turns
         self._tasks: set[asyncio.Task[None]] = set()
         self.configuration: FleetConfiguration | None = None
@@ -78,10 +82,17 @@
             if refusal is not None:
                 return refusal
         try:
+            # A turn over its budget takes nothing from the rate.
             refusal = await self._begin_reservation(turn)
             if refusal is not None:
                 return refusal
-            return await self._run(turn, service, reply)
+            refusal = await self._admission.admit(call)
+            if refusal is not None:
+                return refusal
+            outcome = await self._run(turn, service, reply)
+            if isinstance(outcome, Refusal):
+                self._admission.give_back(call)
+            return outcome
         finally:
             self._settle_failed(turn, service)
 
@@ -108,7 +119,8 @@
         if budget is None:
             return None
         tokens = headers.max_tokens
-        likely = self._turns.surely_fits(turn.program, tokens, budget)
+        begins = headers.previous_turn is None
+        likely = self._turns.surely_fits(turn.program, tokens, budget, begins)
         turn.reservation = asyncio.create_task(
             self._turns.reserve(
                 turn.program, tokens, budget, turn.call.deadline_s
@@ -150,7 +162,6 @@
         turn.whole = True
         if running.head.status == STATUS_OK:
             if not await self._commit(turn, service, server_id):
-                log_event(LOG, 'turn_not_kept', request=turn.call.request_id)
                 reply.cut()
                 return None
         reply.finish()
@@ -191,12 +202,22 @@
             kept_until_s=time.time() + call.route.retention_s,
         )
         turn.settled = True
-        return await self._turns.commit(
-            turn.program,
-            record,
-            self._settlement(turn, service),
-            call.deadline_s,
+        settlement = self._settlement(turn, service)
+        kept = await self._turns.commit(
+            turn.program, record, settlement, call.deadline_s
+        )
+        log_event(
+            LOG,
+            'turn_kept' if kept else 'turn_not_kept',
+            request=call.request_id,
+            program=turn.program.text,
+            depth=len(turn.chain),
+            server=server_id,
+            granted=self._turns.granted(turn.program),
+            budget=call.headers.budget_tokens,
+            most=call.headers.max_tokens,
         )
+        return kept
 
     def _settlement(self, turn: _Turn, service: ServiceName) -> Settle | None:
         headers = turn.call.headers
--- a/jackdawfield/gateway/turn_store.py
+++ b/jackdawfield/gateway/turn_store.py
@@ -242,11 +242,25 @@
     # Budgets and new turns
 
     def surely_fits(
-        self, program: ProgramKey, tokens: int, budget: int
+        self, program: ProgramKey, tokens: int, budget: int, begins: bool
     ) -> bool:
-        """Return whether a reservation is unlikely to be refused."""
+        """Return whether a reservation is unlikely to be refused.
+
+        Nothing is known to be spent of a program that begins.
+        """
         account = self._account(program)
-        return account.ledger.surely_fits(tokens, budget)
+        if not account.ledger.known and not begins:
+            return False
+        waiting = sum(
+            work.event.tokens
+            for work in account.works
+            if isinstance(work.event, Reserve)
+        )
+        return account.ledger.surely_fits(tokens, waiting, budget)
+
+    def granted(self, program: ProgramKey) -> int:
+        """Return the tokens that a program was granted, as known here."""
+        return self._account(program).ledger.row.granted
 
     async def reserve(
         self, program: ProgramKey, tokens: int, budget: int, deadline_s: float
