--- a/jackdawfield/gateway/admission.py
+++ b/jackdawfield/gateway/admission.py
@@ -286,6 +286,8 @@
         contract = self._contracts_by_id.get(organisation_id)
         if contract is None:
             return TokensGranted(False)
+        if self._members.leaving:
+            return TokensGranted(False)
         if not self.ownership.may_grant(organisation_id, now_s):
             return TokensGranted(False)
         bucket = self._buckets_by_id.get(organisation_id)
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -18,6 +18,7 @@
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.admission import Admission
 from jackdawfield.gateway.calls import CallHeaders
+from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.connections import ConnectionPool
 from jackdawfield.gateway.dispatch import Dispatcher
 from jackdawfield.gateway.dispatch import WireNames
@@ -189,6 +190,8 @@
             await asyncio.sleep(CHECK_S)
             for server_id in self.servers.expire(time.monotonic()):
                 log_event(LOG, 'server_gone', server=server_id)
+            if self.admission.ownership.settled(boot_time_s()):
+                await self.members.establish()
 
     def _take_configuration(
         self, rows: tuple[StoredRow, ...], _: bool
--- a/jackdawfield/gateway/member_rows.py
+++ b/jackdawfield/gateway/member_rows.py
@@ -1,5 +1,7 @@
 """Defines the rows by which instances know each other."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from jackdawfield.model import DomainId
@@ -13,6 +15,8 @@
     domain_id: DomainId
     region_id: RegionId
     incarnation: str
+    # Its rights, if it has any, have outlasted every older owner's.
+    established: bool = False
     suspended: bool = False
     # Its address refused connections, or a later incarnation answered.
     proven_dead: bool = False
@@ -28,8 +32,13 @@
     return msgspec.msgpack.decode(data, type=MemberRow)
 
 
+def all_settled(rows: Iterable[MemberRow]) -> bool:
+    """Return whether no right is moving between these members."""
+    return all(row.serving and row.established for row in rows)
+
+
 def suspended(row: MemberRow, proven_dead: bool) -> MemberRow:
     """Return a member's row without its rights."""
     return msgspec.structs.replace(
-        row, suspended=True, proven_dead=proven_dead
+        row, suspended=True, proven_dead=proven_dead, established=False
     )
--- a/jackdawfield/gateway/members.py
+++ b/jackdawfield/gateway/members.py
@@ -15,6 +15,7 @@
 from jackdawfield.decisions.table import Committed
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.member_rows import all_settled
 from jackdawfield.gateway.member_rows import decode_member
 from jackdawfield.gateway.member_rows import MemberRow
 from jackdawfield.gateway.member_rows import suspended
@@ -100,32 +101,27 @@
             await asyncio.sleep(RETRY_S)
 
     async def _try_join(self) -> bool:
-        key = self._key(self._own_id)
-        read = await self._store.read(
-            MEMBERS_TABLE, '', key.key, key.key + '\0'
-        )
+        read = await self._store.read(MEMBERS_TABLE, '')
         if isinstance(read, Err):
             return False
-        found = read.ok_value.rows[0] if read.ok_value.rows else None
-        before = None
-        if found is not None and found.value is not None:
-            before = decode_member(found.value)
-        if before == self.own:
-            self.joined = True
-            return True
-        put = (key, msgspec.msgpack.encode(self.own))
-        version = found.version if found is not None else 0
-        outcome = await self._store.transact(
-            RowTransaction(((key, version),), (put,)), WRITE_TIMEOUT_S
+        rows_by_id = {
+            InstanceId(row.key.key): (decode_member(row.value), row.version)
+            for row in read.ok_value.rows
+            if row.value is not None
+        }
+        before, version = rows_by_id.get(self._own_id, (None, 0))
+        if before is not None and before.serving:
+            if before.incarnation == self.own.incarnation:
+                # An earlier write whose answer was lost.
+                self.joined = True
+                return True
+        inherited = before is not None and all_settled(
+            row for row, _ in rows_by_id.values()
         )
-        if not isinstance(outcome, Committed):
+        self.own = msgspec.structs.replace(self.own, established=inherited)
+        if not await self._write_own(version):
             return False
-        # An earlier incarnation of the same machine has ended.
-        self.inherited = (
-            before is not None
-            and before.serving
-            and before.incarnation != self.own.incarnation
-        )
+        self.inherited = inherited
         self.joined = True
         log_event(
             LOG,
@@ -135,6 +131,28 @@
         )
         return True
 
+    async def _write_own(self, version: int) -> bool:
+        key = self._key(self._own_id)
+        put = (key, msgspec.msgpack.encode(self.own))
+        outcome = await self._store.transact(
+            RowTransaction(((key, version),), (put,)), WRITE_TIMEOUT_S
+        )
+        return isinstance(outcome, Committed)
+
+    async def establish(self) -> None:
+        """Write that this instance's rights have outlasted older ones."""
+        row = self.by_id.get(self._own_id)
+        version = self._versions_by_id.get(self._own_id)
+        if row is None or version is None or self.leaving:
+            return
+        if not row.serving or row.established:
+            return
+        if row.incarnation != self.own.incarnation:
+            return
+        self.own = msgspec.structs.replace(self.own, established=True)
+        established = await self._write_own(version)
+        log_event(LOG, 'established', written=established)
+
     async def leave(self) -> None:
         """Remove the own row, so that others take over."""
         self.leaving = True
--- a/jackdawfield/gateway/ownership.py
+++ b/jackdawfield/gateway/ownership.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 
 from jackdawfield.decisions.placement import owner
+from jackdawfield.gateway.member_rows import all_settled
 from jackdawfield.gateway.member_rows import MemberRow
 from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
@@ -42,8 +43,8 @@
         self._viewed_at_s = float('-inf')
         # When this view's serving members last changed.
         self._changed_at_s: float | None = None
-        # The predecessor of this incarnation held the same rights until the
-        # own row was written over it.
+        # The own row was written over that of an incarnation that has ended,
+        # while no right was moving, so that its rights are still free.
         self.inherited = False
 
     def saw(self, asked_at_s: float) -> None:
@@ -96,6 +97,10 @@
         self, members_by_id: Mapping[InstanceId, MemberRow], now_s: float
     ) -> list[Lost]:
         """Follow the table of members; return the rights that moved away."""
+        if self._changed_at_s is None and not all_settled(
+            members_by_id.values()
+        ):
+            self.inherited = False
         before = self._serving()
         lost = self._update(dict(members_by_id), now_s)
         if self._changed_at_s is None or before != self._serving():
@@ -120,7 +125,9 @@
                 )
             if new != self._own_id:
                 held = self._active_from_by_id.pop(organisation_id, None)
-                if held is not None and held <= now_s and new is not None:
+                # Rights that had gone stale may be another's already.
+                acted = held is not None and held <= now_s
+                if acted and self.fresh(now_s) and new is not None:
                     lost.append(Lost(organisation_id, new))
         self._forget_removed()
         return lost
@@ -134,14 +141,14 @@
     ) -> float:
         if not known and self.inherited:
             return now_s
-        if not known and self._settled(now_s):
+        if not known and self.settled(now_s):
             return now_s
         row = self._members_by_id.get(old) if old is not None else None
         if row is not None and row.proven_dead and old in before:
-            return now_s if self._settled(now_s) else now_s + TAKEOVER_WAIT_S
+            return now_s if self.settled(now_s) else now_s + TAKEOVER_WAIT_S
         return now_s + TAKEOVER_WAIT_S
 
-    def _settled(self, now_s: float) -> bool:
+    def settled(self, now_s: float) -> bool:
         """Return whether this view has outlasted every older one."""
         changed_s = self._changed_at_s
         return changed_s is not None and now_s - changed_s > TAKEOVER_WAIT_S
--- /dev/null
+++ b/jackdawfield/standins/row_store.py
@@ -0,0 +1,139 @@
+"""Stands in for the platform's store of rows, in memory."""
+
+import asyncio
+from collections import deque
+from enum import Enum
+
+from result import Err
+from result import Ok
+from result import Result
+
+from jackdawfield.decisions.table import Committed
+from jackdawfield.decisions.table import NotApplied
+from jackdawfield.decisions.table import OutcomeUnknown
+from jackdawfield.gateway.rows import RowConflict
+from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.rows import RowOutcome
+from jackdawfield.gateway.rows import RowsChanged
+from jackdawfield.gateway.rows import RowsRead
+from jackdawfield.gateway.rows import RowTransaction
+from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.gateway.rows import StoreError
+
+
+class Trouble(Enum):
+    """Names what goes wrong with one call."""
+
+    NONE = 'none'
+    AWAY = 'away'
+    ANSWER_LOST = 'answer lost'
+    HISTORY_GONE = 'history gone'
+
+
+class MemoryRowStore:
+    """Keeps rows under one counter of versions; troubles come in order."""
+
+    def __init__(self) -> None:
+        self.rows_by_key: dict[RowKey, StoredRow] = {}
+        self.version = 0
+        self.troubles: deque[Trouble] = deque()
+        self.transactions: list[RowTransaction] = []
+        self.reads = 0
+        self._history: list[StoredRow] = []
+        self._changed = asyncio.Event()
+
+    def _next_trouble(self) -> Trouble:
+        return self.troubles.popleft() if self.troubles else Trouble.NONE
+
+    def put(self, key: RowKey, value: bytes) -> None:
+        """Write a row as the operators or the platform do."""
+        self._apply(RowTransaction((), ((key, value),)))
+
+    def remove(self, key: RowKey) -> None:
+        """Remove a row as the platform does."""
+        self._apply(RowTransaction((), (), (key,)))
+
+    async def read(
+        self, table: str, part: str, first: str = '', last: str = ''
+    ) -> Result[RowsRead, StoreError]:
+        """Return the rows with keys from the first to before the last."""
+        self.reads += 1
+        if self._next_trouble() is not Trouble.NONE:
+            return Err(StoreError('the store is away'))
+        rows = [
+            row
+            for key, row in self.rows_by_key.items()
+            if key.table == table
+            and key.part == part
+            and key.key >= first
+            and (not last or key.key < last)
+        ]
+        rows.sort(key=lambda row: row.key.key)
+        return Ok(RowsRead(tuple(rows), self.version))
+
+    async def transact(
+        self, transaction: RowTransaction, timeout_s: float
+    ) -> RowOutcome:
+        """Write rows if others have the expected versions."""
+        self.transactions.append(transaction)
+        trouble = self._next_trouble()
+        if trouble is Trouble.AWAY:
+            return NotApplied('the store is away')
+        if not self._holds(transaction):
+            return self._conflict(transaction)
+        self._apply(transaction)
+        if trouble is Trouble.ANSWER_LOST:
+            return OutcomeUnknown('answer lost')
+        return Committed(self.version)
+
+    def _holds(self, transaction: RowTransaction) -> bool:
+        return all(
+            self._version_of(key) == version
+            for key, version in transaction.expected
+        )
+
+    def _version_of(self, key: RowKey) -> int:
+        row = self.rows_by_key.get(key)
+        return row.version if row is not None else 0
+
+    def _conflict(self, transaction: RowTransaction) -> RowConflict:
+        found = (self.rows_by_key.get(key) for key, _ in transaction.expected)
+        return RowConflict(tuple(row for row in found if row is not None))
+
+    def _apply(self, transaction: RowTransaction) -> None:
+        self.version += 1
+        for key, value in transaction.puts:
+            row = StoredRow(key, value, self.version)
+            self.rows_by_key[key] = row
+            self._history.append(row)
+        for key in transaction.removes:
+            self.rows_by_key.pop(key, None)
+            self._history.append(StoredRow(key, None, self.version))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[RowsChanged, StoreError]:
+        """Return the rows changed after a version, waiting for some."""
+        trouble = self._next_trouble()
+        if trouble is Trouble.HISTORY_GONE:
+            return Err(StoreError('history is gone', history_gone=True))
+        if trouble is not Trouble.NONE:
+            return Err(StoreError('the store is away'))
+        rows = self._changed_since(table, after)
+        if not rows:
+            try:
+                async with asyncio.timeout(wait_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                pass
+            rows = self._changed_since(table, after)
+        return Ok(RowsChanged(rows, self.version))
+
+    def _changed_since(self, table: str, after: int) -> tuple[StoredRow, ...]:
+        return tuple(
+            row
+            for row in self._history
+            if row.key.table == table and row.version > after
+        )
--- /dev/null
+++ b/tests/gateway/scripted_server.py
@@ -0,0 +1,106 @@
+"""Serves scripted bytes on loopback and records what it was sent."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import socket
+import struct
+
+Script = Callable[['Turn'], Awaitable[None]]
+
+
+@dataclass
+class Turn:
+    """Holds one request and the way back to its sender."""
+
+    head: bytes
+    body: bytes
+    writer: asyncio.StreamWriter
+    reader: asyncio.StreamReader
+
+    def header(self, name: str) -> str:
+        """Return a header's value."""
+        for line in self.head.decode('latin-1').split('\r\n')[1:]:
+            key, _, value = line.partition(': ')
+            if key.lower() == name:
+                return value
+        return ''
+
+    def reset(self) -> None:
+        """Reset the connection instead of closing it."""
+        sock = self.writer.get_extra_info('socket')
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.writer.transport.abort()
+
+    def answer(
+        self, body: bytes, status: str = '200 OK', extra: str = ''
+    ) -> bytes:
+        """Return an answer to this request."""
+        return answer(self.header('x-id'), body, status, extra)
+
+
+def answer(
+    request_id: str, body: bytes, status: str = '200 OK', extra: str = ''
+) -> bytes:
+    """Return the bytes of an answer."""
+    head = (
+        f'HTTP/1.1 {status}\r\nX-Id: {request_id}\r\nX-Sign: s\r\n'
+        f'{extra}Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+@dataclass
+class ScriptedServer:
+    """Runs a script for each request that comes in."""
+
+    script: Script
+    turns: list[Turn] = field(default_factory=list)
+    connections: int = 0
+    lost: int = 0
+    port: int = 0
+    _server: asyncio.Server | None = None
+
+    async def start(self) -> 'ScriptedServer':
+        """Listen on a free port of loopback."""
+        self._server = await asyncio.start_server(
+            self._serve, '127.0.0.1', self.port
+        )
+        self.port = self._server.sockets[0].getsockname()[1]
+        return self
+
+    async def stop(self) -> None:
+        """Listen no more."""
+        assert self._server is not None
+        self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        try:
+            while True:
+                turn = await self._read(reader, writer)
+                self.turns.append(turn)
+                await self.script(turn)
+                await writer.drain()
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ConnectionError,
+        ):
+            self.lost += 1
+        finally:
+            writer.close()
+
+    async def _read(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> Turn:
+        head = await reader.readuntil(b'\r\n\r\n')
+        turn = Turn(head, b'', writer, reader)
+        length = int(turn.header('content-length') or 0)
+        turn.body = await reader.readexactly(length)
+        return turn
--- /dev/null
+++ b/tests/gateway/test_connections.py
@@ -0,0 +1,228 @@
+import asyncio
+import unittest
+
+from result import Err
+
+from jackdawfield.gateway.connections import BodyEnd
+from jackdawfield.gateway.connections import Connection
+from jackdawfield.gateway.connections import ConnectionPool
+from jackdawfield.gateway.connections import Fault
+from jackdawfield.gateway.connections import OutgoingRequest
+from jackdawfield.gateway.connections import ResponseHead
+from tests.gateway.scripted_server import answer
+from tests.gateway.scripted_server import Script
+from tests.gateway.scripted_server import ScriptedServer
+from tests.gateway.scripted_server import Turn
+
+HOST = '127.0.0.1'
+LIMIT_S = 2.0
+
+
+def request(name: str, body: bytes = b'') -> OutgoingRequest:
+    headers = (('Host', 'h'), ('X-Id', name))
+    return OutgoingRequest('POST', '/p', headers, body, 'x-id', name)
+
+
+async def read(connection: Connection) -> tuple[int, bytes, BodyEnd]:
+    """Return status, body and end of an answer, status 0 without one."""
+    async with asyncio.timeout(LIMIT_S):
+        status = 0
+        body = b''
+        while True:
+            match await connection.next_part():
+                case ResponseHead(status=code):
+                    status = code
+                case bytes(piece):
+                    body += piece
+                case BodyEnd() as end:
+                    return status, body, end
+
+
+class ConnectionsTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.pool = ConnectionPool()
+
+    async def serve(self, script: Script) -> ScriptedServer:
+        server = await ScriptedServer(script).start()
+        self.addAsyncCleanup(server.stop)
+        self.addCleanup(self.pool.close)
+        return server
+
+    async def connect(self, server: ScriptedServer) -> Connection:
+        found = await self.pool.acquire(HOST, server.port, LIMIT_S)
+        return found.unwrap()
+
+    async def exchange(
+        self, server: ScriptedServer, name: str
+    ) -> tuple[int, bytes, BodyEnd]:
+        connection = await self.connect(server)
+        connection.send(request(name)).unwrap()
+        outcome = await read(connection)
+        self.pool.release(HOST, server.port, connection)
+        return outcome
+
+    async def test_keeps_a_clean_connection(self) -> None:
+        async def script(turn: Turn) -> None:
+            turn.writer.write(turn.answer(b'ok'))
+
+        server = await self.serve(script)
+        for name in 'abc':
+            outcome = await self.exchange(server, name)
+            self.assertEqual(outcome, (200, b'ok', BodyEnd.WHOLE))
+        self.assertEqual(server.connections, 1)
+
+    async def test_drops_a_connection_with_bytes_to_spare(self) -> None:
+        async def script(turn: Turn) -> None:
+            turn.writer.write(turn.answer(b'ok') + turn.answer(b'ok'))
+
+        server = await self.serve(script)
+        await self.exchange(server, 'a')
+        outcome = await self.exchange(server, 'b')
+        self.assertEqual(outcome, (200, b'ok', BodyEnd.WHOLE))
+        self.assertEqual(server.connections, 2)
+
+    async def test_drops_an_idle_connection_that_speaks(self) -> None:
+        async def script(turn: Turn) -> None:
+            turn.writer.write(turn.answer(b'ok'))
+            await turn.writer.drain()
+            await asyncio.sleep(0.05)
+            turn.writer.write(turn.answer(b'again'))
+
+        server = await self.serve(script)
+        await self.exchange(server, 'a')
+        await asyncio.sleep(0.1)
+        outcome = await self.exchange(server, 'b')
+        self.assertEqual(outcome, (200, b'ok', BodyEnd.WHOLE))
+        self.assertEqual(server.connections, 2)
+
+    async def test_late_answer_to_an_earlier_request_is_not_ours(self) -> None:
+        async def script(turn: Turn) -> None:
+            if turn.header('x-id') == 'b':
+                turn.writer.write(answer('a', b'late'))
+            turn.writer.write(turn.answer(b'ok'))
+
+        server = await self.serve(script)
+        await self.exchange(server, 'a')
+        outcome = await self.exchange(server, 'b')
+        self.assertEqual(outcome, (200, b'ok', BodyEnd.WHOLE))
+        self.assertEqual(len(server.turns), 2)
+
+    async def test_answer_cut_amid_its_body_is_not_whole(self) -> None:
+        async def script(turn: Turn) -> None:
+            turn.writer.write(turn.answer(b'whole')[:-2])
+            await turn.writer.drain()
+            turn.writer.close()
+
+        server = await self.serve(script)
+        status, body, end = await self.exchange(server, 'a')
+        self.assertEqual((status, body, end), (200, b'who', BodyEnd.CUT))
+
+    async def test_answer_without_length_ends_with_its_connection(
+        self,
+    ) -> None:
+        async def script(turn: Turn) -> None:
+            turn.writer.write(b'HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nbody')
+            await turn.writer.drain()
+            turn.writer.close()
+
+        server = await self.serve(script)
+        outcome = await self.exchange(server, 'a')
+        self.assertEqual(outcome, (200, b'body', BodyEnd.WHOLE))
+
+    async def test_reset_answer_without_length_is_not_whole(self) -> None:
+        async def script(turn: Turn) -> None:
+            turn.writer.write(b'HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nbody')
+            await turn.writer.drain()
+            await asyncio.sleep(0.05)
+            turn.reset()
+
+        server = await self.serve(script)
+        _, _, end = await self.exchange(server, 'a')
+        self.assertIs(end, BodyEnd.CUT)
+
+    async def test_bytes_that_are_no_answer_cut_it(self) -> None:
+        async def script(turn: Turn) -> None:
+            turn.writer.write(b'\x00\x01garbage\r\n\r\n')
+
+        server = await self.serve(script)
+        status, _, end = await self.exchange(server, 'a')
+        self.assertEqual((status, end), (0, BodyEnd.CUT))
+
+    async def test_request_is_never_sent_again(self) -> None:
+        async def script(turn: Turn) -> None:
+            turn.writer.close()
+
+        server = await self.serve(script)
+        _, _, end = await self.exchange(server, 'a')
+        self.assertIs(end, BodyEnd.CUT)
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(server.turns), 1)
+
+    async def test_lost_connection_says_that_nothing_left(self) -> None:
+        async def script(turn: Turn) -> None:
+            turn.writer.write(turn.answer(b'ok'))
+            await turn.writer.drain()
+            turn.writer.close()
+
+        server = await self.serve(script)
+        connection = await self.connect(server)
+        connection.send(request('a')).unwrap()
+        await read(connection)
+        await asyncio.sleep(0.05)
+        sent = connection.send(request('b'))
+        assert isinstance(sent, Err)
+        self.assertIs(sent.err_value.fault, Fault.NOT_SENT)
+
+    async def test_close_header_ends_the_connection(self) -> None:
+        async def script(turn: Turn) -> None:
+            extra = 'Connection: close\r\n'
+            turn.writer.write(turn.answer(b'ok', extra=extra))
+
+        server = await self.serve(script)
+        await self.exchange(server, 'a')
+        await self.exchange(server, 'b')
+        self.assertEqual(server.connections, 2)
+
+    async def test_idle_limit_of_the_server_is_kept(self) -> None:
+        async def script(turn: Turn) -> None:
+            extra = 'Keep-Alive: timeout=1\r\n'
+            turn.writer.write(turn.answer(b'ok', extra=extra))
+
+        server = await self.serve(script)
+        await self.exchange(server, 'a')
+        await asyncio.sleep(0.5)
+        await self.exchange(server, 'b')
+        self.assertEqual(server.connections, 2)
+
+    async def test_early_answer_to_an_unread_body_ends_the_connection(
+        self,
+    ) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(answer('a', b'no', '400 Bad Request'))
+            await writer.drain()
+            await asyncio.sleep(1.0)
+            writer.close()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        found = await self.pool.acquire(HOST, port, LIMIT_S)
+        connection = found.unwrap()
+        connection.send(request('a', b'x' * 20_000_000)).unwrap()
+        status, _, _ = await read(connection)
+        self.assertEqual(status, 400)
+        self.assertFalse(connection.finish())
+
+    async def test_refused_connection_was_not_sent(self) -> None:
+        async def script(turn: Turn) -> None:
+            return
+
+        server = await self.serve(script)
+        port = server.port
+        await server.stop()
+        found = await self.pool.open(HOST, port, LIMIT_S)
+        assert isinstance(found, Err)
+        self.assertIs(found.err_value.fault, Fault.NOT_SENT)
--- /dev/null
+++ b/tests/gateway/test_dispatch.py
@@ -0,0 +1,202 @@
+import asyncio
+from collections.abc import Iterable
+import time
+import unittest
+
+from jackdawfield.gateway.calls import Call
+from jackdawfield.gateway.calls import CallHeaders
+from jackdawfield.gateway.calls import Failure
+from jackdawfield.gateway.calls import ForwardedHeaders
+from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.connections import BodyEnd
+from jackdawfield.gateway.connections import ConnectionPool
+from jackdawfield.gateway.dispatch import Dispatcher
+from jackdawfield.gateway.dispatch import Running
+from jackdawfield.gateway.dispatch import WireNames
+from jackdawfield.gateway.model import CallKind
+from jackdawfield.gateway.model import CallRoute
+from jackdawfield.gateway.model import ServerEntry
+from jackdawfield.gateway.model import Target
+from jackdawfield.gateway.servers import Servers
+from jackdawfield.model import DomainId
+from jackdawfield.model import RegionId
+from jackdawfield.model import RouteName
+from jackdawfield.model import ServerId
+from jackdawfield.model import ServiceName
+from tests.gateway.scripted_server import Script
+from tests.gateway.scripted_server import ScriptedServer
+from tests.gateway.scripted_server import Turn
+
+SERVICE = ServiceName('service')
+DOMAIN = DomainId('domain')
+
+
+def encode(forwarded: ForwardedHeaders) -> list[tuple[str, str]]:
+    left_ms = str(int(forwarded.time_left_s * 1000))
+    return [*forwarded.passed_on, ('X-Server', forwarded.server_id)] + [
+        ('X-Left', left_ms)
+    ]
+
+
+NAMES = WireNames('x-id', 'x-not-run', 'x-sign', encode)
+
+
+def call(kind: CallKind, attempts: int = 2, limit_s: float = 2.0) -> Call:
+    route = CallRoute(
+        RouteName('route'),
+        'host',
+        '/',
+        kind,
+        (Target(SERVICE, 1.0),),
+        limit_s,
+        0.1,
+        0,
+        attempts,
+        False,
+        0.0,
+        False,
+        False,
+        0.0,
+    )
+    passed_on = (('Host', 'host'), ('X-Id', 'a'))
+    headers = CallHeaders(
+        'a', 'host', None, None, None, None, '', None, 0, 0, None, passed_on
+    )
+    now_s = time.monotonic()
+    return Call(
+        'a', 'POST', '/p', headers, b'', route, None, now_s, now_s + limit_s
+    )
+
+
+async def whole(turn: Turn) -> None:
+    turn.writer.write(turn.answer(b'ok'))
+
+
+async def full(turn: Turn) -> None:
+    extra = 'X-Not-Run: 1\r\n'
+    turn.writer.write(turn.answer(b'', '503 Service Unavailable', extra))
+
+
+async def elsewhere(turn: Turn) -> None:
+    turn.writer.write(turn.answer(b'', '421 Misdirected Request'))
+
+
+async def cut(turn: Turn) -> None:
+    turn.writer.write(turn.answer(b'whole')[:-2])
+    await turn.writer.drain()
+    turn.writer.close()
+
+
+async def lost(turn: Turn) -> None:
+    turn.writer.close()
+
+
+async def unsigned(turn: Turn) -> None:
+    head = f'HTTP/1.1 200 OK\r\nX-Id: {turn.header("x-id")}\r\n'
+    turn.writer.write(f'{head}Content-Length: 2\r\n\r\nno'.encode())
+
+
+async def silent(turn: Turn) -> None:
+    await asyncio.sleep(1.5)
+
+
+class DispatchTest(unittest.IsolatedAsyncioTestCase):
+    async def dispatch(
+        self, asked: Call, scripts: Iterable[Script]
+    ) -> Running | Refusal | Failure:
+        servers = Servers(DOMAIN, {DOMAIN: RegionId('region')})
+        self.pool = ConnectionPool()
+        self.addCleanup(self.pool.close)
+        self.servers = []
+        for number, script in enumerate(scripts):
+            server = await ScriptedServer(script).start()
+            self.addAsyncCleanup(server.stop)
+            self.servers.append(server)
+            # The first has the lowest load, so that the order is fixed.
+            entry = ServerEntry(
+                ServerId(f's{number}'),
+                SERVICE,
+                '127.0.0.1',
+                server.port,
+                DOMAIN,
+                100,
+                False,
+                0,
+            )
+            servers.put(entry)
+            servers.by_id[entry.server_id].in_flight = number
+        self.dispatcher = Dispatcher(servers, self.pool, NAMES)
+        return await self.dispatcher.start(asked, SERVICE, b'body', None)
+
+    @property
+    def sent(self) -> list[int]:
+        """Return how many requests reached each server."""
+        return [len(server.turns) for server in self.servers]
+
+    async def test_never_repeats_what_may_have_run(self) -> None:
+        for kind in (CallKind.AT_MOST_ONCE, CallKind.STREAM):
+            for script in (lost, unsigned):
+                with self.subTest(kind=kind, script=script.__name__):
+                    outcome = await self.dispatch(call(kind), [script, whole])
+                    assert isinstance(outcome, Failure)
+                    self.assertEqual(outcome.status, 502)
+                    self.assertEqual(self.sent, [1, 0])
+
+    async def test_repeats_on_proof_that_it_has_not_run(self) -> None:
+        for script in (full, elsewhere):
+            with self.subTest(script=script.__name__):
+                asked = call(CallKind.AT_MOST_ONCE)
+                outcome = await self.dispatch(asked, [script, whole])
+                self.assertIsInstance(outcome, Running)
+                self.assertEqual(self.sent, [1, 1])
+
+    async def test_refuses_when_no_server_ran_it(self) -> None:
+        asked = call(CallKind.AT_MOST_ONCE)
+        outcome = await self.dispatch(asked, [full, full, whole])
+        assert isinstance(outcome, Refusal)
+        self.assertEqual(outcome.status, 503)
+        self.assertIsNotNone(outcome.retry_after_s)
+        self.assertEqual(self.sent, [1, 1, 0])
+
+    async def test_idempotent_call_goes_to_another_server(self) -> None:
+        for script in (lost, cut, unsigned, silent):
+            with self.subTest(script=script.__name__):
+                asked = call(CallKind.IDEMPOTENT)
+                outcome = await self.dispatch(asked, [script, whole])
+                assert isinstance(outcome, Running)
+                self.assertEqual(await outcome.next_part(), b'ok')
+                self.assertIs(await outcome.next_part(), BodyEnd.WHOLE)
+                self.assertEqual(self.sent, [1, 1])
+
+    async def test_attempts_stay_within_the_limit(self) -> None:
+        asked = call(CallKind.IDEMPOTENT, attempts=2)
+        outcome = await self.dispatch(asked, [lost, lost, whole])
+        assert isinstance(outcome, Failure)
+        self.assertEqual(self.sent, [1, 1, 0])
+
+    async def test_unreached_server_counts_as_no_attempt(self) -> None:
+        asked = call(CallKind.AT_MOST_ONCE, attempts=1)
+        await self.dispatch(asked, [whole, whole])
+        await self.servers[0].stop()
+        self.pool.close()
+        await asyncio.sleep(0.05)
+        outcome = await self.dispatcher.start(asked, SERVICE, b'', None)
+        self.assertIsInstance(outcome, Running)
+
+    async def test_caller_that_leaves_ends_the_work(self) -> None:
+        asked = call(CallKind.STREAM)
+        task = asyncio.create_task(self.dispatch(asked, [silent]))
+        await asyncio.sleep(0.2)
+        task.cancel()
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        await asyncio.sleep(0.05)
+        server = self.servers[0]
+        self.assertTrue(server.turns[0].reader.at_eof())
+
+    async def test_server_is_told_the_time_that_is_left(self) -> None:
+        asked = call(CallKind.IDEMPOTENT, limit_s=1.0)
+        await self.dispatch(asked, [silent, whole])
+        left_ms = [int(s.turns[0].header('x-left')) for s in self.servers]
+        self.assertLessEqual(left_ms[0], 1000)
+        self.assertLess(left_ms[1], left_ms[0] - 200)
--- /dev/null
+++ b/tests/gateway/test_ledger.py
@@ -0,0 +1,108 @@
+import random
+import unittest
+
+from jackdawfield.gateway.ledger import encode_row
+from jackdawfield.gateway.ledger import Ledger
+from jackdawfield.gateway.ledger import LedgerPlan
+from jackdawfield.gateway.ledger import Reserve
+from jackdawfield.gateway.ledger import Settle
+
+BUDGET = 1000
+MOST = 100
+
+
+class LedgerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.version = 0
+        self.stored: bytes | None = None
+
+    def write(self, ledger: Ledger, plan: LedgerPlan) -> bool:
+        """Write a plan under the version that the ledger knows."""
+        if ledger.version != self.version:
+            ledger.take_row(self.stored, self.version)
+            return False
+        self.version += 1
+        self.stored = encode_row(plan.row)
+        ledger.wrote(plan, self.version)
+        return True
+
+    def test_prepaid_turn_needs_no_write(self) -> None:
+        ledger = Ledger('a')
+        plan = ledger.plan([Reserve(MOST, BUDGET)])
+        self.assertTrue(plan.must_write)
+        self.write(ledger, plan)
+        self.write(ledger, ledger.plan([Settle(MOST, 40, BUDGET)]))
+        plan = ledger.plan([Reserve(MOST, BUDGET)])
+        self.assertEqual(plan.verdicts, (True,))
+        self.assertFalse(plan.must_write)
+
+    def test_refuses_what_is_over_the_budget(self) -> None:
+        ledger = Ledger('a')
+        events = [Reserve(MOST, BUDGET)] * 11
+        plan = ledger.plan(events)
+        self.assertEqual(plan.verdicts, (True,) * 10 + (False,))
+
+    def test_nothing_is_kept_back_near_the_budget(self) -> None:
+        ledger = Ledger('a')
+        self.write(ledger, ledger.plan([Reserve(MOST, 250)]))
+        plan = ledger.plan([Settle(MOST, 60, 250)])
+        self.assertEqual(plan.row.granted, 60)
+        self.assertEqual(plan.free, 0)
+
+    def test_own_write_is_known_again_after_a_lost_answer(self) -> None:
+        ledger = Ledger('a')
+        plan = ledger.plan([Reserve(MOST, BUDGET)])
+        self.assertFalse(ledger.has_written(plan))
+        ledger.take_row(encode_row(plan.row), 1)
+        self.assertTrue(ledger.has_written(plan))
+
+    def test_budget_holds_over_instances_and_restarts(self) -> None:
+        for seed in range(200):
+            with self.subTest(seed=seed):
+                self.version = 0
+                self.stored = None
+                self.assertLessEqual(self.run_program(seed), BUDGET)
+
+    def run_program(self, seed: int) -> int:
+        """Return the tokens that went out in a random run."""
+        choose = random.Random(seed)
+        ledgers = [Ledger(name) for name in 'abc']
+        running: list[tuple[int, int]] = []
+        out = 0
+        for _ in range(120):
+            place = choose.randrange(3)
+            ledger = ledgers[place]
+            action = choose.random()
+            if action < 0.05:
+                ledgers[place] = Ledger(f'{place}.{choose.random()}')
+                running = [item for item in running if item[0] != place]
+            elif action < 0.6 or not running:
+                reserved = self.reserve(ledger)
+                if reserved:
+                    running.append((place, MOST))
+            else:
+                where, most = running.pop(choose.randrange(len(running)))
+                used = choose.randint(0, most)
+                out += used
+                self.settle(ledgers[where], most, used)
+        return out
+
+    def reserve(self, ledger: Ledger) -> bool:
+        while True:
+            plan = ledger.plan([Reserve(MOST, BUDGET)])
+            if not plan.verdicts[0]:
+                if ledger.version == self.version:
+                    return False
+                ledger.take_row(self.stored, self.version)
+                continue
+            if not plan.must_write:
+                ledger.free = plan.free
+                return True
+            if self.write(ledger, plan):
+                return True
+
+    def settle(self, ledger: Ledger, most: int, used: int) -> None:
+        while not self.write(
+            ledger, ledger.plan([Settle(most, used, BUDGET)])
+        ):
+            pass
--- /dev/null
+++ b/tests/gateway/test_ownership.py
@@ -0,0 +1,243 @@
+from dataclasses import dataclass
+from dataclasses import field
+import random
+import unittest
+
+from msgspec.structs import replace
+
+from jackdawfield.gateway.member_rows import all_settled
+from jackdawfield.gateway.member_rows import MemberRow
+from jackdawfield.gateway.member_rows import suspended
+from jackdawfield.gateway.ownership import FEED_LAG_S
+from jackdawfield.gateway.ownership import Lost
+from jackdawfield.gateway.ownership import Ownership
+from jackdawfield.gateway.ownership import TAKEOVER_WAIT_S
+from jackdawfield.model import DomainId
+from jackdawfield.model import InstanceId
+from jackdawfield.model import OrganisationId
+from jackdawfield.model import RegionId
+
+ORGANISATIONS = [OrganisationId(f'o{n}') for n in range(4)]
+NAMES = [InstanceId(f'i{n}') for n in range(5)]
+STEP_S = 0.1
+POLL_S = 0.8
+
+
+def member(
+    name: str, incarnation: int = 0, established: bool = False
+) -> MemberRow:
+    return MemberRow(
+        name, DomainId('d'), RegionId('r'), str(incarnation), established
+    )
+
+
+@dataclass
+class Node:
+    """Holds one instance of the exploration."""
+
+    name: InstanceId
+    ownership: Ownership
+    incarnation: int = 0
+    alive: bool = True
+    cut_until_s: float = 0.0
+    frozen_until_s: float = 0.0
+    polled_at_s: float = 0.0
+    joined: bool = False
+    joined_at_s: float = 0.0
+
+
+@dataclass
+class Fleet:
+    """Runs instances against one table, with random troubles."""
+
+    choose: random.Random
+    now_s: float = 0.0
+    table: dict[InstanceId, MemberRow] = field(default_factory=dict)
+    past: list[tuple[float, dict[InstanceId, MemberRow]]] = field(
+        default_factory=list
+    )
+    nodes: dict[InstanceId, Node] = field(default_factory=dict)
+    handed: list[tuple[float, Lost]] = field(default_factory=list)
+    worst: int = 0
+    active_steps: int = 0
+
+    def write(self, name: InstanceId, row: MemberRow | None) -> None:
+        """Change the table."""
+        self.table = dict(self.table)
+        if row is None:
+            self.table.pop(name, None)
+        else:
+            self.table[name] = row
+        self.past.append((self.now_s, self.table))
+
+    def start(self, name: InstanceId) -> None:
+        """Start a new incarnation."""
+        old = self.nodes.get(name)
+        number = old.incarnation + 1 if old else 0
+        self.nodes[name] = Node(name, Ownership(name), number)
+
+    def step(self) -> None:
+        """Let all nodes that can read the table, then check."""
+        self.now_s += STEP_S
+        for node in self.nodes.values():
+            if node.alive and node.cut_until_s <= self.now_s:
+                if node.frozen_until_s <= self.now_s:
+                    self.poll(node)
+        self.deliver()
+        self.check()
+
+    def poll(self, node: Node) -> None:
+        """Read the table, perhaps as it was a moment ago."""
+        if self.now_s - node.polled_at_s < POLL_S * self.choose.random():
+            return
+        node.polled_at_s = self.now_s
+        if not node.joined:
+            self.join(node)
+        lag_s = FEED_LAG_S * self.choose.random() ** 4
+        seen = self.table_at(self.now_s - lag_s)
+        own = seen.get(node.name)
+        if own is None or own.incarnation != str(node.incarnation):
+            return
+        ownership = node.ownership
+        lost = ownership.set_organisations(ORGANISATIONS, self.now_s)
+        lost += ownership.set_members(seen, self.now_s)
+        ownership.saw(self.now_s)
+        self.send(lost)
+        latest = self.table.get(node.name)
+        if not own.serving and latest is not None and not latest.serving:
+            self.write(node.name, member(node.name, node.incarnation))
+            node.joined_at_s = self.now_s
+        self.establish(node)
+
+    def join(self, node: Node) -> None:
+        """Write the row of a new incarnation."""
+        inherited = node.name in self.table and all_settled(
+            self.table.values()
+        )
+        node.ownership.inherited = inherited
+        self.write(node.name, member(node.name, node.incarnation, inherited))
+        node.joined_at_s = self.now_s
+        node.joined = True
+
+    def establish(self, node: Node) -> None:
+        """Write that a node's rights have outlasted older ones."""
+        row = self.table.get(node.name)
+        if row is None or not row.serving or row.established:
+            return
+        if self.now_s - node.joined_at_s > TAKEOVER_WAIT_S:
+            self.write(node.name, replace(row, established=True))
+
+    def table_at(self, at_s: float) -> dict[InstanceId, MemberRow]:
+        """Return the table as it was."""
+        found = self.past[0][1]
+        for written_s, table in self.past:
+            if written_s <= at_s:
+                found = table
+        return found
+
+    def send(self, lost: list[Lost]) -> None:
+        """Send hand-overs, some of which are lost."""
+        for item in lost:
+            if self.choose.random() < 0.8:
+                delay_s = self.choose.random()
+                self.handed.append((self.now_s + delay_s, item))
+
+    def deliver(self) -> None:
+        """Deliver the hand-overs that are due."""
+        due = [item for at_s, item in self.handed if at_s <= self.now_s]
+        self.handed = [h for h in self.handed if h[0] > self.now_s]
+        for item in due:
+            node = self.nodes[item.new_owner]
+            cut = node.cut_until_s > self.now_s
+            if node.alive and not cut and node.joined:
+                node.ownership.take_over(item.organisation_id, self.now_s)
+
+    def check(self) -> None:
+        """Note how many instances may grant the same organisation's rate."""
+        for organisation_id in ORGANISATIONS:
+            granting = sum(
+                node.alive
+                and node.frozen_until_s <= self.now_s
+                and node.ownership.may_grant(organisation_id, self.now_s)
+                for node in self.nodes.values()
+            )
+            self.worst = max(self.worst, granting)
+            self.active_steps += granting > 0
+
+    def trouble(self) -> None:
+        """Do something bad to a node."""
+        node = self.choose.choice(list(self.nodes.values()))
+        match self.choose.randrange(5):
+            case 0:
+                node.cut_until_s = self.now_s + 6 * self.choose.random()
+            case 1:
+                node.frozen_until_s = self.now_s + 6 * self.choose.random()
+            case 2:
+                node.alive = False
+                if self.choose.random() < 0.5:
+                    self.suspend(node, proven=True)
+                self.start(node.name)
+            case 3:
+                self.suspend(node, proven=False)
+            case 4:
+                node.alive = False
+                self.write(node.name, None)
+                self.start(node.name)
+
+    def suspend(self, node: Node, proven: bool) -> None:
+        """Write a node's row as suspended."""
+        row = self.table.get(node.name)
+        if row is not None and row.serving:
+            self.write(node.name, suspended(row, proven))
+
+
+def run(seed: int, troubles: bool) -> Fleet:
+    fleet = Fleet(random.Random(seed))
+    for name in NAMES:
+        fleet.start(name)
+        fleet.join(fleet.nodes[name])
+    for step in range(600):
+        if troubles and step > 50 and fleet.choose.random() < 0.05:
+            fleet.trouble()
+        fleet.step()
+    return fleet
+
+
+class OwnershipTest(unittest.TestCase):
+    def test_calm_fleet_has_one_owner_each(self) -> None:
+        fleet = run(1, troubles=False)
+        self.assertEqual(fleet.worst, 1)
+        wait_steps = (TAKEOVER_WAIT_S + POLL_S) / STEP_S + 1
+        least = (600 - wait_steps) * len(ORGANISATIONS)
+        self.assertGreaterEqual(fleet.active_steps, least)
+
+    def test_never_two_owners_whatever_happens(self) -> None:
+        for seed in range(60):
+            with self.subTest(seed=seed):
+                self.assertLessEqual(run(seed, troubles=True).worst, 1)
+
+    def test_restarted_instance_acts_at_once(self) -> None:
+        ownership = Ownership(NAMES[0])
+        ownership.inherited = True
+        ownership.set_organisations(ORGANISATIONS, 10.0)
+        ownership.set_members({NAMES[0]: member('i0', 1, True)}, 10.0)
+        ownership.saw(10.0)
+        self.assertTrue(ownership.may_grant(ORGANISATIONS[0], 10.1))
+
+    def test_instance_that_joins_waits(self) -> None:
+        ownership = Ownership(NAMES[0])
+        ownership.set_organisations(ORGANISATIONS, 10.0)
+        ownership.set_members({NAMES[0]: member('i0')}, 10.0)
+        ownership.saw(10.0)
+        self.assertFalse(ownership.may_grant(ORGANISATIONS[0], 10.1))
+        late_s = 10.0 + TAKEOVER_WAIT_S
+        ownership.saw(late_s)
+        self.assertTrue(ownership.may_grant(ORGANISATIONS[0], late_s + 0.1))
+
+    def test_stale_view_gives_no_rights(self) -> None:
+        ownership = Ownership(NAMES[0])
+        ownership.inherited = True
+        ownership.set_organisations(ORGANISATIONS, 10.0)
+        ownership.set_members({NAMES[0]: member('i0', 1, True)}, 10.0)
+        ownership.saw(10.0)
+        self.assertFalse(ownership.may_grant(ORGANISATIONS[0], 13.0))
--- /dev/null
+++ b/tests/gateway/test_rates.py
@@ -0,0 +1,91 @@
+import unittest
+
+from jackdawfield.decisions.buckets import Contract
+from jackdawfield.gateway.model import PromiseBounds
+from jackdawfield.gateway.rates import BEGINNING_WAIT_S
+from jackdawfield.gateway.rates import CONTINUING_WAIT_S
+from jackdawfield.gateway.rates import RateBucket
+from jackdawfield.gateway.rates import RateStock
+from jackdawfield.gateway.rates import STOCK_S
+from jackdawfield.gateway.rates import unasked_rate
+from jackdawfield.messages.fleet_rates import AskTokens
+from jackdawfield.model import OrganisationId
+
+ORGANISATION = OrganisationId('org')
+CONTRACT = Contract(20.0, 20)
+BOUNDS = PromiseBounds(2.5, 8.0, 2.5, 5.0, 0.1, 20.0)
+
+
+def ask(continuing: int = 0, beginning: int = 0, spare: int = 0) -> AskTokens:
+    return AskTokens(ORGANISATION, continuing, beginning, spare)
+
+
+class RateBucketTest(unittest.TestCase):
+    def test_pressed_rate_is_never_exceeded(self) -> None:
+        bucket = RateBucket(CONTRACT, 20.0, 0.0)
+        usable_s: list[float] = []
+        for step in range(400):
+            now_s = step * 0.05
+            granted = bucket.grant(ask(4, 2, 1), now_s)
+            delays = granted.continuing_delays_s + granted.beginning_delays_s
+            usable_s += [now_s + delay_s for delay_s in delays]
+            usable_s += [now_s] * granted.spare
+        usable_s.sort()
+        for start_s in usable_s:
+            window = [t for t in usable_s if start_s <= t < start_s + 5.0]
+            self.assertLessEqual(len(window), 5 * 20 + 20 + 1)
+
+    def test_programs_under_way_wait_longer_than_new_ones(self) -> None:
+        bucket = RateBucket(CONTRACT, 0.0, 0.0)
+        granted = bucket.grant(ask(beginning=50), 0.0)
+        self.assertLess(len(granted.beginning_delays_s), 4)
+        self.assertLessEqual(granted.beginning_delays_s[-1], BEGINNING_WAIT_S)
+        granted = bucket.grant(ask(continuing=50), 0.0)
+        self.assertGreater(len(granted.continuing_delays_s), 10)
+        last_s = granted.continuing_delays_s[-1]
+        self.assertLessEqual(last_s, CONTINUING_WAIT_S)
+
+    def test_refusal_says_when_a_token_is_there(self) -> None:
+        bucket = RateBucket(CONTRACT, 0.0, 0.0)
+        bucket.grant(ask(continuing=50), 0.0)
+        granted = bucket.grant(ask(beginning=1), 0.0)
+        self.assertEqual(granted.beginning_delays_s, ())
+        later_s = granted.retry_after_s
+        again = bucket.grant(ask(beginning=1), later_s)
+        self.assertEqual(len(again.beginning_delays_s), 1)
+
+    def test_spare_tokens_come_from_an_ample_bucket_only(self) -> None:
+        bucket = RateBucket(CONTRACT, 20.0, 0.0)
+        self.assertEqual(bucket.grant(ask(spare=50), 0.0).spare, 10)
+        self.assertEqual(bucket.grant(ask(spare=50), 0.0).spare, 0)
+
+    def test_lower_contract_holds_at_once(self) -> None:
+        bucket = RateBucket(CONTRACT, 20.0, 0.0)
+        bucket.follow(Contract(5.0, 5), 0.0)
+        granted = bucket.grant(ask(continuing=50), 0.0)
+        at_once = [d for d in granted.continuing_delays_s if d == 0]
+        self.assertEqual(len(at_once), 5)
+
+
+class RateStockTest(unittest.TestCase):
+    def test_tokens_lapse(self) -> None:
+        stock = RateStock(0.0)
+        stock.put(2, 0.0)
+        self.assertTrue(stock.take(STOCK_S / 2))
+        self.assertFalse(stock.take(STOCK_S + 0.1))
+
+    def test_unasked_requests_stay_within_the_tolerance(self) -> None:
+        for instances in (1, 9, 91):
+            unasked = unasked_rate(CONTRACT, BOUNDS, instances)
+            stock = RateStock(0.0)
+            admitted_s = [
+                step * 0.01
+                for step in range(3000)
+                if stock.take_unasked(unasked, step * 0.01)
+            ]
+            slack = 0.1 * (5 * 20 + 20) + 20
+            for start_s in admitted_s or [0.0]:
+                window = [
+                    t for t in admitted_s if start_s <= t < start_s + 5.0
+                ]
+                self.assertLessEqual(len(window) * instances, slack)
--- /dev/null
+++ b/tests/gateway/test_turn_store.py
@@ -0,0 +1,126 @@
+import time
+import unittest
+
+from jackdawfield.gateway.ledger import Settle
+from jackdawfield.gateway.model import TurnId
+from jackdawfield.gateway.turn_store import Chain
+from jackdawfield.gateway.turn_store import Missing
+from jackdawfield.gateway.turn_store import TurnStore
+from jackdawfield.gateway.turn_store import Uncertain
+from jackdawfield.gateway.turn_store import Verdict
+from jackdawfield.model import OrganisationId
+from jackdawfield.standins.row_store import MemoryRowStore
+from jackdawfield.standins.row_store import Trouble
+from tests.gateway.test_turns import ORGANISATION
+from tests.gateway.test_turns import PROGRAM
+from tests.gateway.test_turns import record
+
+ROW_BYTES = 65536
+CACHE_BYTES = 1_000_000
+MOST = 100
+
+
+def soon() -> float:
+    return time.monotonic() + 2.0
+
+
+class TurnStoreTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.rows = MemoryRowStore()
+        self.store = self.instance('a')
+
+    def instance(self, writer: str) -> TurnStore:
+        return TurnStore(self.rows, writer, ROW_BYTES, CACHE_BYTES)
+
+    async def keep(
+        self, store: TurnStore, turn: str, parent: str | None
+    ) -> bool:
+        kept = record(turn, parent, turn.encode())
+        return await store.commit(PROGRAM, kept, None, soon())
+
+    async def chain(self, store: TurnStore, turn: str) -> object:
+        return await store.chain(ORGANISATION, PROGRAM, TurnId(turn))
+
+    async def test_any_instance_finds_a_chain_in_one_read(self) -> None:
+        await self.keep(self.store, '1', None)
+        await self.keep(self.store, '2', '1')
+        other = self.instance('b')
+        found = await self.chain(other, '2')
+        assert isinstance(found, Chain)
+        ids = [item.turn_id for item in found.records]
+        self.assertEqual(ids, ['1', '2'])
+        self.assertEqual(self.rows.reads, 1)
+
+    async def test_turn_of_another_program_is_found(self) -> None:
+        await self.keep(self.store, '1', None)
+        other = self.instance('b')
+        guess = record('x', None, b'').program[::-1]
+        found = await other.chain(
+            ORGANISATION, type(PROGRAM)(guess), TurnId('1')
+        )
+        self.assertIsInstance(found, Chain)
+
+    async def test_missing_only_if_every_part_was_read(self) -> None:
+        self.assertIsInstance(await self.chain(self.store, 'no'), Missing)
+        for reads in range(17):
+            self.rows.troubles.extend([Trouble.NONE] * reads)
+            self.rows.troubles.append(Trouble.AWAY)
+            found = await self.chain(self.store, 'no')
+            self.assertIsInstance(found, Uncertain)
+            self.rows.troubles.clear()
+
+    async def test_turn_of_another_organisation_is_missing(self) -> None:
+        await self.keep(self.store, '1', None)
+        found = await self.store.chain(
+            OrganisationId('other'), PROGRAM, TurnId('1')
+        )
+        self.assertIsInstance(found, Missing)
+
+    async def test_commit_waits_out_an_outage(self) -> None:
+        self.rows.troubles.extend([Trouble.AWAY] * 2)
+        self.assertTrue(await self.keep(self.store, '1', None))
+
+    async def test_commit_fails_if_the_store_stays_away(self) -> None:
+        self.rows.troubles.extend([Trouble.AWAY] * 100)
+        kept = record('1', None, b'')
+        stored = await self.store.commit(
+            PROGRAM, kept, None, time.monotonic() + 0.3
+        )
+        self.assertFalse(stored)
+
+    async def test_lost_answer_is_not_granted_twice(self) -> None:
+        self.rows.troubles.append(Trouble.ANSWER_LOST)
+        verdict = await self.store.reserve(PROGRAM, MOST, 1000, soon())
+        self.assertIs(verdict, Verdict.FITS)
+        self.assertEqual(self.store.granted(PROGRAM), MOST)
+
+    async def test_spent_budget_is_refused_at_every_instance(self) -> None:
+        await self.store.reserve(PROGRAM, MOST, 150, soon())
+        other = self.instance('b')
+        verdict = await other.reserve(PROGRAM, MOST, 150, soon())
+        self.assertIs(verdict, Verdict.SPENT)
+
+    async def test_refusal_reads_the_row_first(self) -> None:
+        await self.store.reserve(PROGRAM, MOST, 150, soon())
+        other = self.instance('b')
+        await other.reserve(PROGRAM, MOST, 150, soon())
+        await self.store.settle(PROGRAM, Settle(MOST, 10, 150), soon())
+        verdict = await other.reserve(PROGRAM, MOST, 150, soon())
+        self.assertIs(verdict, Verdict.FITS)
+
+    async def test_turn_and_settlement_take_one_write(self) -> None:
+        await self.store.reserve(PROGRAM, MOST, 1000, soon())
+        before = len(self.rows.transactions)
+        kept = record('1', None, b'')
+        event = Settle(MOST, 40, 1000)
+        self.assertTrue(await self.store.commit(PROGRAM, kept, event, soon()))
+        verdict = await self.store.reserve(PROGRAM, MOST, 1000, soon())
+        self.assertIs(verdict, Verdict.FITS)
+        self.assertEqual(len(self.rows.transactions), before + 1)
+
+    async def test_store_away_leaves_a_reservation_unknown(self) -> None:
+        self.rows.troubles.extend([Trouble.AWAY] * 100)
+        verdict = await self.store.reserve(
+            PROGRAM, MOST, 1000, time.monotonic() + 0.2
+        )
+        self.assertIs(verdict, Verdict.UNKNOWN)
--- /dev/null
+++ b/tests/gateway/test_turns.py
@@ -0,0 +1,80 @@
+import os
+import unittest
+
+from jackdawfield.gateway.model import TurnId
+from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.gateway.turns import decode_turns
+from jackdawfield.gateway.turns import encode_turn
+from jackdawfield.gateway.turns import index_key
+from jackdawfield.gateway.turns import program_key
+from jackdawfield.gateway.turns import prompt_of
+from jackdawfield.gateway.turns import short
+from jackdawfield.gateway.turns import TurnError
+from jackdawfield.gateway.turns import TurnRecord
+from jackdawfield.gateway.turns import TURNS_TABLE
+from jackdawfield.model import OrganisationId
+from jackdawfield.model import ProgramId
+from jackdawfield.model import ServerId
+
+ORGANISATION = OrganisationId('org')
+PROGRAM = program_key(ORGANISATION, ProgramId('program'))
+
+
+def record(turn: str, parent: str | None, given: bytes) -> TurnRecord:
+    return TurnRecord(
+        TurnId(turn),
+        ORGANISATION,
+        PROGRAM.text,
+        PROGRAM.text if parent else None,
+        TurnId(parent) if parent else None,
+        given,
+        b'answer\n',
+        ServerId('server'),
+        60.0,
+    )
+
+
+class TurnsTest(unittest.TestCase):
+    def test_rows_hold_the_turn_whole(self) -> None:
+        kept = record('turn', 'parent', os.urandom(5000))
+        rows = encode_turn(kept, 1000)
+        self.assertTrue(all(len(value) <= 1000 for _, value in rows))
+        stored = [
+            StoredRow(key, value, 1)
+            for key, value in rows
+            if key.table == TURNS_TABLE
+        ]
+        self.assertGreater(len(stored), 4)
+        self.assertEqual(decode_turns(stored), {kept.turn_id: kept})
+
+    def test_missing_piece_is_an_error(self) -> None:
+        rows = encode_turn(record('turn', None, os.urandom(5000)), 1000)
+        stored = [StoredRow(key, value, 1) for key, value in rows[1:-1]]
+        with self.assertRaises(TurnError):
+            decode_turns(stored)
+
+    def test_index_names_the_program(self) -> None:
+        rows = encode_turn(record('turn', None, b'x'), 1000)
+        key, value = rows[-1]
+        expected = index_key(ORGANISATION, TurnId('turn'), PROGRAM.part)
+        self.assertEqual(key, expected)
+        self.assertEqual(value.decode(), PROGRAM.text)
+
+    def test_all_rows_lie_in_one_part(self) -> None:
+        rows = encode_turn(record('turn', None, os.urandom(9000)), 1000)
+        self.assertEqual({key.part for key, _ in rows}, {PROGRAM.part})
+
+    def test_prompt_is_each_input_and_answer_then_the_new_input(self) -> None:
+        chain = [record('1', None, b'one'), record('2', '1', b'two')]
+        self.assertEqual(
+            prompt_of(chain, b'three'), b'oneanswer\ntwoanswer\nthree'
+        )
+
+    def test_organisations_do_not_share_programs(self) -> None:
+        other = program_key(OrganisationId('other'), ProgramId('program'))
+        self.assertNotEqual(other, PROGRAM)
+
+    def test_long_or_odd_ids_fit_into_a_key(self) -> None:
+        self.assertLessEqual(len(short('x' * 5000)), 40)
+        self.assertNotIn('/', short('a/b'))
+        self.assertEqual(short('9c41d07be2a35f68'), '9c41d07be2a35f68')
--- /dev/null
+++ b/tests/platform_adapter/test_settings.py
@@ -0,0 +1,45 @@
+import json
+from pathlib import Path
+import tempfile
+import unittest
+
+from result import Err
+
+from jackdawfield.platform.settings import decode_settings
+from jackdawfield.platform.settings import read_settings
+
+SETTINGS = {
+    'node': 'front-a-1',
+    'ip': '10.1.0.11',
+    'zone': 'a',
+    'region': 'r',
+    'zones': {'a': 'r', 'b': 's'},
+    'listen': {'front': '10.1.0.11:8368', 'ready': '10.1.0.11:8369'},
+    'internalPorts': [7780, 7795],
+    'limits': {'memoryMb': 170, 'maxFds': 8200},
+    'bounds': {'drainMs': 2500, 'graceS': 8, 'quotaSlack': 20},
+    'platform': {'address': '10.200.1.7:8362', 'rowBytes': 65536},
+    'newField': {'ignored': True},
+}
+
+
+class SettingsTest(unittest.TestCase):
+    def test_decodes_what_an_instance_needs(self) -> None:
+        settings = decode_settings(json.dumps(SETTINGS))
+        self.assertEqual(settings.instance_id, 'front-a-1')
+        self.assertEqual(settings.caller_port, 8368)
+        self.assertEqual(settings.store_port, 8362)
+        self.assertEqual(settings.regions_by_domain['b'], 's')
+        self.assertEqual(settings.bounds.drain_s, 2.5)
+
+    def test_bad_settings_name_the_file_and_the_field(self) -> None:
+        for change in ({'node': 1}, {'platform': {'address': 'none'}}):
+            with tempfile.TemporaryDirectory() as folder:
+                path = Path(folder) / 'boot.json'
+                path.write_text(json.dumps({**SETTINGS, **change}))
+                outcome = read_settings(path)
+                assert isinstance(outcome, Err)
+                self.assertIn('boot.json', str(outcome.err_value))
+
+    def test_missing_file_is_an_error(self) -> None:
+        self.assertIsInstance(read_settings(Path('/none/boot.json')), Err)
