Let owners of rates go on without the store while a majority know no newer members

Ruled out: longer freshness (a suspended owner would act longer). The exploration of owners now has outages of the store and asked views.

--- a/jackdawfield/gateway/admission.py
+++ b/jackdawfield/gateway/admission.py
@@ -27,6 +27,7 @@
 from jackdawfield.messages.fleet_rates import HandedOver
 from jackdawfield.messages.fleet_rates import HandOver
 from jackdawfield.messages.fleet_rates import TokensGranted
+from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
 
 LOG = logging.getLogger(__name__)
@@ -34,9 +35,13 @@
 ASK_TIMEOUT_S = 0.2
 # After an unanswered ask, requests do not wait for another this long.
 UNREACHED_S = 0.3
+# Pauses before an ask is repeated; a hand-over takes a change of the table
+# and a message.
+ASK_AGAIN_S = (0.03, 0.06, 0.12)
 # A hand-over may come before the view that makes this instance the owner.
 HAND_OVER_KEPT_S = 3.0
 HAND_OVER_TIMEOUT_S = 0.5
+ATTEST_S = 0.5
 
 
 @dataclass(slots=True)
@@ -107,10 +112,39 @@
     def _on_members(self) -> None:
         now_s = boot_time_s()
         self.ownership.inherited = self._members.inherited
-        self._hand_over(self.ownership.set_members(self._members.by_id, now_s))
+        self._hand_over(
+            self.ownership.set_members(
+                self._members.by_id, self._members.version, now_s
+            )
+        )
         for organisation_id in list(self._handed_by_id):
             self._accept_handed(organisation_id, now_s)
 
+    async def keep_attested(self) -> None:
+        """Ask the members of their views while rights depend on it."""
+        while True:
+            await asyncio.sleep(ATTEST_S)
+            ownership = self.ownership
+            read = ownership.just_read(boot_time_s() + ATTEST_S)
+            if read and not ownership.needs_attestations:
+                continue
+            members = self._members.by_id.items()
+            asked = [
+                instance_id
+                for instance_id, row in members
+                if instance_id != self._own_id and not row.left
+            ]
+            await asyncio.gather(*(self._ask_view(i) for i in asked))
+
+    async def _ask_view(self, instance_id: InstanceId) -> None:
+        asked_at_s = boot_time_s()
+        pong = await self._members.ping(instance_id)
+        if pong is not None:
+            self._members.note_answer(instance_id)
+            self.ownership.attested(
+                instance_id, asked_at_s, pong.members_version, boot_time_s()
+            )
+
     # Admission of this instance's requests
 
     async def admit(self, call: Call) -> Refusal | None:
@@ -202,7 +236,7 @@
             beginning,
             account.stock.spare_wanted(boot_time_s()),
         )
-        granted = await self._ask(ask)
+        granted = await self._ask_patiently(ask)
         now_s = boot_time_s()
         contract = self._contracts_by_id.get(organisation_id)
         if contract is None:
@@ -254,6 +288,15 @@
                 account.stock.empty_until_s = until_s
             settle([waiter], Refusal(429, 'over the rate', retry_s))
 
+    async def _ask_patiently(self, ask: AskTokens) -> TokensGranted | None:
+        """Ask again while a rate moves from one owner to the next."""
+        for pause_s in ASK_AGAIN_S:
+            granted = await self._ask(ask)
+            if granted is not None and granted.active:
+                return granted
+            await asyncio.sleep(pause_s)
+        return await self._ask(ask)
+
     async def _ask(self, ask: AskTokens) -> TokensGranted | None:
         owner_id = self.ownership.owner_of(ask.organisation_id)
         if owner_id == self._own_id:
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -164,6 +164,7 @@
             self._spawn(follower.run())
         self._spawn(self._follow_members())
         self._spawn(self._check())
+        self._spawn(self.admission.keep_attested())
         log_event(
             LOG,
             'started',
--- a/jackdawfield/gateway/member_rows.py
+++ b/jackdawfield/gateway/member_rows.py
@@ -20,6 +20,8 @@
     suspended: bool = False
     # Its address refused connections, or a later incarnation answered.
     proven_dead: bool = False
+    # It has given up its rights before it wrote this.
+    left: bool = False
 
     @property
     def serving(self) -> bool:
@@ -34,7 +36,14 @@
 
 def all_settled(rows: Iterable[MemberRow]) -> bool:
     """Return whether no right is moving between these members."""
-    return all(row.serving and row.established for row in rows)
+    return all(row.left or (row.serving and row.established) for row in rows)
+
+
+def leaving(row: MemberRow) -> MemberRow:
+    """Return the row of a member that has stopped as planned."""
+    return msgspec.structs.replace(
+        row, suspended=True, established=False, left=True
+    )
 
 
 def suspended(row: MemberRow, proven_dead: bool) -> MemberRow:
--- a/jackdawfield/gateway/members.py
+++ b/jackdawfield/gateway/members.py
@@ -17,6 +17,7 @@
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.member_rows import all_settled
 from jackdawfield.gateway.member_rows import decode_member
+from jackdawfield.gateway.member_rows import leaving
 from jackdawfield.gateway.member_rows import MemberRow
 from jackdawfield.gateway.member_rows import suspended
 from jackdawfield.gateway.model import GatewaySettings
@@ -61,6 +62,8 @@
             incarnation,
         )
         self.by_id: dict[InstanceId, MemberRow] = {}
+        # The newest version of a row of the table.
+        self.version = 0
         self._versions_by_id: dict[InstanceId, int] = {}
         self._listeners: list[Callable[[], None]] = []
         self._silent_since_by_id: dict[InstanceId, float] = {}
@@ -75,7 +78,18 @@
         server.handle(Ping, self._answer)
 
     async def _answer(self, _: Ping) -> Pong:
-        return Pong(self.own.incarnation)
+        return Pong(self.own.incarnation, self.version)
+
+    async def ping(self, instance_id: InstanceId) -> Pong | None:
+        """Ask an instance, and return its answer if it is the one known."""
+        row = self.by_id.get(instance_id)
+        if row is None:
+            return None
+        found = await self._links.request(row.address, Ping(), PROBE_TIMEOUT_S)
+        if isinstance(found, Err):
+            return None
+        pong: Pong = found.ok_value
+        return pong if pong.incarnation == row.incarnation else None
 
     def listen(self, listener: Callable[[], None]) -> None:
         """Call a listener after each change of the members."""
@@ -154,10 +168,13 @@
         log_event(LOG, 'established', written=established)
 
     async def leave(self) -> None:
-        """Remove the own row, so that others take over."""
+        """Write that this instance holds no rights, so that others do."""
         self.leaving = True
-        transaction = RowTransaction((), (), (self._key(self._own_id),))
-        await self._store.transact(transaction, WRITE_TIMEOUT_S)
+        put = (
+            self._key(self._own_id),
+            msgspec.msgpack.encode(leaving(self.own)),
+        )
+        await self._store.transact(RowTransaction((), (put,)), WRITE_TIMEOUT_S)
 
     def _rejoin_if_suspended(self) -> None:
         own = self.by_id.get(self._own_id)
@@ -195,6 +212,7 @@
         if row.value is None:
             self.by_id.pop(instance_id, None)
             self._versions_by_id.pop(instance_id, None)
+            self.version = max(self.version, row.version)
             log_event(LOG, 'member_left', instance=instance_id)
             return
         try:
@@ -204,6 +222,7 @@
             return
         self.by_id[instance_id] = member
         self._versions_by_id[instance_id] = row.version
+        self.version = max(self.version, row.version)
         log_event(
             LOG,
             'member_known',
@@ -248,7 +267,7 @@
         if row is None or version is None or not row.serving:
             return
         proven = await self._refuses(row)
-        if not proven and await self._answers(row):
+        if not proven and await self.ping(instance_id) is not None:
             self.note_answer(instance_id)
             return
         if not proven and not await self._has_witnesses(instance_id):
@@ -280,18 +299,12 @@
         writer.close()
         return False
 
-    async def _answers(self, row: MemberRow) -> bool:
-        found = await self._links.request(row.address, Ping(), PROBE_TIMEOUT_S)
-        if isinstance(found, Err):
-            return False
-        return bool(found.ok_value.incarnation == row.incarnation)
-
     async def _has_witnesses(self, instance_id: InstanceId) -> bool:
         others = [
-            row
-            for other_id, row in self.others_by_id.items()
+            other_id
+            for other_id in self.others_by_id
             if other_id != instance_id
         ]
         asked = random.sample(others, min(WITNESSES, len(others)))
-        answers = await asyncio.gather(*(self._answers(r) for r in asked))
-        return 2 * sum(answers) >= len(asked)
+        answers = await asyncio.gather(*(self.ping(o) for o in asked))
+        return 2 * (len(asked) - answers.count(None)) >= len(asked)
--- a/jackdawfield/gateway/ownership.py
+++ b/jackdawfield/gateway/ownership.py
@@ -1,8 +1,10 @@
 """Decides which instance owns an organisation's rate, and from when.
 
 Owners follow from the table of members by rendezvous hashing. An owner acts
-only while its view of the table is fresh, and a new owner only once every
-older view has gone stale, unless the owner before is known to have stopped.
+only while its view of the table is fresh: it was just read, or a majority of
+the members know of no newer one. A new owner acts only once a majority know
+its view and every older one has gone stale, unless the owner before is known
+to have stopped.
 """
 
 from collections.abc import Iterable
@@ -20,7 +22,8 @@
 # Changes may reach a reader of the table this much later than readers of
 # other tables, while the store forgets its history.
 FEED_LAG_S = 1.2
-TAKEOVER_WAIT_S = FRESH_S + FEED_LAG_S + 0.3
+CLOCK_MARGIN_S = 0.3
+TAKEOVER_WAIT_S = FRESH_S + FEED_LAG_S + CLOCK_MARGIN_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +44,11 @@
         self._active_from_by_id: dict[OrganisationId, float] = {}
         self._owners_by_id: dict[OrganisationId, InstanceId | None] = {}
         self._viewed_at_s = float('-inf')
+        self.version = 0
+        # When each member was last asked, and how new its view was.
+        self._attested_by_id: dict[InstanceId, tuple[float, int]] = {}
+        # Rights that wait for a majority, with the earliest time to act.
+        self._waits_by_id: dict[OrganisationId, float] = {}
         # When this view's serving members last changed.
         self._changed_at_s: float | None = None
         # The own row was written over that of an incarnation that has ended,
@@ -51,9 +59,59 @@
         """Note when a view that holds was asked for."""
         self._viewed_at_s = max(self._viewed_at_s, asked_at_s)
 
+    def just_read(self, now_s: float) -> bool:
+        """Return whether the table itself was read a moment ago."""
+        return now_s - self._viewed_at_s < FRESH_S
+
     def fresh(self, now_s: float) -> bool:
         """Return whether the view gives rights."""
-        return now_s - self._viewed_at_s < FRESH_S
+        if self.just_read(now_s):
+            return True
+        own = self._members_by_id.get(self._own_id)
+        if own is None or not own.serving:
+            return False
+        agreeing = sum(
+            now_s - asked_at_s < FRESH_S and version <= self.version
+            for asked_at_s, version in self._attested_by_id.values()
+        )
+        return self._is_majority(agreeing + 1)
+
+    @property
+    def needs_attestations(self) -> bool:
+        """Return whether rights wait for a majority to know this view."""
+        return bool(self._waits_by_id)
+
+    def attested(
+        self,
+        member_id: InstanceId,
+        asked_at_s: float,
+        version: int,
+        now_s: float,
+    ) -> None:
+        """Note how new a member's view was when it was asked."""
+        row = self._members_by_id.get(member_id)
+        if row is None or row.left:
+            return
+        self._attested_by_id[member_id] = (asked_at_s, version)
+        self._end_waits(now_s)
+
+    def _end_waits(self, now_s: float) -> None:
+        """Set when to act, once a majority know this view."""
+        if not self._waits_by_id:
+            return
+        knowing = sum(
+            known >= self.version for _, known in self._attested_by_id.values()
+        )
+        if not self._is_majority(knowing + 1):
+            return
+        for organisation_id, at_s in self._waits_by_id.items():
+            late_s = max(at_s, now_s + FRESH_S + CLOCK_MARGIN_S)
+            self._active_from_by_id[organisation_id] = late_s
+        self._waits_by_id.clear()
+
+    def _is_majority(self, count: int) -> bool:
+        members = sum(not row.left for row in self._members_by_id.values())
+        return 2 * count > members
 
     def owner_of(self, organisation_id: OrganisationId) -> InstanceId | None:
         """Return the owner of an organisation's rate in this view."""
@@ -84,6 +142,7 @@
         if self.owner_of(organisation_id) != self._own_id:
             return False
         self._active_from_by_id[organisation_id] = now_s
+        self._waits_by_id.pop(organisation_id, None)
         return True
 
     def set_organisations(
@@ -94,17 +153,27 @@
         return self._update(self._members_by_id, now_s)
 
     def set_members(
-        self, members_by_id: Mapping[InstanceId, MemberRow], now_s: float
+        self,
+        members_by_id: Mapping[InstanceId, MemberRow],
+        version: int,
+        now_s: float,
     ) -> list[Lost]:
         """Follow the table of members; return the rights that moved away."""
         if self._changed_at_s is None and not all_settled(
             members_by_id.values()
         ):
             self.inherited = False
+        # Rights that are lost are handed over if the old view was fresh.
         before = self._serving()
         lost = self._update(dict(members_by_id), now_s)
+        self.version = max(self.version, version)
+        for member_id in list(self._attested_by_id):
+            row = members_by_id.get(member_id)
+            if row is None or row.left:
+                del self._attested_by_id[member_id]
         if self._changed_at_s is None or before != self._serving():
             self._changed_at_s = now_s
+        self._end_waits(now_s)
         return lost
 
     def _update(
@@ -120,10 +189,13 @@
             new = owner(str(organisation_id), serving)
             self._owners_by_id[organisation_id] = new
             if new == self._own_id and (not known or old != new):
-                self._active_from_by_id[organisation_id] = self._active_from(
-                    old, before, known, now_s
-                )
+                if self._may_act_at_once(old, before, known, now_s):
+                    self._active_from_by_id[organisation_id] = now_s
+                else:
+                    wait_until_s = now_s + TAKEOVER_WAIT_S
+                    self._waits_by_id[organisation_id] = wait_until_s
             if new != self._own_id:
+                self._waits_by_id.pop(organisation_id, None)
                 held = self._active_from_by_id.pop(organisation_id, None)
                 # Rights that had gone stale may be another's already.
                 acted = held is not None and held <= now_s
@@ -132,21 +204,19 @@
         self._forget_removed()
         return lost
 
-    def _active_from(
+    def _may_act_at_once(
         self,
         old: InstanceId | None,
         before: dict[InstanceId, MemberRow],
         known: bool,
         now_s: float,
-    ) -> float:
-        if not known and self.inherited:
-            return now_s
-        if not known and self.settled(now_s):
-            return now_s
+    ) -> bool:
+        if not known and (self.inherited or self.settled(now_s)):
+            return True
         row = self._members_by_id.get(old) if old is not None else None
-        if row is not None and row.proven_dead and old in before:
-            return now_s if self.settled(now_s) else now_s + TAKEOVER_WAIT_S
-        return now_s + TAKEOVER_WAIT_S
+        if row is None or not row.proven_dead or old not in before:
+            return False
+        return self.settled(now_s)
 
     def settled(self, now_s: float) -> bool:
         """Return whether this view has outlasted every older one."""
@@ -158,3 +228,4 @@
             if organisation_id not in self._organisation_ids:
                 del self._owners_by_id[organisation_id]
                 self._active_from_by_id.pop(organisation_id, None)
+                self._waits_by_id.pop(organisation_id, None)
--- a/jackdawfield/messages/fleet_rates.py
+++ b/jackdawfield/messages/fleet_rates.py
@@ -63,6 +63,7 @@
 @message
 @dataclass(frozen=True, slots=True)
 class Pong:
-    """Says which incarnation of an instance is there."""
+    """Says which incarnation is there and how new its view of members is."""
 
     incarnation: str
+    members_version: int
--- a/tests/gateway/test_ownership.py
+++ b/tests/gateway/test_ownership.py
@@ -6,6 +6,7 @@
 from msgspec.structs import replace
 
 from jackdawfield.gateway.member_rows import all_settled
+from jackdawfield.gateway.member_rows import leaving
 from jackdawfield.gateway.member_rows import MemberRow
 from jackdawfield.gateway.member_rows import suspended
 from jackdawfield.gateway.ownership import FEED_LAG_S
@@ -21,6 +22,7 @@
 NAMES = [InstanceId(f'i{n}') for n in range(5)]
 STEP_S = 0.1
 POLL_S = 0.8
+ATTEST_S = 0.5
 
 
 def member(
@@ -53,6 +55,7 @@
     choose: random.Random
     now_s: float = 0.0
     table: dict[InstanceId, MemberRow] = field(default_factory=dict)
+    version: int = 0
     past: list[tuple[float, dict[InstanceId, MemberRow]]] = field(
         default_factory=list
     )
@@ -60,15 +63,14 @@
     handed: list[tuple[float, Lost]] = field(default_factory=list)
     worst: int = 0
     active_steps: int = 0
+    store_away_until_s: float = 0.0
+    active_while_away: int = 0
 
-    def write(self, name: InstanceId, row: MemberRow | None) -> None:
+    def write(self, name: InstanceId, row: MemberRow) -> None:
         """Change the table."""
-        self.table = dict(self.table)
-        if row is None:
-            self.table.pop(name, None)
-        else:
-            self.table[name] = row
+        self.table = {**self.table, name: row}
         self.past.append((self.now_s, self.table))
+        self.version += 1
 
     def start(self, name: InstanceId) -> None:
         """Start a new incarnation."""
@@ -82,7 +84,9 @@
         for node in self.nodes.values():
             if node.alive and node.cut_until_s <= self.now_s:
                 if node.frozen_until_s <= self.now_s:
-                    self.poll(node)
+                    if self.store_away_until_s <= self.now_s:
+                        self.poll(node)
+                    self.ask_views(node)
         self.deliver()
         self.check()
 
@@ -94,13 +98,16 @@
         if not node.joined:
             self.join(node)
         lag_s = FEED_LAG_S * self.choose.random() ** 4
-        seen = self.table_at(self.now_s - lag_s)
+        version, seen = self.table_at(self.now_s - lag_s)
+        # A view never goes back.
+        if version < node.ownership.version:
+            return
         own = seen.get(node.name)
         if own is None or own.incarnation != str(node.incarnation):
             return
         ownership = node.ownership
         lost = ownership.set_organisations(ORGANISATIONS, self.now_s)
-        lost += ownership.set_members(seen, self.now_s)
+        lost += ownership.set_members(seen, version, self.now_s)
         ownership.saw(self.now_s)
         self.send(lost)
         latest = self.table.get(node.name)
@@ -109,6 +116,27 @@
             node.joined_at_s = self.now_s
         self.establish(node)
 
+    def reached(self, node: Node) -> bool:
+        """Return whether a node answers others."""
+        here = node.cut_until_s <= self.now_s
+        return node.alive and here and node.frozen_until_s <= self.now_s
+
+    def ask_views(self, node: Node) -> None:
+        """Let a node ask the others how new their views are."""
+        if self.choose.random() > STEP_S / ATTEST_S or not node.joined:
+            return
+        for other in self.nodes.values():
+            if other is node or not self.reached(other):
+                continue
+            if not other.joined:
+                continue
+            # The answer may be older than the question's time tells.
+            asked_at_s = self.now_s - 0.2 * self.choose.random()
+            version = other.ownership.version
+            node.ownership.attested(
+                other.name, asked_at_s, version, self.now_s
+            )
+
     def join(self, node: Node) -> None:
         """Write the row of a new incarnation."""
         inherited = node.name in self.table and all_settled(
@@ -127,12 +155,12 @@
         if self.now_s - node.joined_at_s > TAKEOVER_WAIT_S:
             self.write(node.name, replace(row, established=True))
 
-    def table_at(self, at_s: float) -> dict[InstanceId, MemberRow]:
-        """Return the table as it was."""
-        found = self.past[0][1]
-        for written_s, table in self.past:
+    def table_at(self, at_s: float) -> tuple[int, dict[InstanceId, MemberRow]]:
+        """Return the table as it was, with its version."""
+        found = (1, self.past[0][1])
+        for number, (written_s, table) in enumerate(self.past):
             if written_s <= at_s:
-                found = table
+                found = (number + 1, table)
         return found
 
     def send(self, lost: list[Lost]) -> None:
@@ -163,11 +191,13 @@
             )
             self.worst = max(self.worst, granting)
             self.active_steps += granting > 0
+            if self.store_away_until_s > self.now_s:
+                self.active_while_away += granting > 0
 
     def trouble(self) -> None:
         """Do something bad to a node."""
         node = self.choose.choice(list(self.nodes.values()))
-        match self.choose.randrange(5):
+        match self.choose.randrange(6):
             case 0:
                 node.cut_until_s = self.now_s + 6 * self.choose.random()
             case 1:
@@ -181,28 +211,41 @@
                 self.suspend(node, proven=False)
             case 4:
                 node.alive = False
-                self.write(node.name, None)
+                row = self.table.get(node.name)
+                if row is not None and self.store_away_until_s <= self.now_s:
+                    self.write(node.name, leaving(row))
                 self.start(node.name)
+            case 5:
+                away_s = 8 * self.choose.random()
+                self.store_away_until_s = self.now_s + away_s
 
     def suspend(self, node: Node, proven: bool) -> None:
         """Write a node's row as suspended."""
         row = self.table.get(node.name)
+        if self.store_away_until_s > self.now_s:
+            return
         if row is not None and row.serving:
             self.write(node.name, suspended(row, proven))
 
 
-def run(seed: int, troubles: bool) -> Fleet:
+def run(seed: int, troubles: bool, away_s: float = 0.0) -> Fleet:
     fleet = Fleet(random.Random(seed))
     for name in NAMES:
         fleet.start(name)
         fleet.join(fleet.nodes[name])
     for step in range(600):
+        if step == 100 and away_s:
+            fleet.store_away_until_s = fleet.now_s + away_s
         if troubles and step > 50 and fleet.choose.random() < 0.05:
             fleet.trouble()
         fleet.step()
     return fleet
 
 
+def three_members() -> dict[InstanceId, MemberRow]:
+    return {name: member(name, 1, True) for name in NAMES[:3]}
+
+
 class OwnershipTest(unittest.TestCase):
     def test_calm_fleet_has_one_owner_each(self) -> None:
         fleet = run(1, troubles=False)
@@ -220,24 +263,46 @@
         ownership = Ownership(NAMES[0])
         ownership.inherited = True
         ownership.set_organisations(ORGANISATIONS, 10.0)
-        ownership.set_members({NAMES[0]: member('i0', 1, True)}, 10.0)
+        ownership.set_members({NAMES[0]: member('i0', 1, True)}, 1, 10.0)
         ownership.saw(10.0)
         self.assertTrue(ownership.may_grant(ORGANISATIONS[0], 10.1))
 
+    def test_calm_fleet_goes_on_while_the_store_is_away(self) -> None:
+        fleet = run(1, troubles=False, away_s=20.0)
+        self.assertEqual(fleet.worst, 1)
+        expected = len(ORGANISATIONS) * 20.0 / STEP_S
+        self.assertGreaterEqual(fleet.active_while_away, 0.98 * expected)
+
     def test_instance_that_joins_waits(self) -> None:
         ownership = Ownership(NAMES[0])
         ownership.set_organisations(ORGANISATIONS, 10.0)
-        ownership.set_members({NAMES[0]: member('i0')}, 10.0)
-        ownership.saw(10.0)
-        self.assertFalse(ownership.may_grant(ORGANISATIONS[0], 10.1))
+        ownership.set_members(three_members(), 5, 10.0)
+        owned = next(
+            o for o in ORGANISATIONS if ownership.owner_of(o) == NAMES[0]
+        )
         late_s = 10.0 + TAKEOVER_WAIT_S
         ownership.saw(late_s)
-        self.assertTrue(ownership.may_grant(ORGANISATIONS[0], late_s + 0.1))
+        self.assertFalse(ownership.may_grant(owned, late_s + 0.1))
+        ownership.attested(NAMES[1], late_s, 4, late_s)
+        self.assertFalse(ownership.may_grant(owned, late_s + 9.0))
+        ownership.attested(NAMES[1], late_s, 5, late_s)
+        self.assertFalse(ownership.may_grant(owned, late_s + 0.1))
+        later_s = late_s + TAKEOVER_WAIT_S
+        ownership.saw(later_s)
+        self.assertTrue(ownership.may_grant(owned, later_s))
 
     def test_stale_view_gives_no_rights(self) -> None:
         ownership = Ownership(NAMES[0])
         ownership.inherited = True
         ownership.set_organisations(ORGANISATIONS, 10.0)
-        ownership.set_members({NAMES[0]: member('i0', 1, True)}, 10.0)
+        ownership.set_members(three_members(), 1, 10.0)
         ownership.saw(10.0)
-        self.assertFalse(ownership.may_grant(ORGANISATIONS[0], 13.0))
+        owned = next(
+            o for o in ORGANISATIONS if ownership.owner_of(o) == NAMES[0]
+        )
+        self.assertTrue(ownership.may_grant(owned, 10.1))
+        self.assertFalse(ownership.may_grant(owned, 13.0))
+        ownership.attested(NAMES[1], 12.9, 2, 13.0)
+        self.assertFalse(ownership.may_grant(owned, 13.0))
+        ownership.attested(NAMES[1], 12.9, 1, 13.0)
+        self.assertTrue(ownership.may_grant(owned, 13.0))
