--- a/jackdawfield/gateway/dispatch.py
+++ b/jackdawfield/gateway/dispatch.py
@@ -19,6 +19,7 @@
 from jackdawfield.gateway.connections import ConnectionPool
 from jackdawfield.gateway.connections import OutgoingRequest
 from jackdawfield.gateway.connections import ResponseHead
+from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.servers import note_failure
 from jackdawfield.gateway.servers import note_full
 from jackdawfield.gateway.servers import note_success
@@ -68,9 +69,25 @@
     head: ResponseHead
     pieces: list[bytes] = field(default_factory=list)
     end: BodyEnd | None = None
+    sent_at_s: float = 0.0
+    # Time from the request's last byte to the body's first, None before.
+    first_s: float | None = None
 
     async def next_part(self) -> bytes | BodyEnd:
         """Return the next piece of the body, then its end."""
+        part = await self._next_part()
+        if self.first_s is None:
+            self.note_first()
+        return part
+
+    def note_first(self) -> None:
+        """Note the time of the first piece."""
+        now_s = time.monotonic()
+        self.first_s = now_s - self.sent_at_s
+        self.server.due_since_by_number.pop(id(self.connection), None)
+        self.server.note_wait(self.first_s, now_s)
+
+    async def _next_part(self) -> bytes | BodyEnd:
         if self.pieces:
             return self.pieces.pop(0)
         if self.end is not None:
@@ -184,34 +201,44 @@
         request = self._request(call, server, body, left_s)
         if isinstance(connection.send(request), Err):
             return _NotRun('unreached')
+        if call.route.kind is CallKind.STREAM:
+            server.due_since_by_number[id(connection)] = now_s
         try:
             async with asyncio.timeout(_answer_limit_s(call, left_s, more)):
-                begun = await self._begin(call, server, connection)
+                begun = await self._begin(call, server, connection, now_s)
         except TimeoutError:
+            server.due_since_by_number.pop(id(connection), None)
             connection.abort('no answer in time')
             self._note_failure(server, time.monotonic(), 'no answer in time')
             return _Lost('no answer in time')
         except asyncio.CancelledError:
+            server.due_since_by_number.pop(id(connection), None)
             connection.abort('caller left')
             raise
         if begun is None:
+            server.due_since_by_number.pop(id(connection), None)
             self._note_failure(server, time.monotonic(), 'answer lost')
             connection.abort('answer lost')
             return _Lost(connection.lost_reason or 'answer lost')
         head = begun.head
         if self._says_not_run(head):
+            server.due_since_by_number.pop(id(connection), None)
             await self._drop_refusal(server, connection, head)
             return _NotRun(f'server answered {head.status}, not run')
         return begun
 
     async def _begin(
-        self, call: Call, server: ServerState, connection: Connection
+        self,
+        call: Call,
+        server: ServerState,
+        connection: Connection,
+        sent_at_s: float,
     ) -> Running | None:
         """Return a begun answer, None if it is lost or no valid one."""
         head = await connection.next_part()
         if not isinstance(head, ResponseHead):
             return None
-        running = Running(server, connection, head)
+        running = Running(server, connection, head, sent_at_s=sent_at_s)
         if self._says_not_run(head):
             return running
         succeeded = head.status // 100 == SUCCESS_CLASS
@@ -267,6 +294,7 @@
         """Give a call's connection back; None if the caller has left."""
         server = running.server
         server.in_flight -= 1
+        server.due_since_by_number.pop(id(running.connection), None)
         if end is None:
             running.connection.abort('caller left')
             return
--- a/jackdawfield/gateway/servers.py
+++ b/jackdawfield/gateway/servers.py
@@ -19,11 +19,19 @@
 FAILURES_TO_AVOID = 2
 AVOID_S = 1.0
 MAX_AVOID_S = 8.0
-# Load, as a share of the slots, that a nearer server is worth.
-OTHER_DOMAIN_COST = 0.15
-OTHER_REGION_COST = 1.5
-# Load up to which a line of turns stays where its prompt is cached.
-STAY_LOAD = 0.9
+# A request's expected delays, in seconds: by the way to a server, by reading
+# a prompt again that another server has cached, and at a server whose slots
+# this instance's requests fill alone.
+OTHER_DOMAIN_S = 0.002
+OTHER_REGION_S = 0.04
+READ_AGAIN_S = 0.05
+FULL_LOAD_S = 0.1
+# A first piece within this time did not wait for a slot.
+IDLE_FIRST_S = 0.04
+# Weight of the newest wait, and the time in which an older one halves, so
+# that a server that got no more work is tried again.
+WAIT_WEIGHT = 0.3
+WAIT_HALF_LIFE_S = 1.0
 
 
 @dataclass(slots=True)
@@ -36,6 +44,25 @@
     avoid_until_s: float = 0.0
     full_until_s: float = 0.0
     missing_since_s: float | None = None
+    # When the requests were sent whose first piece is still due, by number.
+    due_since_by_number: dict[int, float] = field(default_factory=dict)
+    _wait_s: float = 0.0
+    _waited_at_s: float = 0.0
+
+    def wait_s(self, now_s: float) -> float:
+        """Return how long a request is expected to wait for a slot."""
+        halvings = (now_s - self._waited_at_s) / WAIT_HALF_LIFE_S
+        expected_s = self._wait_s * 0.5**halvings
+        oldest_s = min(self.due_since_by_number.values(), default=now_s)
+        return max(expected_s, now_s - oldest_s - IDLE_FIRST_S)
+
+    def note_wait(self, first_s: float, now_s: float) -> None:
+        """Count how long a request waited for its first piece."""
+        halvings = (now_s - self._waited_at_s) / WAIT_HALF_LIFE_S
+        waited_s = max(0.0, first_s - IDLE_FIRST_S)
+        before_s = self._wait_s * 0.5**halvings
+        self._wait_s = before_s + WAIT_WEIGHT * (waited_s - before_s)
+        self._waited_at_s = now_s
 
     @property
     def load(self) -> float:
@@ -121,10 +148,6 @@
             return None
         good = [s for s in usable if s.avoid_until_s <= now_s]
         candidates = good or usable
-        for state in candidates:
-            if state.entry.server_id == wanted.preferred:
-                if state.load < STAY_LOAD and state.full_until_s <= now_s:
-                    return state
         return min(
             candidates, key=lambda state: self._cost(state, wanted, now_s)
         )
@@ -133,13 +156,15 @@
         self, state: ServerState, wanted: Wanted, now_s: float
     ) -> tuple[bool, float, int]:
         entry = state.entry
-        cost = state.load
+        cost = state.wait_s(now_s) + FULL_LOAD_S * state.load
         if entry.domain_id != self._domain_id:
-            cost += OTHER_DOMAIN_COST
+            cost += OTHER_DOMAIN_S
         if self._region_of(entry.domain_id) != self._region_of(
             self._domain_id
         ):
-            cost += OTHER_REGION_COST
+            cost += OTHER_REGION_S
+        if wanted.preferred not in (None, entry.server_id):
+            cost += READ_AGAIN_S
         rank = -score(wanted.key, entry.server_id)
         return state.full_until_s > now_s, cost, rank
 
--- a/jackdawfield/gateway/turn_calls.py
+++ b/jackdawfield/gateway/turn_calls.py
@@ -49,6 +49,7 @@
         self.settled = False
         self.passed_bytes = 0
         self.whole = False
+        self.first_s = 0.0
 
     @property
     def parent(self) -> TurnRecord | None:
@@ -160,6 +161,7 @@
             reply.cut()
             return None
         turn.whole = True
+        turn.first_s = running.first_s or 0.0
         if running.head.status == STATUS_OK:
             if not await self._commit(turn, service, server_id):
                 reply.cut()
@@ -213,6 +215,8 @@
             program=turn.program.text,
             depth=len(turn.chain),
             server=server_id,
+            first_ms=round(turn.first_s * 1000),
+            prompt=call.headers.prompt_tokens,
             granted=self._turns.granted(turn.program),
             budget=call.headers.budget_tokens,
             most=call.headers.max_tokens,
