Let an instance that the store refuses find others by its seeds

Cause: bahir-dar-1 and -2, restarted while the store refused them, knew no other instance to reach it through: 120 requests refused without a configuration, the rates that they own closed for 4 s. The instances' own address is now the one that settings name as control, so that seeds are given.

--- a/jackdawfield/gateway/members.py
+++ b/jackdawfield/gateway/members.py
@@ -244,7 +244,10 @@
                 member.address,
             ),
         )
-        return [member.address for member in ranked]
+        known = [member.address for member in ranked]
+        seeds = settings.seed_addresses
+        own = self.own.address
+        return known + [s for s in seeds if s not in (own, *known)]
 
     # Instances that do not answer
 
--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -158,6 +158,7 @@
     caller_port: int
     health_port: int
     peer_port: int
+    seed_addresses: tuple[str, ...]
     metrics_port: int
     memory_mb: int
     store_host: str
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -25,6 +25,8 @@
 class _Listen(msgspec.Struct):
     front: str
     ready: str
+    # Where instances reach each other; the platform offers it nobody else.
+    control: str | None = None
 
 
 class _Limits(msgspec.Struct, rename='camel'):
@@ -57,6 +59,8 @@
     limits: _Limits
     platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    # Addresses of a few instances, some of which may be gone.
+    seeds: list[str] = msgspec.field(default_factory=list)
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -84,6 +88,9 @@
 def _translate(wire: Any) -> GatewaySettings:
     store_host, store_port = split_address(wire.platform.address)
     bounds = wire.bounds
+    peer_port = wire.internal_ports[0]
+    if wire.listen.control is not None:
+        peer_port = split_address(wire.listen.control)[1]
     return GatewaySettings(
         instance_id=InstanceId(wire.node),
         domain_id=DomainId(wire.zone),
@@ -95,7 +102,8 @@
         host=wire.ip,
         caller_port=split_address(wire.listen.front)[1],
         health_port=split_address(wire.listen.ready)[1],
-        peer_port=wire.internal_ports[0],
+        peer_port=peer_port,
+        seed_addresses=tuple(wire.seeds),
         metrics_port=wire.internal_ports[0] + 1,
         memory_mb=wire.limits.memory_mb,
         store_host=store_host,
