--- a/jackdawfield/cmdline.py
+++ b/jackdawfield/cmdline.py
@@ -21,6 +21,7 @@
     'check': 'local:Check',
     'effects list': 'fleet:Effects',
     'effects settle': 'fleet:SettleEffect',
+    'explain': 'explain:Explain',
     'history': 'changes:History',
     'instances': 'fleet:Instances',
     'keys give': 'keys:GiveKeyCommand',
--- /dev/null
+++ b/jackdawfield/commands/explain.py
@@ -0,0 +1,64 @@
+"""Explains from logs what became of one request."""
+
+from collections.abc import Iterator
+from pathlib import Path
+import sys
+
+from result import Err
+from result import Ok
+from result import Result
+
+from jackdawfield.commands.base import Argument
+from jackdawfield.commands.base import Command
+from jackdawfield.commands.base import Context
+from jackdawfield.commands.base import ExitCode
+from jackdawfield.commands.base import Output
+from jackdawfield.commands.client import CommandError
+from jackdawfield.commands.client import CommandFault
+from jackdawfield.explain import explain
+
+STANDARD_INPUT = Path('-')
+
+
+class Explain(Command):
+    """Shows the lines of one request in order, and its cause."""
+
+    name = 'explain'
+    summary = 'show from logs what became of a request, and why'
+    arguments = (
+        Argument('request_id', 'id of the request'),
+        Argument(
+            'file', 'log files, - for standard input', Path, repeated=True
+        ),
+    )
+
+    def run(self, context: Context) -> Result[Output, CommandError]:
+        """Return a row a line, with the cause as the note."""
+        options = context.options
+        try:
+            found = explain(options.request_id, read_lines(options.file))
+        except OSError as error:
+            return Err(CommandError(CommandFault.USAGE, str(error)))
+        rows = tuple(
+            (
+                line.at,
+                line.instance,
+                line.event,
+                ' '.join(f'{k}={v}' for k, v in line.fields.items()),
+            )
+            for line in found.lines
+        )
+        code = ExitCode.OK if rows else ExitCode.REFUSED
+        columns = ('at', 'instance', 'event', 'fields')
+        note = f'{found.request_id}: {found.cause}'
+        return Ok(Output(columns, rows, code, note))
+
+
+def read_lines(paths: list[Path]) -> Iterator[str]:
+    """Yield the lines of files; raise OSError if one cannot be read."""
+    for path in paths:
+        if path == STANDARD_INPUT:
+            yield from sys.stdin
+            continue
+        with path.open(encoding='utf-8', errors='replace') as file:
+            yield from file
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -27,6 +27,7 @@
 from jackdawfield.gateway.front import Front
 from jackdawfield.gateway.front import Received
 from jackdawfield.gateway.front import Reply
+from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.members import Members
 from jackdawfield.gateway.members import MEMBERS_TABLE
 from jackdawfield.gateway.model import FleetConfiguration
@@ -86,6 +87,7 @@
         self._followers = self._build_followers()
         self.front = Front(self._serve)
         self._health = Front(self._answer_health)
+        self._metrics_front = Front(self._answer_metrics)
 
     def _build_store(self) -> None:
         settings = self.settings
@@ -120,10 +122,32 @@
             int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE),
         )
         self.admission = Admission(settings, self.members, self.links)
+        self.metrics = GatewayMetrics(settings.instance_id)
         self.turn_calls = TurnCalls(
-            self.dispatcher, self.turns, self.admission
+            self.dispatcher, self.turns, self.admission, self.metrics
         )
-        self.entry = Entry(self.dispatcher, self.turn_calls, self.admission)
+        self.entry = Entry(
+            self.dispatcher, self.turn_calls, self.admission, self.metrics
+        )
+        self._add_gauges()
+
+    def _add_gauges(self) -> None:
+        gauge = self.metrics.gauge
+        gauge('requests_in_flight', lambda: self.front.in_flight)
+        gauge('servers_listed', lambda: len(self.servers.by_id))
+        gauge('members_known', lambda: len(self.members.by_id))
+        gauge('store_calls', lambda: self.store_path.calls)
+        gauge('server_connections_opened', lambda: self.server_pool.opened)
+        gauge('store_reached_directly', lambda: self.store_path.direct)
+        gauge(
+            'store_reached_age_s',
+            lambda: time.monotonic() - self.store_path.reached_at_s,
+        )
+        gauge('configuration_version', self._configuration_version)
+
+    def _configuration_version(self) -> int:
+        configuration = self.entry.configuration
+        return configuration.version if configuration else 0
 
     def _build_followers(self) -> list[TableFollower]:
         take_configuration = self._take_configuration
@@ -160,6 +184,7 @@
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
         self.front.listen(settings.host, settings.caller_port)
         self._health.listen(settings.host, settings.health_port)
+        self._metrics_front.listen(settings.host, settings.metrics_port)
         for follower in self._followers[:-1]:
             self._spawn(follower.run())
         self._spawn(self._follow_members())
@@ -280,6 +305,9 @@
     async def _answer_health(self, _: Received, reply: Reply) -> None:
         reply.send(200 if self.ready else 503, 'ready' if self.ready else '')
 
+    async def _answer_metrics(self, _: Received, reply: Reply) -> None:
+        reply.send(200, self.metrics.text().rstrip('\n'))
+
     async def stop(self) -> None:
         """Shut down gracefully within the grace."""
         self.stopping = True
--- a/jackdawfield/gateway/dispatch.py
+++ b/jackdawfield/gateway/dispatch.py
@@ -175,6 +175,7 @@
             log_event(
                 LOG,
                 'attempt_failed',
+                logging.WARNING,
                 request=call.request_id,
                 server=entry.server_id,
                 run='no' if isinstance(outcome, _NotRun) else 'unknown',
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -15,6 +15,7 @@
 from jackdawfield.gateway.dispatch import Running
 from jackdawfield.gateway.front import Received
 from jackdawfield.gateway.front import Reply
+from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.routes import choose_service
 from jackdawfield.gateway.routes import find_route
@@ -26,6 +27,7 @@
 LOG = logging.getLogger(__name__)
 # Before the first configuration has come.
 RETRY_UNCONFIGURED_S = 0.3
+NO_ROUTE = 'none'
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,7 +43,9 @@
         dispatcher: Dispatcher,
         turn_calls: TurnCalls,
         admission: Admission,
+        metrics: GatewayMetrics,
     ) -> None:
+        self._metrics = metrics
         self._dispatcher = dispatcher
         self._turn_calls = turn_calls
         self._admission = admission
@@ -53,13 +57,14 @@
         """Answer a request."""
         checked = self._check(received, headers)
         if isinstance(checked, Refusal):
-            self._refuse(headers.request_id, checked, reply)
+            self._refuse(headers.request_id, NO_ROUTE, checked, reply)
             return
         try:
             async with asyncio.timeout_at(loop_time(checked.deadline_s)):
                 await self._run(checked, reply)
         except TimeoutError:
             self._time_out(checked, reply)
+        self._metrics.count_end(checked, reply.status)
         log_event(
             LOG,
             'call_ended',
@@ -107,9 +112,8 @@
     async def _run(self, call: Call, reply: Reply) -> None:
         service = choose_service(call.route, call.request_id)
         if service is None:
-            self._refuse(
-                call.request_id, Refusal(503, 'route without service'), reply
-            )
+            refusal = Refusal(503, 'route without service')
+            self._refuse(call.request_id, call.route.name, refusal, reply)
             return
         if call.route.keeps_turns:
             outcome = await self._turn_calls.serve(call, service, reply)
@@ -117,11 +121,13 @@
             outcome = await self._forward(call, service, reply)
         match outcome:
             case Refusal():
-                self._refuse(call.request_id, outcome, reply)
+                self._refuse(call.request_id, call.route.name, outcome, reply)
             case Failure(status, reason):
+                self._metrics.count_reason(call.route.name, status, reason)
                 log_event(
                     LOG,
                     'call_failed',
+                    logging.WARNING,
                     request=call.request_id,
                     status=status,
                     reason=reason,
@@ -131,7 +137,9 @@
     async def _forward(
         self, call: Call, service: ServiceName, reply: Reply
     ) -> Refusal | Failure | None:
+        started_s = time.monotonic()
         refusal = await self._admission.admit(call)
+        self._metrics.record_admission(call, time.monotonic() - started_s)
         if refusal is not None:
             return refusal
         running = await self._dispatcher.start(call, service, call.body, None)
@@ -151,10 +159,14 @@
             reply.cut()
         return None
 
-    def _refuse(self, request_id: str, refusal: Refusal, reply: Reply) -> None:
+    def _refuse(
+        self, request_id: str, route: str, refusal: Refusal, reply: Reply
+    ) -> None:
+        self._metrics.count_reason(route, refusal.status, refusal.reason)
         log_event(
             LOG,
             'call_refused',
+            logging.WARNING,
             request=request_id,
             status=refusal.status,
             reason=refusal.reason,
@@ -164,7 +176,11 @@
 
     def _time_out(self, call: Call, reply: Reply) -> None:
         log_event(
-            LOG, 'call_timed_out', request=call.request_id, begun=reply.started
+            LOG,
+            'call_timed_out',
+            logging.WARNING,
+            request=call.request_id,
+            begun=reply.started,
         )
         if reply.ended:
             return
--- /dev/null
+++ b/jackdawfield/gateway/measurement.py
@@ -0,0 +1,89 @@
+"""Counts and times what an instance of the gateway does."""
+
+from collections import Counter
+from collections.abc import Callable
+import time
+
+from jackdawfield.gateway.calls import Call
+from jackdawfield.metrics import Metric
+from jackdawfield.metrics import PREFIX
+from jackdawfield.metrics import Registry
+
+MS_PER_S = 1000
+OPEN = 'open'
+SERVER_ERROR = 500
+CLIENT_ERROR = 400
+# Reasons beyond this many are counted together.
+MAX_REASONS = 200
+OTHERS = 'others'
+
+Gauge = Callable[[], float]
+
+
+class GatewayMetrics:
+    """Holds the counters, histograms and gauges of one instance."""
+
+    def __init__(self, instance_id: str) -> None:
+        self._registry = Registry(instance_id)
+        self._reasons: Counter[tuple[str, int, str]] = Counter()
+        self._gauges_by_name: dict[str, Gauge] = {}
+
+    def gauge(self, name: str, read: Gauge) -> None:
+        """Show a value that is read when it is asked for."""
+        self._gauges_by_name[name] = read
+
+    def count_reason(self, route: str, status: int, reason: str) -> None:
+        """Count why a request was refused or failed."""
+        key = (route, status, reason)
+        if len(self._reasons) >= MAX_REASONS and key not in self._reasons:
+            key = (OTHERS, status, OTHERS)
+        self._reasons[key] += 1
+
+    def count_end(self, call: Call, status: int) -> None:
+        """Count how a call ended, and time it if it was answered."""
+        organisation = call.organisation_id or OPEN
+        now_s = time.time()
+        metric = Metric.SUCCEEDED
+        if status >= SERVER_ERROR or status == 0:
+            metric = Metric.FAILED
+        elif status >= CLIENT_ERROR:
+            metric = Metric.REFUSED
+        self._registry.count(metric, organisation, call.route.name, now_s)
+        if metric is Metric.SUCCEEDED:
+            elapsed_s = time.monotonic() - call.arrived_at_s
+            self._record(Metric.CALL, call, elapsed_s)
+
+    def record_first(self, call: Call, elapsed_s: float) -> None:
+        """Time a server's first piece."""
+        self._record(Metric.SERVER_FIRST, call, elapsed_s)
+
+    def record_admission(self, call: Call, elapsed_s: float) -> None:
+        """Time how long a call waited for the rate."""
+        self._record(Metric.ADMISSION, call, elapsed_s)
+
+    def record_commit(self, call: Call, elapsed_s: float) -> None:
+        """Time how long a turn waited for the store."""
+        self._record(Metric.COMMIT, call, elapsed_s)
+
+    def _record(self, metric: Metric, call: Call, elapsed_s: float) -> None:
+        organisation = call.organisation_id or OPEN
+        self._registry.record(
+            metric,
+            organisation,
+            call.route.name,
+            elapsed_s * MS_PER_S,
+            time.time(),
+        )
+
+    def text(self) -> str:
+        """Return everything as Prometheus text."""
+        lines = [self._registry.prometheus().rstrip('\n')]
+        lines.append(f'# TYPE {PREFIX}refusals counter')
+        for (route, status, reason), count in sorted(self._reasons.items()):
+            reason = reason.replace('\\', '/').replace('"', "'")
+            labels = f'route="{route}",status="{status}",reason="{reason}"'
+            lines.append(f'{PREFIX}refusals{{{labels}}} {count}')
+        for name, read in sorted(self._gauges_by_name.items()):
+            lines.append(f'# TYPE {PREFIX}{name} gauge')
+            lines.append(f'{PREFIX}{name} {read():g}')
+        return '\n'.join([*lines, ''])
--- a/jackdawfield/gateway/turn_calls.py
+++ b/jackdawfield/gateway/turn_calls.py
@@ -14,6 +14,7 @@
 from jackdawfield.gateway.event_stream import EventReader
 from jackdawfield.gateway.front import Reply
 from jackdawfield.gateway.ledger import Settle
+from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.model import TurnId
 from jackdawfield.gateway.turn_store import Chain
@@ -61,8 +62,13 @@
     """Serves the calls of routes that keep turns."""
 
     def __init__(
-        self, dispatcher: Dispatcher, turns: TurnStore, admission: Admission
+        self,
+        dispatcher: Dispatcher,
+        turns: TurnStore,
+        admission: Admission,
+        metrics: GatewayMetrics,
     ) -> None:
+        self._metrics = metrics
         self._dispatcher = dispatcher
         self._admission = admission
         self._turns = turns
@@ -87,7 +93,9 @@
             refusal = await self._begin_reservation(turn)
             if refusal is not None:
                 return refusal
+            started_s = time.monotonic()
             refusal = await self._admission.admit(call)
+            self._metrics.record_admission(call, time.monotonic() - started_s)
             if refusal is not None:
                 return refusal
             outcome = await self._run(turn, service, reply)
@@ -162,6 +170,7 @@
             return None
         turn.whole = True
         turn.first_s = running.first_s or 0.0
+        self._metrics.record_first(turn.call, turn.first_s)
         if running.head.status == STATUS_OK:
             if not await self._commit(turn, service, server_id):
                 reply.cut()
@@ -205,12 +214,15 @@
         )
         turn.settled = True
         settlement = self._settlement(turn, service)
+        started_s = time.monotonic()
         kept = await self._turns.commit(
             turn.program, record, settlement, call.deadline_s
         )
+        self._metrics.record_commit(call, time.monotonic() - started_s)
         log_event(
             LOG,
             'turn_kept' if kept else 'turn_not_kept',
+            logging.INFO if kept else logging.WARNING,
             request=call.request_id,
             program=turn.program.text,
             depth=len(turn.chain),
--- a/jackdawfield/logs.py
+++ b/jackdawfield/logs.py
@@ -5,6 +5,8 @@
 import sys
 import time
 
+from jackdawfield.log_output import BoundedLogHandler
+
 MS_PER_S = 1000
 KEY = re.compile(r'(jf_[a-z0-9]+_)[0-9a-f]{64}', re.IGNORECASE)
 
@@ -60,8 +62,8 @@
 
 
 def configure_logs(instance_id: str, level: str) -> None:
-    """Send all logs to standard error in key=value form."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send all logs to standard output in key=value form."""
+    handler = BoundedLogHandler(sys.stdout.fileno())
     handler.setFormatter(KeyValueFormatter(instance_id))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/jackdawfield/metrics.py
+++ b/jackdawfield/metrics.py
@@ -22,6 +22,10 @@
 
     PROGRAM_LATENCY = 'program_latency_ms'
     FIRST_TOKEN = 'first_token_ms'
+    CALL = 'call_ms'
+    SERVER_FIRST = 'server_first_piece_ms'
+    ADMISSION = 'admission_wait_ms'
+    COMMIT = 'commit_ms'
     SUCCEEDED = 'requests_succeeded'
     FAILED = 'requests_failed'
     ADMITTED = 'requests_admitted'
@@ -29,7 +33,14 @@
     REFUSED_IN_DOUBT = 'requests_refused_in_doubt'
 
 
-TIMED = (Metric.PROGRAM_LATENCY, Metric.FIRST_TOKEN)
+TIMED = (
+    Metric.PROGRAM_LATENCY,
+    Metric.FIRST_TOKEN,
+    Metric.CALL,
+    Metric.SERVER_FIRST,
+    Metric.ADMISSION,
+    Metric.COMMIT,
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -16,6 +16,8 @@
 from jackdawfield.model import RegionId
 
 MS_PER_S = 1000
+# The deploy file tells it to those who fetch metrics.
+METRICS_PORT = 9464
 
 
 class PlatformSettingsError(Exception):
@@ -104,7 +106,7 @@
         health_port=split_address(wire.listen.ready)[1],
         peer_port=peer_port,
         seed_addresses=tuple(wire.seeds),
-        metrics_port=wire.internal_ports[0] + 1,
+        metrics_port=METRICS_PORT,
         memory_mb=wire.limits.memory_mb,
         store_host=store_host,
         store_port=store_port,
