--- a/jackdawfield/gateway/ledger.py
+++ b/jackdawfield/gateway/ledger.py
@@ -79,8 +79,13 @@
         self.known = True
 
     def surely_fits(self, tokens: int, waiting: int, budget: int) -> bool:
-        """Return whether a reservation fits beside those that wait."""
-        return self.row.granted - self.free + waiting + tokens <= budget
+        """Return whether a reservation fits beside those that wait.
+
+        A row that was read earlier may have grown by another's turn.
+        """
+        unseen = tokens if self.known else 0
+        held = self.row.granted - self.free
+        return held + waiting + unseen + tokens <= budget
 
     def plan(self, events: Iterable[LedgerEvent]) -> LedgerPlan:
         """Return what some events change."""
