--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -27,6 +27,8 @@
 METHOD = 'Exchange'
 PATH = f'/{SERVICE}/{METHOD}'
 MAX_IN_FLIGHT = 2_000
+# Connections may go silent while new ones work.
+TIMEOUTS_TO_REOPEN = 3
 MAX_FRAME_BYTES = 64 * 1024 * 1024
 OPTIONS = [
     ('grpc.enable_retries', 0),
@@ -305,6 +307,7 @@
     ) -> None:
         self._credentials = credentials
         self._links_by_address: dict[str, Link] = {}
+        self._timeouts_by_address: dict[str, int] = {}
 
     def _link(self, address: str) -> Link:
         link = self._links_by_address.get(address)
@@ -331,11 +334,25 @@
         try:
             async with asyncio.timeout(timeout_s):
                 async for answer in self.stream(address, message):
+                    self._timeouts_by_address.pop(address, None)
                     return answer
         except TimeoutError:
+            await self._note_timeout(address)
             return Err(PeerError(PeerFault.LOST, 'timeout'))
         return Err(PeerError(PeerFault.FAILED, 'no answer'))
 
+    async def _note_timeout(self, address: str) -> None:
+        """Give up a link that has gone silent, so that a new one is opened."""
+        count = self._timeouts_by_address.get(address, 0) + 1
+        self._timeouts_by_address[address] = count
+        link = self._links_by_address.get(address)
+        if count < TIMEOUTS_TO_REOPEN or link is None:
+            return
+        del self._links_by_address[address]
+        del self._timeouts_by_address[address]
+        log_event(LOG, 'link_silent', peer=address, timeouts=count)
+        await link.close()
+
     async def close(self) -> None:
         """Close all links."""
         for link in self._links_by_address.values():
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -248,6 +248,7 @@
             return
         self.entry.configuration = configuration
         self.turn_calls.configuration = configuration
+        self.dispatcher.configuration = configuration
         self.admission.configure(configuration)
         log_event(LOG, 'configuration_applied', version=configuration.version)
 
--- a/jackdawfield/gateway/dispatch.py
+++ b/jackdawfield/gateway/dispatch.py
@@ -20,12 +20,16 @@
 from jackdawfield.gateway.connections import OutgoingRequest
 from jackdawfield.gateway.connections import ResponseHead
 from jackdawfield.gateway.model import CallKind
+from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.servers import note_failure
 from jackdawfield.gateway.servers import note_full
 from jackdawfield.gateway.servers import note_success
 from jackdawfield.gateway.servers import Servers
 from jackdawfield.gateway.servers import ServerState
 from jackdawfield.gateway.servers import Wanted
+from jackdawfield.gateway.waiting import LONGEST_WAIT_S
+from jackdawfield.gateway.waiting import needs_place
+from jackdawfield.gateway.waiting import Waiting
 from jackdawfield.logs import log_event
 from jackdawfield.model import ServerId
 from jackdawfield.model import ServiceName
@@ -107,6 +111,14 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True)
+class _Turn:
+    """Holds a call that waits for a place."""
+
+    wanted: Wanted
+    server: asyncio.Future[ServerState | None]
+
+
 class Dispatcher:
     """Chooses servers and exchanges requests with them."""
 
@@ -116,6 +128,8 @@
         self.servers = servers
         self.pool = pool
         self._names = names
+        self.configuration: FleetConfiguration | None = None
+        self._waiting_by_service: dict[ServiceName, Waiting[_Turn]] = {}
 
     async def start(
         self,
@@ -136,9 +150,12 @@
                 service,
                 call.headers.line_id or call.request_id,
                 preferred,
+                needs_place(call),
                 frozenset(excluded),
             )
-            server = self.servers.choose(wanted, now_s)
+            server = await self._place(call, wanted)
+            if isinstance(server, Refusal):
+                return server
             if server is None:
                 break
             excluded.add(server.entry.server_id)
@@ -159,18 +176,77 @@
             return Failure(502, reason)
         return Refusal(503, reason, RETRY_SOON_S)
 
+    async def _place(
+        self, call: Call, wanted: Wanted
+    ) -> ServerState | Refusal | None:
+        """Return a server with a place taken, waiting in the calls' order."""
+        server = self.servers.choose(wanted, time.monotonic())
+        if server is None:
+            return None
+        waiting = self._waiting(wanted.service)
+        if not wanted.placed or (server.has_room and not len(waiting)):
+            server.in_flight += 1
+            return server
+        rank = waiting.rank(call, self.configuration)
+        wait_s = waiting.expected_wait_s(rank)
+        if wait_s > LONGEST_WAIT_S:
+            return Refusal(503, 'servers are full', wait_s)
+        turn = _Turn(wanted, asyncio.get_running_loop().create_future())
+        waiting.put(rank, turn)
+        self._admit_waiting(wanted.service)
+        try:
+            async with asyncio.timeout(LONGEST_WAIT_S):
+                return await asyncio.shield(turn.server)
+        except TimeoutError:
+            if turn.server.done():
+                return turn.server.result()
+            turn.server.cancel()
+            return Refusal(503, 'servers are full', RETRY_SOON_S)
+        except asyncio.CancelledError:
+            if not turn.server.cancel():
+                self._give_back(turn.server.result())
+            raise
+
+    def _admit_waiting(self, service: ServiceName) -> None:
+        """Give those that wait the room that there is."""
+        waiting = self._waiting(service)
+        while (turn := waiting.first()) is not None:
+            if turn.server.done():
+                waiting.pop()
+                continue
+            server = self.servers.choose(turn.wanted, time.monotonic())
+            if server is not None and not server.has_room:
+                return
+            waiting.pop()
+            if server is not None:
+                server.in_flight += 1
+            turn.server.set_result(server)
+
+    def _waiting(self, service: ServiceName) -> Waiting[_Turn]:
+        return self._waiting_by_service.setdefault(service, Waiting())
+
+    def _give_back(self, server: ServerState | None) -> None:
+        if server is not None:
+            self._release(server)
+
+    def _release(self, server: ServerState) -> None:
+        """Give a place back and let the next call have it."""
+        server.in_flight -= 1
+        service = server.entry.service
+        self._waiting(service).count_end(time.monotonic())
+        self._admit_waiting(service)
+
     async def _attempt(
         self, call: Call, server: ServerState, body: bytes, more: bool
     ) -> Running | _NotRun | _Lost:
         entry = server.entry
-        server.in_flight += 1
         kept = False
         try:
             outcome = await self._exchange(call, server, body, more)
             kept = isinstance(outcome, Running)
         finally:
             if not kept:
-                server.in_flight -= 1
+                self._release(server)
         if not isinstance(outcome, Running):
             log_event(
                 LOG,
@@ -294,7 +370,7 @@
     def end(self, running: Running, end: BodyEnd | None) -> None:
         """Give a call's connection back; None if the caller has left."""
         server = running.server
-        server.in_flight -= 1
+        self._release(server)
         server.due_since_by_number.pop(id(running.connection), None)
         if end is None:
             running.connection.abort('caller left')
--- a/jackdawfield/gateway/servers.py
+++ b/jackdawfield/gateway/servers.py
@@ -6,6 +6,7 @@
 
 from jackdawfield.decisions.placement import score
 from jackdawfield.gateway.model import ServerEntry
+from jackdawfield.gateway.waiting import Window
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
 from jackdawfield.model import ServerId
@@ -44,6 +45,7 @@
     avoid_until_s: float = 0.0
     full_until_s: float = 0.0
     missing_since_s: float | None = None
+    window: Window = field(default_factory=lambda: Window.of(1))
     # When the requests were sent whose first piece is still due, by number.
     due_since_by_number: dict[int, float] = field(default_factory=dict)
     _wait_s: float = 0.0
@@ -63,6 +65,12 @@
         before_s = self._wait_s * 0.5**halvings
         self._wait_s = before_s + WAIT_WEIGHT * (waited_s - before_s)
         self._waited_at_s = now_s
+        self.window.note_first(waited_s, self.in_flight, now_s)
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether one more call may go to the server."""
+        return self.window.has_room(self.in_flight)
 
     @property
     def load(self) -> float:
@@ -77,6 +85,8 @@
     service: ServiceName
     key: str
     preferred: ServerId | None = None
+    # Whether the request takes a place in a model server's batch.
+    placed: bool = False
     excluded: frozenset[ServerId] = field(default_factory=frozenset)
 
 
@@ -105,7 +115,8 @@
         """Add a server or take over what changed of it."""
         state = self.by_id.get(entry.server_id)
         if state is None or state.entry.started_ms != entry.started_ms:
-            self.by_id[entry.server_id] = ServerState(entry)
+            window = Window.of(entry.slots)
+            self.by_id[entry.server_id] = ServerState(entry, window=window)
             return
         state.entry = entry
         state.missing_since_s = None
@@ -154,7 +165,7 @@
 
     def _cost(
         self, state: ServerState, wanted: Wanted, now_s: float
-    ) -> tuple[bool, float, int]:
+    ) -> tuple[bool, bool, float, int]:
         entry = state.entry
         cost = state.wait_s(now_s) + FULL_LOAD_S * state.load
         if entry.domain_id != self._domain_id:
@@ -166,7 +177,8 @@
         if wanted.preferred not in (None, entry.server_id):
             cost += READ_AGAIN_S
         rank = -score(wanted.key, entry.server_id)
-        return state.full_until_s > now_s, cost, rank
+        crowded = wanted.placed and not state.has_room
+        return crowded, state.full_until_s > now_s, cost, rank
 
     def _region_of(self, domain_id: DomainId) -> RegionId | None:
         return self._regions_by_domain.get(domain_id)
--- /dev/null
+++ b/tests/gateway/test_follower.py
@@ -0,0 +1,74 @@
+import asyncio
+import unittest
+
+from jackdawfield.gateway.follower import TableFollower
+from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.standins.row_store import MemoryRowStore
+from jackdawfield.standins.row_store import Trouble
+
+TABLE = 'table'
+
+
+class TableFollowerTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.store = MemoryRowStore()
+        self.rows: dict[str, bytes] = {}
+        self.whole_reads = 0
+        self.doubts: list[bool] = []
+        follower = TableFollower(
+            self.store, TABLE, self.take_all, self.take, 5.0, 0.2
+        )
+        task = asyncio.create_task(follower.run())
+        self.addCleanup(task.cancel)
+
+    def take_all(self, rows: tuple[StoredRow, ...], doubtful: bool) -> None:
+        self.whole_reads += 1
+        self.rows.clear()
+        self.take(rows, doubtful)
+
+    def take(self, rows: tuple[StoredRow, ...], doubtful: bool) -> None:
+        self.doubts.append(doubtful)
+        for row in rows:
+            if row.value is None:
+                self.rows.pop(row.key.key, None)
+            else:
+                self.rows[row.key.key] = row.value
+
+    def put(self, name: str) -> None:
+        self.store.put(RowKey(TABLE, '', name), name.encode())
+
+    async def until(self, names: set[str]) -> None:
+        async with asyncio.timeout(2.0):
+            while set(self.rows) != names:
+                await asyncio.sleep(0.01)
+
+    async def test_follows_changes_and_removals(self) -> None:
+        self.put('a')
+        await self.until({'a'})
+        self.put('b')
+        await self.until({'a', 'b'})
+        self.store.remove(RowKey(TABLE, '', 'a'))
+        await self.until({'b'})
+        self.assertEqual(self.whole_reads, 1)
+
+    async def test_reads_all_again_when_the_history_is_gone(self) -> None:
+        self.put('a')
+        await self.until({'a'})
+        self.store.troubles.append(Trouble.HISTORY_GONE)
+        self.put('b')
+        await self.until({'a', 'b'})
+        async with asyncio.timeout(2.0):
+            while self.whole_reads < 2:
+                await asyncio.sleep(0.01)
+
+    async def test_goes_on_after_an_outage_and_tells_the_doubt(self) -> None:
+        self.put('a')
+        await self.until({'a'})
+        self.store.troubles.extend([Trouble.AWAY] * 2)
+        self.put('b')
+        await self.until({'a', 'b'})
+        self.store.remove(RowKey(TABLE, '', 'a'))
+        await self.until({'b'})
+        self.assertTrue(self.doubts[-1])
+        self.assertFalse(self.doubts[0])
--- /dev/null
+++ b/tests/gateway/test_store_path.py
@@ -0,0 +1,96 @@
+import unittest
+
+from result import Err
+from result import Ok
+
+from jackdawfield.drivers.peers import PeerLinks
+from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.connections import ConnectionPool
+from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.rows import RowTransaction
+from jackdawfield.gateway.store_path import StorePath
+from jackdawfield.platform.store import PlatformStore
+from jackdawfield.standins.platform_store import PlatformStoreStandIn
+from jackdawfield.standins.row_store import MemoryRowStore
+from tests.gateway.fleet import free_port
+from tests.gateway.fleet import HOST
+
+KEY = RowKey('table', 'part', 'key')
+
+
+class StorePathTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.rows = MemoryRowStore()
+        self.near = self.stand_in()
+        self.other = self.stand_in()
+        self.pool = ConnectionPool()
+        self.addCleanup(self.pool.close)
+        self.links = PeerLinks()
+        self.addAsyncCleanup(self.links.close)
+        # Another instance, which the store serves.
+        peers = PeerServer()
+        other = StorePath(
+            self.pool, HOST, self.other.port, self.links, lambda: []
+        )
+        other.register(peers)
+        self.peer_address = f'{HOST}:{free_port()}'
+        await peers.start(self.peer_address, None)
+        self.addAsyncCleanup(peers.stop, 0)
+        self.path = StorePath(
+            self.pool,
+            HOST,
+            self.near.port,
+            self.links,
+            lambda: [self.peer_address],
+        )
+        self.store = PlatformStore(self.path)
+
+    def stand_in(self) -> PlatformStoreStandIn:
+        stand_in = PlatformStoreStandIn(self.rows)
+        stand_in.start(HOST)
+        self.addCleanup(stand_in.stop)
+        return stand_in
+
+    async def test_direct_way_is_used_alone(self) -> None:
+        self.rows.put(KEY, b'value')
+        found = (await self.store.read('table', 'part')).unwrap()
+        self.assertEqual(found.rows[0].value, b'value')
+        self.assertEqual(self.other.calls, 0)
+
+    async def test_refused_instance_reads_through_another(self) -> None:
+        self.rows.put(KEY, b'value')
+        self.near.refusing = True
+        for _ in range(3):
+            found = (await self.store.read('table', 'part')).unwrap()
+            self.assertEqual(found.rows[0].value, b'value')
+        # The refusing way is not tried at each call.
+        self.assertEqual(self.near.calls, 1)
+
+    async def test_write_is_repeated_on_another_path_only_once(self) -> None:
+        self.near.silent = True
+        transaction = RowTransaction(((KEY, 0),), ((KEY, b'value'),))
+        await self.store.transact(transaction, 0.3)
+        self.assertEqual(len(self.rows.transactions), 1)
+        self.assertEqual(self.rows.rows_by_key[KEY].value, b'value')
+
+    async def test_nobody_reaches_the_store(self) -> None:
+        self.near.refusing = True
+        self.other.refusing = True
+        found = await self.store.read('table', 'part')
+        self.assertIsInstance(found, Err)
+
+    async def test_versions_are_compared(self) -> None:
+        transaction = RowTransaction(((KEY, 0),), ((KEY, b'one'),))
+        first = await self.store.transact(transaction, 1.0)
+        second = await self.store.transact(transaction, 1.0)
+        self.assertEqual(type(first).__name__, 'Committed')
+        self.assertEqual(type(second).__name__, 'RowConflict')
+
+    async def test_changes_since_a_version(self) -> None:
+        self.rows.put(KEY, b'value')
+        found = await self.store.changes('table', 0, 0.1)
+        assert isinstance(found, Ok)
+        self.assertEqual(found.ok_value.rows[0].key, KEY)
+        found = await self.store.changes('table', found.ok_value.version, 0.1)
+        assert isinstance(found, Ok)
+        self.assertEqual(found.ok_value.rows, ())
