--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -39,6 +39,8 @@
     ('grpc.initial_reconnect_backoff_ms', 100),
     ('grpc.max_reconnect_backoff_ms', 1_000),
     ('grpc.so_reuseport', 0),
+    # Without its own, a new channel goes on over the old connection.
+    ('grpc.use_local_subchannel_pool', 1),
 ]
 
 
