--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -263,6 +263,9 @@
         try:
             while (data := await outgoing.get()) is not None:
                 yield data
+        except asyncio.CancelledError:
+            # The peer has closed the stream, which is no error here.
+            return
         finally:
             receiver.cancel()
             for task in list(tasks.values()):
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -222,8 +222,9 @@
             await asyncio.sleep(CHECK_S)
             for server_id in self.servers.expire(time.monotonic()):
                 log_event(LOG, 'server_gone', server=server_id)
-            if self.admission.ownership.settled(boot_time_s()):
+            if self.admission.ownership.outlasted(boot_time_s()):
                 await self.members.establish()
+                await self.members.clear_suspended()
 
     def _take_configuration(
         self, rows: tuple[StoredRow, ...], _: bool
--- a/jackdawfield/gateway/member_rows.py
+++ b/jackdawfield/gateway/member_rows.py
@@ -20,7 +20,7 @@
     suspended: bool = False
     # Its address refused connections, or a later incarnation answered.
     proven_dead: bool = False
-    # It has given up its rights before it wrote this.
+    # Whatever rights it had are over.
     left: bool = False
 
     @property
@@ -34,13 +34,17 @@
     return msgspec.msgpack.decode(data, type=MemberRow)
 
 
-def all_settled(rows: Iterable[MemberRow]) -> bool:
-    """Return whether no right is moving between these members."""
-    return all(row.left or (row.serving and row.established) for row in rows)
+def none_suspended(rows: Iterable[MemberRow]) -> bool:
+    """Return whether no member's rights are moving to the others.
+
+    A member that joins only takes rights over, so that those which another
+    keeps have not moved.
+    """
+    return all(row.left or row.serving for row in rows)
 
 
 def leaving(row: MemberRow) -> MemberRow:
-    """Return the row of a member that has stopped as planned."""
+    """Return the row of a member whose rights are over."""
     return msgspec.structs.replace(
         row, suspended=True, established=False, left=True
     )
--- a/jackdawfield/gateway/members.py
+++ b/jackdawfield/gateway/members.py
@@ -15,10 +15,11 @@
 from jackdawfield.decisions.table import Committed
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
-from jackdawfield.gateway.member_rows import all_settled
+from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.member_rows import decode_member
 from jackdawfield.gateway.member_rows import leaving
 from jackdawfield.gateway.member_rows import MemberRow
+from jackdawfield.gateway.member_rows import none_suspended
 from jackdawfield.gateway.member_rows import suspended
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.rows import RowKey
@@ -34,6 +35,8 @@
 MEMBERS_TABLE = 'members'
 WRITE_TIMEOUT_S = 1.0
 RETRY_S = 0.3
+# Between two writes about members by one instance.
+WRITE_PAUSE_S = 1.0
 # An instance that has not answered for this long is checked.
 SUSPECT_S = 0.8
 PROBE_TIMEOUT_S = 0.4
@@ -69,6 +72,7 @@
         self._silent_since_by_id: dict[InstanceId, float] = {}
         self._checks: dict[InstanceId, asyncio.Task[None]] = {}
         self._rejoining: asyncio.Task[None] | None = None
+        self._next_write_s = 0.0
         self.inherited = False
         self.joined = False
         self.leaving = False
@@ -129,8 +133,11 @@
                 # An earlier write whose answer was lost.
                 self.joined = True
                 return True
-        inherited = before is not None and all_settled(
-            row for row, _ in rows_by_id.values()
+        inherited = (
+            before is not None
+            and before.serving
+            and before.established
+            and none_suspended(row for row, _ in rows_by_id.values())
         )
         self.own = msgspec.structs.replace(self.own, established=inherited)
         if not await self._write_own(version):
@@ -161,12 +168,40 @@
             return
         if not row.serving or row.established:
             return
-        if row.incarnation != self.own.incarnation:
+        if row.incarnation != self.own.incarnation or not self._may_write():
             return
         self.own = msgspec.structs.replace(self.own, established=True)
         established = await self._write_own(version)
         log_event(LOG, 'established', written=established)
 
+    async def clear_suspended(self) -> None:
+        """Write that the rights of suspended members are over."""
+        if not self._may_write():
+            return
+        for instance_id, row in list(self.by_id.items()):
+            version = self._versions_by_id.get(instance_id)
+            if row.serving or row.left or version is None:
+                continue
+            key = self._key(instance_id)
+            put = (key, msgspec.msgpack.encode(leaving(row)))
+            outcome = await self._store.transact(
+                RowTransaction(((key, version),), (put,)), WRITE_TIMEOUT_S
+            )
+            log_event(
+                LOG,
+                'member_cleared',
+                instance=instance_id,
+                outcome=type(outcome).__name__,
+            )
+
+    def _may_write(self) -> bool:
+        """Return whether the last write had time to be seen here."""
+        now_s = boot_time_s()
+        if now_s < self._next_write_s:
+            return False
+        self._next_write_s = now_s + WRITE_PAUSE_S
+        return True
+
     async def leave(self) -> None:
         """Write that this instance holds no rights, so that others do."""
         self.leaving = True
--- a/jackdawfield/gateway/ownership.py
+++ b/jackdawfield/gateway/ownership.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 
 from jackdawfield.decisions.placement import owner
-from jackdawfield.gateway.member_rows import all_settled
 from jackdawfield.gateway.member_rows import MemberRow
+from jackdawfield.gateway.member_rows import none_suspended
 from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
 
@@ -47,6 +47,8 @@
         self.version = 0
         # When each member was last asked, and how new its view was.
         self._attested_by_id: dict[InstanceId, tuple[float, int]] = {}
+        # Since when a majority know this view.
+        self._known_at_s: float | None = None
         # Rights that wait for a majority, with the earliest time to act.
         self._waits_by_id: dict[OrganisationId, float] = {}
         # When this view's serving members last changed.
@@ -78,8 +80,18 @@
 
     @property
     def needs_attestations(self) -> bool:
-        """Return whether rights wait for a majority to know this view."""
-        return bool(self._waits_by_id)
+        """Return whether something waits for a majority to know this view."""
+        return self._known_at_s is None or bool(self._waits_by_id)
+
+    def outlasted(self, now_s: float) -> bool:
+        """Return whether no right of any older view can still be used."""
+        if self._waits_by_id or self._known_at_s is None:
+            return False
+        if now_s - self._known_at_s <= FRESH_S + CLOCK_MARGIN_S:
+            return False
+        if any(at_s > now_s for at_s in self._active_from_by_id.values()):
+            return False
+        return self.settled(now_s) and self.fresh(now_s)
 
     def attested(
         self,
@@ -97,13 +109,15 @@
 
     def _end_waits(self, now_s: float) -> None:
         """Set when to act, once a majority know this view."""
-        if not self._waits_by_id:
+        if not self.needs_attestations:
             return
         knowing = sum(
             known >= self.version for _, known in self._attested_by_id.values()
         )
         if not self._is_majority(knowing + 1):
             return
+        if self._known_at_s is None:
+            self._known_at_s = now_s
         for organisation_id, at_s in self._waits_by_id.items():
             late_s = max(at_s, now_s + FRESH_S + CLOCK_MARGIN_S)
             self._active_from_by_id[organisation_id] = late_s
@@ -159,14 +173,16 @@
         now_s: float,
     ) -> list[Lost]:
         """Follow the table of members; return the rights that moved away."""
-        if self._changed_at_s is None and not all_settled(
+        if self._changed_at_s is None and not none_suspended(
             members_by_id.values()
         ):
             self.inherited = False
         # Rights that are lost are handed over if the old view was fresh.
         before = self._serving()
         lost = self._update(dict(members_by_id), now_s)
-        self.version = max(self.version, version)
+        if version > self.version:
+            self.version = version
+            self._known_at_s = None
         for member_id in list(self._attested_by_id):
             row = members_by_id.get(member_id)
             if row is None or row.left:
--- a/jackdawfield/gateway/store_path.py
+++ b/jackdawfield/gateway/store_path.py
@@ -73,20 +73,26 @@
             relayed = await self._relayed(method, target, body, timeout_s)
             if isinstance(relayed, Ok):
                 return relayed
+        started_s = time.monotonic()
         found = await self._direct(method, target, body, timeout_s)
-        if self._served(found):
+        if self._served(found, started_s):
             return found
         relayed = await self._relayed(method, target, body, timeout_s)
         if isinstance(relayed, Ok):
             return relayed
         return found
 
-    def _served(self, found: Result[StoreReply, ExchangeError]) -> bool:
+    def _served(
+        self, found: Result[StoreReply, ExchangeError], started_s: float
+    ) -> bool:
         served = isinstance(found, Ok) and found.ok_value.status not in REFUSED
         if served:
             self._note_direct(True, '')
             self._avoid_until_s = 0.0
             return True
+        if started_s < self.reached_at_s and self.direct:
+            # A call from before the last success tells nothing new.
+            return False
         reason = (
             found.err_value.reason if isinstance(found, Err) else 'refused'
         )
@@ -131,10 +137,11 @@
     async def _answer(self, call: StoreCall) -> object:
         if self.avoided:
             return StoreUnreached(False, 'the store is away from here too')
+        started_s = time.monotonic()
         found = await self._direct(
             call.method, call.target, call.body, call.timeout_s
         )
-        if self._served(found):
+        if self._served(found, started_s):
             return found.unwrap()
         if isinstance(found, Err):
             error = found.err_value
--- a/tests/gateway/test_ownership.py
+++ b/tests/gateway/test_ownership.py
@@ -5,9 +5,9 @@
 
 from msgspec.structs import replace
 
-from jackdawfield.gateway.member_rows import all_settled
 from jackdawfield.gateway.member_rows import leaving
 from jackdawfield.gateway.member_rows import MemberRow
+from jackdawfield.gateway.member_rows import none_suspended
 from jackdawfield.gateway.member_rows import suspended
 from jackdawfield.gateway.ownership import FEED_LAG_S
 from jackdawfield.gateway.ownership import Lost
@@ -45,7 +45,6 @@
     frozen_until_s: float = 0.0
     polled_at_s: float = 0.0
     joined: bool = False
-    joined_at_s: float = 0.0
 
 
 @dataclass
@@ -113,7 +112,6 @@
         latest = self.table.get(node.name)
         if not own.serving and latest is not None and not latest.serving:
             self.write(node.name, member(node.name, node.incarnation))
-            node.joined_at_s = self.now_s
         self.establish(node)
 
     def reached(self, node: Node) -> bool:
@@ -139,21 +137,31 @@
 
     def join(self, node: Node) -> None:
         """Write the row of a new incarnation."""
-        inherited = node.name in self.table and all_settled(
-            self.table.values()
+        before = self.table.get(node.name)
+        inherited = (
+            before is not None
+            and before.serving
+            and before.established
+            and none_suspended(self.table.values())
         )
         node.ownership.inherited = inherited
         self.write(node.name, member(node.name, node.incarnation, inherited))
-        node.joined_at_s = self.now_s
         node.joined = True
 
     def establish(self, node: Node) -> None:
         """Write that a node's rights have outlasted older ones."""
-        row = self.table.get(node.name)
-        if row is None or not row.serving or row.established:
+        if not node.ownership.outlasted(self.now_s):
+            return
+        if node.ownership.version < self.version:
             return
-        if self.now_s - node.joined_at_s > TAKEOVER_WAIT_S:
+        row = self.table.get(node.name)
+        if row is not None and row.serving and not row.established:
             self.write(node.name, replace(row, established=True))
+            return
+        for name, other in list(self.table.items()):
+            if not other.serving and not other.left:
+                self.write(name, leaving(other))
+                return
 
     def table_at(self, at_s: float) -> tuple[int, dict[InstanceId, MemberRow]]:
         """Return the table as it was, with its version."""
