--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -49,6 +49,7 @@
 # Share of an instance's memory for turns that it has served.
 CACHE_SHARE = 0.15
 CHECK_S = 0.1
+REMOVE_S = 5.0
 # Often enough that the view of the members stays fresh.
 MEMBERS_WAIT_S = 0.8
 # The balancer asks once a second and needs two misses to take an instance
@@ -195,6 +196,7 @@
             self._spawn(follower.run())
         self._spawn(self._follow_members())
         self._spawn(self._check())
+        self._spawn(self._remove_expired())
         self._spawn(self.admission.keep_attested())
         log_event(
             LOG,
@@ -217,6 +219,11 @@
         await self.members.join()
         await self._followers[-1].run()
 
+    async def _remove_expired(self) -> None:
+        while True:
+            await asyncio.sleep(REMOVE_S)
+            await self.turns.remove_expired()
+
     async def _check(self) -> None:
         while True:
             await asyncio.sleep(CHECK_S)
--- a/jackdawfield/gateway/ledger.py
+++ b/jackdawfield/gateway/ledger.py
@@ -23,6 +23,8 @@
     """Holds the granted tokens and each writer's last write number."""
 
     granted: int = 0
+    # When a turn of the program was last written, by the wall clock.
+    active_s: float = 0.0
     marks: dict[str, int] = msgspec.field(default_factory=dict)
 
 
@@ -113,7 +115,7 @@
         marks.pop(self.writer, None)
         marks[self.writer] = self.number + 1
         changed = granted != self.row.granted
-        row = LedgerRow(granted, marks)
+        row = LedgerRow(granted, self.row.active_s, marks)
         return LedgerPlan(row, free, tuple(verdicts), changed)
 
     def wrote(self, plan: LedgerPlan, version: int) -> None:
--- a/jackdawfield/gateway/turn_store.py
+++ b/jackdawfield/gateway/turn_store.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections import OrderedDict
+import dataclasses
 from dataclasses import dataclass
 from enum import Enum
 import logging
 import time
 
+from msgspec.structs import replace
 from result import Err
 
 from jackdawfield.decisions.table import Committed
@@ -19,6 +21,10 @@
 from jackdawfield.gateway.ledger import LedgerPlan
 from jackdawfield.gateway.ledger import Reserve
 from jackdawfield.gateway.model import TurnId
+from jackdawfield.gateway.retention import Expired
+from jackdawfield.gateway.retention import is_over
+from jackdawfield.gateway.retention import KEYS_PER_WRITE
+from jackdawfield.gateway.retention import Retention
 from jackdawfield.gateway.rows import RowConflict
 from jackdawfield.gateway.rows import RowKey
 from jackdawfield.gateway.rows import RowOutcome
@@ -138,6 +144,7 @@
         self._row_bytes = row_bytes * 3 // 4
         self._cache = TurnCache(cache_bytes)
         self._accounts: OrderedDict[ProgramKey, _Account] = OrderedDict()
+        self._retention = Retention()
 
     # Chains
 
@@ -284,6 +291,10 @@
     ) -> bool:
         """Write a turn and settle its tokens; False if not durable."""
         puts = encode_turn(record, self._row_bytes)
+        now_s = time.time()
+        keys = tuple(key for key, _ in puts)
+        retention_s = max(0.0, record.kept_until_s - now_s)
+        self._retention.add(Expired(program, keys, retention_s), now_s)
         if event is None:
             stored = await self._put(puts, deadline_s)
         else:
@@ -366,6 +377,9 @@
         if refused and not ledger.known:
             return await self._reread(program, ledger)
         puts = [put for work in works for put in work.puts]
+        if puts:
+            active = replace(plan.row, active_s=time.time())
+            plan = dataclasses.replace(plan, row=active)
         if not plan.must_write and not puts:
             if refused and not await self._reread(program, ledger):
                 return False
@@ -421,6 +435,43 @@
             self._finish(account, works, plan)
         return True
 
+    async def remove_expired(self) -> None:
+        """Remove rows of programs that nobody may continue any more."""
+        now_s = time.time()
+        for rows in self._retention.due(now_s):
+            key = ledger_key(rows.program)
+            read = await self._store.read(
+                key.table, key.part, key.key, key.key + '\0'
+            )
+            if isinstance(read, Err):
+                self._retention.add(rows, now_s)
+                continue
+            ledger = Ledger(self._writer)
+            _adopt(rows.program, ledger, read.ok_value.rows)
+            active_s = ledger.row.active_s
+            if ledger.version and not is_over(
+                active_s, rows.retention_s, now_s
+            ):
+                self._retention.add(rows, active_s)
+                continue
+            await self._remove(rows, key, ledger.version)
+
+    async def _remove(self, rows: Expired, key: RowKey, version: int) -> None:
+        removes = rows.keys[:KEYS_PER_WRITE]
+        if version:
+            removes += (key,)
+        transaction = RowTransaction(((key, version),), (), removes)
+        outcome = await self._store.transact(transaction, WRITE_TIMEOUT_S)
+        log_event(
+            LOG,
+            'turns_removed',
+            program=rows.program.text,
+            rows=len(removes),
+            outcome=type(outcome).__name__,
+        )
+        if not isinstance(outcome, Committed):
+            self._retention.add(rows, time.time())
+
     async def _reread(self, program: ProgramKey, ledger: Ledger) -> bool:
         key = ledger_key(program)
         read = await self._store.read(
--- /dev/null
+++ b/tests/gateway/test_members.py
@@ -0,0 +1,133 @@
+import json
+import unittest
+
+from jackdawfield.drivers.peers import PeerLinks
+from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.member_rows import decode_member
+from jackdawfield.gateway.member_rows import MemberRow
+from jackdawfield.gateway.members import Members
+from jackdawfield.gateway.members import MEMBERS_TABLE
+from jackdawfield.gateway.rows import RowKey
+from jackdawfield.model import InstanceId
+from jackdawfield.platform.settings import decode_settings
+from jackdawfield.standins.row_store import MemoryRowStore
+from jackdawfield.standins.row_store import Trouble
+from tests.gateway.fleet import free_port
+from tests.gateway.fleet import HOST
+
+
+class MembersTest(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.store = MemoryRowStore()
+        self.links = PeerLinks()
+        self.addAsyncCleanup(self.links.close)
+
+    def instance(self, name: str, incarnation: str) -> Members:
+        port = free_port()
+        wire = {
+            'node': name,
+            'ip': HOST,
+            'zone': 'a',
+            'region': 'r',
+            'zones': {'a': 'r'},
+            'listen': {
+                'front': f'{HOST}:1',
+                'ready': f'{HOST}:2',
+                'control': f'{HOST}:{port}',
+            },
+            'internalPorts': [0, 0],
+            'limits': {'memoryMb': 200},
+            'platform': {'address': f'{HOST}:3'},
+            'seeds': [f'{HOST}:{port}', f'{HOST}:9'],
+        }
+        settings = decode_settings(json.dumps(wire))
+        return Members(settings, self.store, self.links, incarnation)
+
+    def row(self, name: str) -> MemberRow:
+        value = self.store.rows_by_key[RowKey(MEMBERS_TABLE, '', name)].value
+        assert value is not None
+        return decode_member(value)
+
+    async def see(self, members: Members) -> None:
+        read = await self.store.read(MEMBERS_TABLE, '')
+        members.take_all(read.unwrap().rows, False)
+
+    async def established(self, name: str, incarnation: str) -> Members:
+        members = self.instance(name, incarnation)
+        await members.join()
+        await self.see(members)
+        await members.establish()
+        await self.see(members)
+        return members
+
+    async def test_restart_inherits_settled_rights_only(self) -> None:
+        await self.established('a', '1')
+        self.assertTrue(self.row('a').established)
+        restarted = self.instance('a', '2')
+        await restarted.join()
+        self.assertTrue(restarted.inherited)
+        new = self.instance('b', '1')
+        await new.join()
+        self.assertFalse(new.inherited)
+        again = self.instance('b', '2')
+        await again.join()
+        self.assertFalse(again.inherited)
+
+    async def test_nothing_is_inherited_while_rights_move(self) -> None:
+        await self.established('a', '1')
+        watcher = await self.established('b', '1')
+        await self.see(watcher)
+        await watcher._check(InstanceId('a'))
+        self.assertTrue(self.row('a').proven_dead)
+        restarted = self.instance('b', '2')
+        await restarted.join()
+        self.assertFalse(restarted.inherited)
+
+    async def test_left_instance_inherits_nothing(self) -> None:
+        members = await self.established('a', '1')
+        await members.leave()
+        self.assertTrue(self.row('a').left)
+        restarted = self.instance('a', '2')
+        await restarted.join()
+        self.assertFalse(restarted.inherited)
+
+    async def test_live_instance_is_not_suspended(self) -> None:
+        live = await self.established('a', '1')
+        server = PeerServer()
+        live.register(server)
+        await server.start(live.own.address, None)
+        self.addAsyncCleanup(server.stop, 0)
+        watcher = await self.established('b', '1')
+        await watcher._check(InstanceId('a'))
+        self.assertTrue(self.row('a').serving)
+
+    async def test_suspended_instance_joins_again(self) -> None:
+        victim = await self.established('a', '1')
+        watcher = await self.established('b', '1')
+        await watcher._check(InstanceId('a'))
+        await self.see(victim)
+        assert victim._rejoining is not None
+        await victim._rejoining
+        row = self.row('a')
+        self.assertTrue(row.serving)
+        self.assertFalse(row.established)
+
+    async def test_lost_answer_to_a_join_is_settled(self) -> None:
+        self.store.troubles.extend([Trouble.NONE, Trouble.ANSWER_LOST])
+        members = self.instance('a', '1')
+        await members.join()
+        self.assertTrue(members.joined)
+        self.assertEqual(len(self.store.transactions), 1)
+
+    async def test_rights_of_the_gone_are_cleared(self) -> None:
+        await self.established('a', '1')
+        watcher = await self.established('b', '1')
+        await watcher._check(InstanceId('a'))
+        await self.see(watcher)
+        watcher._next_write_s = 0.0
+        await watcher.clear_suspended()
+        self.assertTrue(self.row('a').left)
+
+    async def test_seeds_serve_where_no_member_is_known(self) -> None:
+        members = self.instance('a', '1')
+        self.assertEqual(members.relay_addresses(), [f'{HOST}:9'])
--- a/tests/gateway/test_turn_store.py
+++ b/tests/gateway/test_turn_store.py
@@ -1,5 +1,7 @@
+import dataclasses
 import time
 import unittest
+from unittest import mock
 
 from jackdawfield.gateway.ledger import Settle
 from jackdawfield.gateway.model import TurnId
@@ -118,6 +120,38 @@
         self.assertIs(verdict, Verdict.FITS)
         self.assertEqual(len(self.rows.transactions), before + 1)
 
+    async def test_rows_go_once_the_whole_program_is_over(self) -> None:
+        event = Settle(0, 0, 1000)
+        with mock.patch('jackdawfield.gateway.turn_store.time.time') as now:
+            now.return_value = 1000.0
+            for number, turn in enumerate(('1', '2')):
+                now.return_value = 1000.0 + 50 * number
+                kept = dataclasses.replace(
+                    record(turn, None, b''),
+                    kept_until_s=now.return_value + 60,
+                )
+                await self.store.commit(PROGRAM, kept, event, soon())
+            # The first turn is an ancestor of the second.
+            now.return_value = 1080.0
+            await self.store.remove_expired()
+            self.assertEqual(len(self.rows.rows_by_key), 5)
+            now.return_value = 1130.0
+            await self.store.remove_expired()
+            self.assertEqual(self.rows.rows_by_key, {})
+
+    async def test_rows_stay_while_the_store_is_away(self) -> None:
+        kept = dataclasses.replace(record('1', None, b''), kept_until_s=0.0)
+        committed_s = time.time()
+        await self.store.commit(PROGRAM, kept, None, soon())
+        with mock.patch('jackdawfield.gateway.turn_store.time.time') as now:
+            now.return_value = committed_s + 60
+            self.rows.troubles.append(Trouble.AWAY)
+            await self.store.remove_expired()
+            self.assertEqual(len(self.rows.rows_by_key), 2)
+            now.return_value += 60
+            await self.store.remove_expired()
+            self.assertEqual(self.rows.rows_by_key, {})
+
     async def test_store_away_leaves_a_reservation_unknown(self) -> None:
         self.rows.troubles.extend([Trouble.AWAY] * 100)
         verdict = await self.store.reserve(
