--- a/jackdawfield/daemon.py
+++ b/jackdawfield/daemon.py
@@ -63,20 +63,29 @@
 
     def __init__(self, settings: Settings) -> None:
         self.settings = settings
-        platform = settings.platform
         self.http = HttpClient(f'jackdawfield/{settings.instance_id}')
+        self.links = PeerLinks(channel_credentials(settings.peer_tls))
+        self.peers = PeerServer()
+        self.metrics = Registry(settings.instance_id)
+        self._build_contracts()
+        self._build_pools()
+        self._build_programs()
+        self._build_interfaces()
+        self._servers: list[tornado.httpserver.HTTPServer] = []
+
+    def _build_contracts(self) -> None:
+        """Build what follows leases, configuration, keys and rates."""
+        settings = self.settings
+        platform = settings.platform
         self.table = TableClient(
             self.http, platform.table_url, platform.timeout_s
         )
         instances = InstanceListClient(
             self.http, platform.instances_url, platform.timeout_s
         )
-        self.links = PeerLinks(channel_credentials(settings.peer_tls))
-        self.peers = PeerServer()
         self.contracts = ContractsDriver(
             settings, self.table, instances, self.links
         )
-        self.metrics = Registry(settings.instance_id)
         self.rates = RatesDriver(
             settings,
             self.contracts,
@@ -85,12 +94,19 @@
             KeeperStanding(self.contracts.keeper),
             self.metrics,
         )
+
+    def _build_pools(self) -> None:
+        """Build what places calls on backend servers."""
+        settings = self.settings
+        stewards = Stewards(settings, self.contracts, self.links, self.http)
         self.pools = PoolsDriver(
-            settings,
-            self.contracts,
-            self.links,
-            Stewards(settings, self.contracts, self.links, self.http),
+            settings, self.contracts, self.links, stewards
         )
+
+    def _build_programs(self) -> None:
+        """Build what keeps programs, effects and engine memory."""
+        settings = self.settings
+        platform = settings.platform
         objects = ObjectClient(
             self.http, platform.object_url, platform.timeout_s
         )
@@ -111,6 +127,10 @@
             self.metrics,
             EffectCalls(self.effects, services),
         )
+
+    def _build_interfaces(self) -> None:
+        """Build the callers' and the operators' interfaces."""
+        settings = self.settings
         self.entry = Entry(
             settings,
             self.contracts,
@@ -120,7 +140,6 @@
             self.metrics,
         )
         self.admin = Admin(settings, self.contracts, self.metrics)
-        self._servers: list[tornado.httpserver.HTTPServer] = []
 
     async def start(self) -> None:
         """Listen to peers, read the platform, then serve."""
