--- a/jackdawfield/drivers/shares.py
+++ b/jackdawfield/drivers/shares.py
@@ -1,16 +1,15 @@
 """Carries the share holder's events and actions between the daemons."""
 
 import asyncio
-from collections.abc import Coroutine
 from collections.abc import Iterable
 from collections.abc import Mapping
 import logging
 import time
-from typing import Any
 
 from result import Err
 from result import Ok
 
+from jackdawfield.background import BackgroundTasks
 from jackdawfield.decisions.buckets import Contract
 from jackdawfield.decisions.ledger import decode
 from jackdawfield.decisions.ledger import row_key
@@ -90,7 +89,7 @@
         self._listed: Mapping[Incarnation, InstanceId] = {}
         self._holder = self._new_holder()
         self._waiters: dict[tuple[OrganisationId, RequestId], Waiter] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         self._ticker: asyncio.Task[None] | None = None
 
     def _new_holder(self) -> ShareHolder:
@@ -115,12 +114,10 @@
     async def stop(self) -> None:
         """Hand the shares over, at most for a time, and stop."""
         self._handle(Leaving())
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=HAND_OVER_LIMIT_S)
+        await self._tasks.wait(HAND_OVER_LIMIT_S)
         if self._ticker is not None:
             self._ticker.cancel()
-        for task in self._tasks:
-            task.cancel()
+        self._tasks.cancel()
 
     async def admit(self, event: Admit) -> RateRefusal | None:
         """Count a request and return why not, None if it may go on."""
@@ -170,11 +167,11 @@
                 case Refused(organisation_id, request_id, refusal):
                     self._settle(organisation_id, request_id, refusal)
                 case Send(receiver, message):
-                    self._spawn(self._send(receiver, message))
+                    self._tasks.spawn(self._send(receiver, message))
                 case ReadLedger(organisation_id):
-                    self._spawn(self._read(organisation_id))
+                    self._tasks.spawn(self._read(organisation_id))
                 case WriteLedger():
-                    self._spawn(self._write(action))
+                    self._tasks.spawn(self._write(action))
                 case WakeAt(organisation_id, at_s):
                     self._wake_at(organisation_id, at_s)
 
@@ -193,16 +190,6 @@
         loop = asyncio.get_running_loop()
         loop.call_later(delay_s, self._handle, Wake(organisation_id))
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finished)
-
-    def _finished(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            LOG.error('event=share_work_failed', exc_info=task.exception())
-
     async def _send(self, receiver: HolderId, message: RateMessage) -> None:
         member = self._contracts.members_by_id.get(instance_of(receiver))
         if member is None:
--- a/jackdawfield/gateway/admission.py
+++ b/jackdawfield/gateway/admission.py
@@ -3,10 +3,10 @@
 import asyncio
 from dataclasses import dataclass
 import logging
-from typing import Any
 
 from result import Ok
 
+from jackdawfield.background import BackgroundTasks
 from jackdawfield.decisions.buckets import Contract
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
@@ -75,7 +75,7 @@
         self._accounts_by_id: dict[OrganisationId, _Account] = {}
         self._buckets_by_id: dict[OrganisationId, RateBucket] = {}
         self._handed_by_id: dict[OrganisationId, tuple[float, float]] = {}
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._tasks = BackgroundTasks()
         members.listen(self._on_members)
 
     def register(self, server: PeerServer) -> None:
@@ -112,6 +112,7 @@
     def _on_members(self) -> None:
         now_s = boot_time_s()
         self.ownership.inherited = self._members.inherited
+        self.ownership.first_start = self._members.first_start
         self._hand_over(
             self.ownership.set_members(
                 self._members.by_id, self._members.version, now_s
@@ -126,7 +127,8 @@
             await asyncio.sleep(ATTEST_S)
             ownership = self.ownership
             read = ownership.just_read(boot_time_s() + ATTEST_S)
-            if read and not ownership.needs_attestations:
+            settling = self._members.unsettled and not ownership.known
+            if read and not ownership.needs_attestations and not settling:
                 continue
             members = self._members.by_id.items()
             asked = [
@@ -356,11 +358,9 @@
             if row is None:
                 continue
             message = HandOver(item.organisation_id, self._own_id, tokens)
-            task = asyncio.create_task(
+            self._tasks.spawn(
                 self._links.request(row.address, message, HAND_OVER_TIMEOUT_S)
             )
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
 
     async def _answer_hand_over(self, message: HandOver) -> HandedOver:
         now_s = boot_time_s()
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -2,18 +2,17 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Coroutine
 from collections.abc import Iterable
 from dataclasses import dataclass
 import logging
 import secrets
 import signal
 import time
-from typing import Any
 
 from result import Err
 from result import Result
 
+from jackdawfield.background import BackgroundTasks
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.admission import Admission
@@ -87,7 +86,7 @@
         self._metrics_port = metrics_port or settings.metrics_port
         self._adapter = adapter
         self._incarnation = secrets.token_hex(4)
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         self.stopping = False
         self._build_store()
         self._build_calls()
@@ -193,11 +192,11 @@
         self._health.listen(settings.host, settings.health_port)
         self._metrics_front.listen(settings.host, self._metrics_port)
         for follower in self._followers[:-1]:
-            self._spawn(follower.run())
-        self._spawn(self._follow_members())
-        self._spawn(self._check())
-        self._spawn(self._remove_expired())
-        self._spawn(self.admission.keep_attested())
+            self._tasks.spawn(follower.run())
+        self._tasks.spawn(self._follow_members())
+        self._tasks.spawn(self._check())
+        self._tasks.spawn(self._remove_expired())
+        self._tasks.spawn(self.admission.keep_attested())
         log_event(
             LOG,
             'started',
@@ -205,16 +204,6 @@
             domain=settings.domain_id,
         )
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._finished)
-
-    def _finished(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            LOG.error('event=task_failed', exc_info=task.exception())
-
     async def _follow_members(self) -> None:
         await self.members.join()
         await self._followers[-1].run()
@@ -341,8 +330,7 @@
 
     async def close(self) -> None:
         """Close everything at once."""
-        for task in list(self._tasks):
-            task.cancel()
+        self._tasks.cancel()
         for front in (self.front, self._health, self._metrics_front):
             front.stop_listening()
             await front.close()
--- a/jackdawfield/gateway/members.py
+++ b/jackdawfield/gateway/members.py
@@ -12,6 +12,7 @@
 import msgspec
 from result import Err
 
+from jackdawfield.decisions.placement import owner
 from jackdawfield.decisions.table import Committed
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
@@ -74,6 +75,7 @@
         self._rejoining: asyncio.Task[None] | None = None
         self._next_write_s = 0.0
         self.inherited = False
+        self.first_start = False
         self.joined = False
         self.leaving = False
 
@@ -139,10 +141,14 @@
             and before.established
             and none_suspended(row for row, _ in rows_by_id.values())
         )
-        self.own = msgspec.structs.replace(self.own, established=inherited)
+        first = self._settings.first_start and before is None
+        self.own = msgspec.structs.replace(
+            self.own, established=inherited or first
+        )
         if not await self._write_own(version):
             return False
         self.inherited = inherited
+        self.first_start = first
         self.joined = True
         log_event(
             LOG,
@@ -178,10 +184,9 @@
         """Write that the rights of suspended members are over."""
         if not self._may_write():
             return
-        for instance_id, row in list(self.by_id.items()):
-            version = self._versions_by_id.get(instance_id)
-            if row.serving or row.left or version is None:
-                continue
+        for instance_id in self.to_clear():
+            row = self.by_id[instance_id]
+            version = self._versions_by_id[instance_id]
             key = self._key(instance_id)
             put = (key, msgspec.msgpack.encode(leaving(row)))
             outcome = await self._store.transact(
@@ -194,6 +199,25 @@
                 outcome=type(outcome).__name__,
             )
 
+    def to_clear(self) -> list[InstanceId]:
+        """Return the suspended members that this instance has to clear."""
+        serving = [i for i, row in self.by_id.items() if row.serving]
+        return [
+            instance_id
+            for instance_id, row in self.by_id.items()
+            if not row.serving
+            and not row.left
+            and owner(instance_id, serving) == self._own_id
+        ]
+
+    @property
+    def unsettled(self) -> bool:
+        """Return whether this instance has to write that rights settled."""
+        row = self.by_id.get(self._own_id)
+        if row is None or not row.serving:
+            return False
+        return not row.established or bool(self.to_clear())
+
     def _may_write(self) -> bool:
         """Return whether the last write had time to be seen here."""
         now_s = boot_time_s()
--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -161,6 +161,8 @@
     seed_addresses: tuple[str, ...]
     metrics_port: int
     memory_mb: int
+    # Whether the whole fleet starts for the first time.
+    first_start: bool
     store_host: str
     store_port: int
     store: StoreBounds
--- a/jackdawfield/gateway/ownership.py
+++ b/jackdawfield/gateway/ownership.py
@@ -56,6 +56,8 @@
         # The own row was written over that of an incarnation that has ended,
         # while no right was moving, so that its rights are still free.
         self.inherited = False
+        # The whole fleet starts for the first time: there are no older owners.
+        self.first_start = False
 
     def saw(self, asked_at_s: float) -> None:
         """Note when a view that holds was asked for."""
@@ -80,8 +82,13 @@
 
     @property
     def needs_attestations(self) -> bool:
-        """Return whether something waits for a majority to know this view."""
-        return self._known_at_s is None or bool(self._waits_by_id)
+        """Return whether rights wait for a majority to know this view."""
+        return bool(self._waits_by_id)
+
+    @property
+    def known(self) -> bool:
+        """Return whether a majority know this view."""
+        return self._known_at_s is not None
 
     def outlasted(self, now_s: float) -> bool:
         """Return whether no right of any older view can still be used."""
@@ -109,7 +116,7 @@
 
     def _end_waits(self, now_s: float) -> None:
         """Set when to act, once a majority know this view."""
-        if not self.needs_attestations:
+        if self.known and not self._waits_by_id:
             return
         knowing = sum(
             known >= self.version for _, known in self._attested_by_id.values()
@@ -208,8 +215,7 @@
                 if self._may_act_at_once(old, before, known, now_s):
                     self._active_from_by_id[organisation_id] = now_s
                 else:
-                    wait_until_s = now_s + TAKEOVER_WAIT_S
-                    self._waits_by_id[organisation_id] = wait_until_s
+                    self._wait(organisation_id, now_s)
             if new != self._own_id:
                 self._waits_by_id.pop(organisation_id, None)
                 held = self._active_from_by_id.pop(organisation_id, None)
@@ -220,6 +226,14 @@
         self._forget_removed()
         return lost
 
+    def _wait(self, organisation_id: OrganisationId, now_s: float) -> None:
+        """Let a right begin once every older view has gone stale."""
+        at_s = now_s + TAKEOVER_WAIT_S
+        if self.first_start:
+            self._active_from_by_id[organisation_id] = at_s
+        else:
+            self._waits_by_id[organisation_id] = at_s
+
     def _may_act_at_once(
         self,
         old: InstanceId | None,
--- a/jackdawfield/gateway/turn_calls.py
+++ b/jackdawfield/gateway/turn_calls.py
@@ -4,6 +4,7 @@
 import logging
 import time
 
+from jackdawfield.background import BackgroundTasks
 from jackdawfield.gateway.admission import Admission
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Failure
@@ -72,7 +73,7 @@
         self._dispatcher = dispatcher
         self._admission = admission
         self._turns = turns
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = BackgroundTasks()
         self.configuration: FleetConfiguration | None = None
 
     async def serve(
@@ -264,9 +265,7 @@
         event = self._settlement(turn, service)
         if event is None:
             return
-        task = asyncio.create_task(self._settle_later(turn, event))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._tasks.spawn(self._settle_later(turn, event))
 
     async def _settle_later(self, turn: _Turn, event: Settle) -> None:
         assert turn.reservation is not None
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -61,6 +61,7 @@
     limits: _Limits
     platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    bootstrap: bool = False
     # Addresses of a few instances, some of which may be gone.
     seeds: list[str] = msgspec.field(default_factory=list)
 
@@ -108,6 +109,7 @@
         seed_addresses=tuple(wire.seeds),
         metrics_port=METRICS_PORT,
         memory_mb=wire.limits.memory_mb,
+        first_start=wire.bootstrap,
         store_host=store_host,
         store_port=store_port,
         store=StoreBounds(
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -12,6 +12,7 @@
 from jackdawfield.gateway.connections import OutgoingRequest
 from jackdawfield.gateway.connections import ResponseHead
 from jackdawfield.gateway.daemon import Gateway
+from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.rows import RowKey
 from jackdawfield.platform.__main__ import ADAPTER
 from jackdawfield.platform.settings import decode_settings
@@ -36,6 +37,29 @@
         return port
 
 
+def settings_of(
+    name: str, peer_port: int, store_port: int, *seeds: str
+) -> GatewaySettings:
+    """Return the settings of an instance on loopback."""
+    wire = {
+        'node': name,
+        'ip': HOST,
+        'zone': 'a',
+        'region': 'r',
+        'zones': {'a': 'r'},
+        'listen': {
+            'front': f'{HOST}:{free_port()}',
+            'ready': f'{HOST}:{free_port()}',
+            'control': f'{HOST}:{peer_port}',
+        },
+        'internalPorts': [0, 0],
+        'limits': {'memoryMb': 200},
+        'platform': {'address': f'{HOST}:{store_port}'},
+        'seeds': seeds,
+    }
+    return decode_settings(json.dumps(wire))
+
+
 def configuration(version: int, **changes: Any) -> dict[str, Any]:
     """Return a configuration with a route for turns and one for a tool."""
     common = {'host': 'h.example', 'timeoutMs': 3000, 'maxAttempts': 2}
@@ -146,22 +170,7 @@
 
     async def start_instance(self, name: str) -> Gateway:
         """Start one instance on free ports."""
-        wire = {
-            'node': name,
-            'ip': HOST,
-            'zone': 'a',
-            'region': 'r',
-            'zones': {'a': 'r'},
-            'listen': {
-                'front': f'{HOST}:{free_port()}',
-                'ready': f'{HOST}:{free_port()}',
-                'control': f'{HOST}:{free_port()}',
-            },
-            'internalPorts': [0, 0],
-            'limits': {'memoryMb': 200},
-            'platform': {'address': f'{HOST}:{self.store.port}'},
-        }
-        settings = decode_settings(json.dumps(wire))
+        settings = settings_of(name, free_port(), self.store.port)
         gateway = Gateway(settings, ADAPTER, metrics_port=free_port())
         await gateway.start()
         self.gateways.append(gateway)
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -1,4 +1,3 @@
-import json
 import unittest
 
 from jackdawfield.drivers.peers import PeerLinks
@@ -9,11 +8,11 @@
 from jackdawfield.gateway.members import MEMBERS_TABLE
 from jackdawfield.gateway.rows import RowKey
 from jackdawfield.model import InstanceId
-from jackdawfield.platform.settings import decode_settings
 from jackdawfield.standins.row_store import MemoryRowStore
 from jackdawfield.standins.row_store import Trouble
 from tests.gateway.fleet import free_port
 from tests.gateway.fleet import HOST
+from tests.gateway.fleet import settings_of
 
 
 class MembersTest(unittest.IsolatedAsyncioTestCase):
@@ -24,23 +23,8 @@
 
     def instance(self, name: str, incarnation: str) -> Members:
         port = free_port()
-        wire = {
-            'node': name,
-            'ip': HOST,
-            'zone': 'a',
-            'region': 'r',
-            'zones': {'a': 'r'},
-            'listen': {
-                'front': f'{HOST}:1',
-                'ready': f'{HOST}:2',
-                'control': f'{HOST}:{port}',
-            },
-            'internalPorts': [0, 0],
-            'limits': {'memoryMb': 200},
-            'platform': {'address': f'{HOST}:3'},
-            'seeds': [f'{HOST}:{port}', f'{HOST}:9'],
-        }
-        settings = decode_settings(json.dumps(wire))
+        seeds = (f'{HOST}:{port}', f'{HOST}:9')
+        settings = settings_of(name, port, 3, *seeds)
         return Members(settings, self.store, self.links, incarnation)
 
     def row(self, name: str) -> MemberRow:
