--- a/jackdawfield/gateway/connections.py
+++ b/jackdawfield/gateway/connections.py
@@ -23,7 +23,6 @@
 # Left between the own end of an idle connection and the server's.
 IDLE_MARGIN_S = 0.7
 PAUSE_BYTES = 262144
-SWEEP_S = 1.0
 
 
 class Fault(Enum):
@@ -308,78 +307,3 @@
         if name.lower() == 'timeout' and value.isdecimal():
             return max(0.0, int(value) - IDLE_MARGIN_S)
     return DEFAULT_IDLE_S
-
-
-class ConnectionPool:
-    """Keeps idle connections by address, the last used first."""
-
-    def __init__(self) -> None:
-        self._idle_by_address: dict[tuple[str, int], list[Connection]] = {}
-        self.opened = 0
-        self._sweeper: asyncio.TimerHandle | None = None
-
-    async def acquire(
-        self, host: str, port: int, timeout_s: float
-    ) -> Result[Connection, ExchangeError]:
-        """Return a kept connection or open one within the timeout."""
-        now_s = time.monotonic()
-        kept = self._idle_by_address.get((host, port), [])
-        while kept:
-            connection = kept.pop()
-            if connection.usable and connection.idle_until_s > now_s:
-                return Ok(connection)
-            connection.abort('idle for too long')
-        return await self.open(host, port, timeout_s)
-
-    async def open(
-        self, host: str, port: int, timeout_s: float
-    ) -> Result[Connection, ExchangeError]:
-        """Open a connection within the timeout."""
-        loop = asyncio.get_running_loop()
-        self.opened += 1
-        try:
-            async with asyncio.timeout(timeout_s):
-                _, connection = await loop.create_connection(
-                    Connection, host, port
-                )
-        except (OSError, TimeoutError) as error:
-            reason = f'{type(error).__name__} {error}'.strip()
-            return Err(ExchangeError(Fault.NOT_SENT, reason))
-        return Ok(connection)
-
-    def release(self, host: str, port: int, connection: Connection) -> None:
-        """Keep a connection whose exchange has ended, if it is clean."""
-        if not connection.finish():
-            return
-        kept = self._idle_by_address.setdefault((host, port), [])
-        kept.append(connection)
-        if self._sweeper is None:
-            loop = asyncio.get_running_loop()
-            self._sweeper = loop.call_later(SWEEP_S, self._sweep)
-
-    def _sweep(self) -> None:
-        now_s = time.monotonic()
-        for address, kept in list(self._idle_by_address.items()):
-            good = []
-            for connection in kept:
-                if connection.usable and connection.idle_until_s > now_s:
-                    good.append(connection)
-                else:
-                    connection.abort('idle for too long')
-            if good:
-                self._idle_by_address[address] = good
-            else:
-                del self._idle_by_address[address]
-        self._sweeper = None
-        if self._idle_by_address:
-            loop = asyncio.get_running_loop()
-            self._sweeper = loop.call_later(SWEEP_S, self._sweep)
-
-    def close(self) -> None:
-        """Close every idle connection."""
-        for kept in self._idle_by_address.values():
-            for connection in kept:
-                connection.abort('stopping')
-        self._idle_by_address.clear()
-        if self._sweeper is not None:
-            self._sweeper.cancel()
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -17,8 +17,9 @@
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.admission import Admission
 from jackdawfield.gateway.calls import CallHeaders
+from jackdawfield.gateway.chains import ChainReader
 from jackdawfield.gateway.clock import boot_time_s
-from jackdawfield.gateway.connections import ConnectionPool
+from jackdawfield.gateway.connection_pool import ConnectionPool
 from jackdawfield.gateway.dispatch import Dispatcher
 from jackdawfield.gateway.dispatch import WireNames
 from jackdawfield.gateway.entry import Entry
@@ -38,6 +39,7 @@
 from jackdawfield.gateway.servers import RETURN_S
 from jackdawfield.gateway.servers import Servers
 from jackdawfield.gateway.store_path import StorePath
+from jackdawfield.gateway.turn_cache import TurnCache
 from jackdawfield.gateway.turn_calls import TurnCalls
 from jackdawfield.gateway.turn_store import TurnStore
 from jackdawfield.logs import log_event
@@ -121,16 +123,22 @@
         self.dispatcher = Dispatcher(
             self.servers, self.server_pool, self._adapter.names
         )
+        cache = TurnCache(int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE))
         self.turns = TurnStore(
             self.store,
             f'{settings.instance_id}.{self._incarnation}',
-            settings.store.row_bytes,
-            int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE),
+            settings.row_bytes,
+            cache,
         )
+        chains = ChainReader(self.store, cache)
         self.admission = Admission(settings, self.members, self.links)
         self.metrics = GatewayMetrics(settings.instance_id)
         self.turn_calls = TurnCalls(
-            self.dispatcher, self.turns, self.admission, self.metrics
+            self.dispatcher,
+            chains,
+            self.turns,
+            self.admission,
+            self.metrics,
         )
         self.entry = Entry(
             self.dispatcher, self.turn_calls, self.admission, self.metrics
--- a/jackdawfield/gateway/dispatch.py
+++ b/jackdawfield/gateway/dispatch.py
@@ -14,9 +14,9 @@
 from jackdawfield.gateway.calls import ForwardedHeaders
 from jackdawfield.gateway.calls import HeaderPairs
 from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.connection_pool import ConnectionPool
 from jackdawfield.gateway.connections import BodyEnd
 from jackdawfield.gateway.connections import Connection
-from jackdawfield.gateway.connections import ConnectionPool
 from jackdawfield.gateway.connections import OutgoingRequest
 from jackdawfield.gateway.connections import ResponseHead
 from jackdawfield.gateway.model import CallKind
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -81,7 +81,7 @@
         configuration = self.configuration
         if configuration is None:
             return Refusal(503, 'no configuration yet', RETRY_UNCONFIGURED_S)
-        if len(received.body) > configuration.limits.body_bytes:
+        if len(received.body) > configuration.body_limit_bytes:
             return Refusal(413, 'body too large')
         route = find_route(configuration, headers.host, received.target)
         if route is None:
--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -54,19 +54,13 @@
     keeps_turns: bool
     retention_s: float
     open: bool
-    sticky: bool
-    gap_limit_s: float
 
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """Describes a kind of backend server."""
+    """Describes a kind of backend server; plain ones make no tokens."""
 
     name: ServiceName
-    health_path: str
-    connection_limit: int
-    slots: int | None
-    cache_tokens: int
     tokens_per_event: int
 
 
@@ -80,16 +74,6 @@
     burst: float
 
 
-@dataclass(frozen=True, slots=True)
-class RequestLimits:
-    """Bounds what a caller may send and how long it may stay idle."""
-
-    header_bytes: int
-    body_bytes: int
-    header_timeout_s: float
-    idle_timeout_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class FleetConfiguration:
     """Holds one version of everything that operators set."""
@@ -99,7 +83,7 @@
     services_by_name: Mapping[ServiceName, Service]
     organisations_by_id: Mapping[OrganisationId, Organisation]
     organisation_ids_by_key: Mapping[str, OrganisationId]
-    limits: RequestLimits
+    body_limit_bytes: int
 
     @property
     def needs_keys(self) -> bool:
@@ -126,21 +110,11 @@
         return f'{self.host}:{self.port}'
 
 
-@dataclass(frozen=True, slots=True)
-class StoreBounds:
-    """Holds the store's limits for one row and its history."""
-
-    row_bytes: int
-    transaction_s: float
-
-
 @dataclass(frozen=True, slots=True)
 class PromiseBounds:
     """Holds the time limits, in seconds, that operators count on."""
 
-    drain_s: float
     grace_s: float
-    apply_s: float
     rate_window_s: float
     rate_overshoot: float
     rate_slack: float
@@ -165,5 +139,5 @@
     first_start: bool
     store_host: str
     store_port: int
-    store: StoreBounds
+    row_bytes: int
     bounds: PromiseBounds
--- a/jackdawfield/gateway/store_path.py
+++ b/jackdawfield/gateway/store_path.py
@@ -12,9 +12,9 @@
 from jackdawfield.drivers.peers import PeerFault
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.connection_pool import ConnectionPool
 from jackdawfield.gateway.connections import BodyEnd
 from jackdawfield.gateway.connections import Connection
-from jackdawfield.gateway.connections import ConnectionPool
 from jackdawfield.gateway.connections import ExchangeError
 from jackdawfield.gateway.connections import Fault
 from jackdawfield.gateway.connections import OutgoingRequest
--- a/jackdawfield/gateway/turn_calls.py
+++ b/jackdawfield/gateway/turn_calls.py
@@ -9,6 +9,10 @@
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.chains import Chain
+from jackdawfield.gateway.chains import ChainReader
+from jackdawfield.gateway.chains import Missing
+from jackdawfield.gateway.chains import Uncertain
 from jackdawfield.gateway.connections import BodyEnd
 from jackdawfield.gateway.dispatch import Dispatcher
 from jackdawfield.gateway.dispatch import Running
@@ -18,10 +22,7 @@
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.model import TurnId
-from jackdawfield.gateway.turn_store import Chain
-from jackdawfield.gateway.turn_store import Missing
 from jackdawfield.gateway.turn_store import TurnStore
-from jackdawfield.gateway.turn_store import Uncertain
 from jackdawfield.gateway.turn_store import Verdict
 from jackdawfield.gateway.turns import program_key
 from jackdawfield.gateway.turns import ProgramKey
@@ -65,6 +66,7 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
+        chains: ChainReader,
         turns: TurnStore,
         admission: Admission,
         metrics: GatewayMetrics,
@@ -72,6 +74,7 @@
         self._metrics = metrics
         self._dispatcher = dispatcher
         self._admission = admission
+        self._chains = chains
         self._turns = turns
         self._tasks = BackgroundTasks()
         self.configuration: FleetConfiguration | None = None
@@ -110,7 +113,7 @@
         self, turn: _Turn, previous: TurnId
     ) -> Refusal | None:
         call = turn.call
-        found = await self._turns.chain(
+        found = await self._chains.chain(
             call.organisation_id, turn.program, previous
         )
         match found:
--- a/jackdawfield/gateway/turn_store.py
+++ b/jackdawfield/gateway/turn_store.py
@@ -1,4 +1,4 @@
-"""Keeps turns and budgets in the store, with recent turns in memory."""
+"""Writes turns and budgets to the store, and removes what is over."""
 
 import asyncio
 from collections import OrderedDict
@@ -20,7 +20,6 @@
 from jackdawfield.gateway.ledger import LedgerEvent
 from jackdawfield.gateway.ledger import LedgerPlan
 from jackdawfield.gateway.ledger import Reserve
-from jackdawfield.gateway.model import TurnId
 from jackdawfield.gateway.retention import Expired
 from jackdawfield.gateway.retention import is_over
 from jackdawfield.gateway.retention import KEYS_PER_WRITE
@@ -31,48 +30,18 @@
 from jackdawfield.gateway.rows import RowStore
 from jackdawfield.gateway.rows import RowTransaction
 from jackdawfield.gateway.rows import StoredRow
-from jackdawfield.gateway.turns import all_parts
-from jackdawfield.gateway.turns import decode_turns
+from jackdawfield.gateway.turn_cache import TurnCache
 from jackdawfield.gateway.turns import encode_turn
-from jackdawfield.gateway.turns import index_key
 from jackdawfield.gateway.turns import ProgramKey
-from jackdawfield.gateway.turns import TurnError
 from jackdawfield.gateway.turns import TurnRecord
-from jackdawfield.gateway.turns import TURNS_TABLE
 from jackdawfield.logs import log_event
-from jackdawfield.model import OrganisationId
 
 LOG = logging.getLogger(__name__)
 WRITE_TIMEOUT_S = 0.8
 RETRY_S = 0.1
 MAX_RETRY_S = 0.4
-# The key after every key that begins with a program's key and a slash.
-AFTER_SLASH = '0'
 # Programs whose ledgers stay in memory.
 LEDGERS_KEPT = 4000
-MAX_CHAIN = 500
-
-
-@dataclass(frozen=True, slots=True)
-class Missing:
-    """Says that no such turn of the organisation exists."""
-
-
-@dataclass(frozen=True, slots=True)
-class Uncertain:
-    """Says that a turn may exist but cannot be read now."""
-
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class Chain:
-    """Holds a turn and all before it, the oldest first."""
-
-    records: tuple[TurnRecord, ...]
-
-
-ChainResult = Chain | Missing | Uncertain
 
 
 class Verdict(Enum):
@@ -100,154 +69,20 @@
         self.task: asyncio.Task[None] | None = None
 
 
-class TurnCache:
-    """Keeps recent turns in memory, within a limit of bytes."""
-
-    def __init__(self, limit_bytes: int) -> None:
-        self._limit_bytes = limit_bytes
-        self._bytes = 0
-        self._by_id: OrderedDict[
-            tuple[OrganisationId | None, TurnId], TurnRecord
-        ] = OrderedDict()
-
-    def get(
-        self, organisation_id: OrganisationId | None, turn_id: TurnId
-    ) -> TurnRecord | None:
-        """Return a turn that is kept here."""
-        key = (organisation_id, turn_id)
-        record = self._by_id.get(key)
-        if record is not None:
-            self._by_id.move_to_end(key)
-        return record
-
-    def add(self, record: TurnRecord) -> None:
-        """Keep a turn and drop the least recently used over the limit."""
-        key = (record.organisation_id, record.turn_id)
-        if key in self._by_id:
-            return
-        self._by_id[key] = record
-        self._bytes += record.size
-        while self._bytes > self._limit_bytes:
-            _, dropped = self._by_id.popitem(last=False)
-            self._bytes -= dropped.size
-
-
 class TurnStore:
-    """Reads chains of turns and writes turns with their budget."""
+    """Writes turns with their budget, one transaction a program at a time."""
 
     def __init__(
-        self, store: RowStore, writer: str, row_bytes: int, cache_bytes: int
+        self, store: RowStore, writer: str, row_bytes: int, cache: TurnCache
     ) -> None:
         self._store = store
         self._writer = writer
         # Base64 on the wire takes four bytes for three.
         self._row_bytes = row_bytes * 3 // 4
-        self._cache = TurnCache(cache_bytes)
+        self._cache = cache
         self._accounts: OrderedDict[ProgramKey, _Account] = OrderedDict()
         self._retention = Retention()
 
-    # Chains
-
-    async def chain(
-        self,
-        organisation_id: OrganisationId | None,
-        program: ProgramKey,
-        turn_id: TurnId,
-    ) -> ChainResult:
-        """Return a turn's chain; Missing only if the store says so."""
-        records: list[TurnRecord] = []
-        next_program, next_id = program, turn_id
-        while len(records) < MAX_CHAIN:
-            found = await self._turn(organisation_id, next_program, next_id)
-            if not isinstance(found, TurnRecord):
-                # An ancestor that cannot be read does not deny its heir.
-                if records and isinstance(found, Missing):
-                    return Uncertain('an earlier turn is gone')
-                return found
-            records.append(found)
-            if found.parent_id is None:
-                return Chain(tuple(reversed(records)))
-            next_program = ProgramKey(found.parent_program or program.text)
-            next_id = found.parent_id
-        return Uncertain('the chain is too long')
-
-    async def _turn(
-        self,
-        organisation_id: OrganisationId | None,
-        program: ProgramKey,
-        turn_id: TurnId,
-    ) -> TurnRecord | Missing | Uncertain:
-        record = self._cache.get(organisation_id, turn_id)
-        if record is not None:
-            return record
-        found = await self._load(program)
-        if isinstance(found, Uncertain):
-            return found
-        record = self._cache.get(organisation_id, turn_id)
-        if record is not None:
-            return record
-        return await self._search(organisation_id, turn_id)
-
-    async def _load(self, program: ProgramKey) -> Uncertain | None:
-        prefix = program.text + '/'
-        read = await self._store.read(
-            TURNS_TABLE, program.part, prefix, program.text + AFTER_SLASH
-        )
-        if isinstance(read, Err):
-            return Uncertain(read.err_value.reason)
-        try:
-            records = decode_turns(read.ok_value.rows)
-        except TurnError as error:
-            log_event(LOG, 'turn_unreadable', program=program.text)
-            return Uncertain(f'unreadable turn: {error}')
-        for record in records.values():
-            self._cache.add(record)
-        log_event(
-            LOG, 'turns_loaded', program=program.text, turns=len(records)
-        )
-        return None
-
-    async def _search(
-        self, organisation_id: OrganisationId | None, turn_id: TurnId
-    ) -> TurnRecord | Missing | Uncertain:
-        results = await asyncio.gather(
-            *(
-                self._indexed(organisation_id, turn_id, part)
-                for part in all_parts()
-            )
-        )
-        programs = [found for found in results if isinstance(found, str)]
-        for text in programs:
-            loaded = await self._load(ProgramKey(text))
-            if loaded is not None:
-                return loaded
-            record = self._cache.get(organisation_id, turn_id)
-            if record is not None:
-                return record
-        uncertain = [r for r in results if isinstance(r, Uncertain)]
-        if uncertain:
-            return uncertain[0]
-        if programs:
-            return Uncertain('the turn is listed but its rows are gone')
-        return Missing()
-
-    async def _indexed(
-        self,
-        organisation_id: OrganisationId | None,
-        turn_id: TurnId,
-        part: str,
-    ) -> str | Uncertain | None:
-        key = index_key(organisation_id, turn_id, part)
-        read = await self._store.read(key.table, part, key.key, key.key + '\0')
-        if isinstance(read, Err):
-            return Uncertain(read.err_value.reason)
-        for row in read.ok_value.rows:
-            if row.value is not None:
-                return row.value.decode()
-        return None
-
-    # Budgets and new turns
-
     def surely_fits(
         self, program: ProgramKey, tokens: int, budget: int, begins: bool
     ) -> bool:
--- a/jackdawfield/platform/configuration.py
+++ b/jackdawfield/platform/configuration.py
@@ -9,7 +9,6 @@
 from jackdawfield.gateway.model import CallRoute
 from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.model import Organisation
-from jackdawfield.gateway.model import RequestLimits
 from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.model import Service
 from jackdawfield.gateway.model import Target
@@ -55,28 +54,19 @@
     retain_context: bool = False
     retention_s: float = 0
     public: bool = False
-    sticky: bool = False
-    gap_aim_ms: float = 0
 
 
 class _Engine(msgspec.Struct, rename='camel'):
-    slots: int
-    kv_capacity: int
     chunk_tokens: int
 
 
 class _Service(msgspec.Struct, rename='camel'):
     name: str
-    health_path: str
-    max_conns: int
     engine: _Engine | None = None
 
 
 class _Limits(msgspec.Struct, rename='camel'):
-    max_header_bytes: int = 16384
     max_body_bytes: int = 4194304
-    header_timeout_ms: float = 3000
-    idle_timeout_ms: float = 15000
 
 
 class _Tenant(msgspec.Struct, rename='camel'):
@@ -117,7 +107,6 @@
     routes_by_host: dict[str, list[CallRoute]] = {}
     for route in wire.routes:
         routes_by_host.setdefault(route.host.lower(), []).append(_route(route))
-    limits = wire.limits
     return FleetConfiguration(
         version=Version(wire.version),
         routes_by_host={
@@ -142,12 +131,7 @@
             for tenant in wire.tenants
             for key in tenant.api_keys
         },
-        limits=RequestLimits(
-            limits.max_header_bytes,
-            limits.max_body_bytes,
-            limits.header_timeout_ms / MS_PER_S,
-            limits.idle_timeout_ms / MS_PER_S,
-        ),
+        body_limit_bytes=wire.limits.max_body_bytes,
     )
 
 
@@ -169,8 +153,6 @@
         keeps_turns=wire.retain_context,
         retention_s=wire.retention_s,
         open=wire.public,
-        sticky=wire.sticky,
-        gap_limit_s=wire.gap_aim_ms / MS_PER_S,
     )
 
 
@@ -178,10 +160,6 @@
     engine = wire.engine
     return Service(
         name=ServiceName(wire.name),
-        health_path=wire.health_path,
-        connection_limit=wire.max_conns,
-        slots=engine.slots if engine else None,
-        cache_tokens=engine.kv_capacity if engine else 0,
         tokens_per_event=engine.chunk_tokens if engine else 0,
     )
 
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -10,7 +10,6 @@
 
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.model import PromiseBounds
-from jackdawfield.gateway.model import StoreBounds
 from jackdawfield.model import DomainId
 from jackdawfield.model import InstanceId
 from jackdawfield.model import RegionId
@@ -36,9 +35,7 @@
 
 
 class _Bounds(msgspec.Struct, rename='camel'):
-    drain_ms: float = 2500
     grace_s: float = 8
-    config_apply_ms: float = 2500
     quota_window_s: float = 5
     quota_overshoot: float = 0.1
     quota_slack: float = 20
@@ -47,7 +44,6 @@
 class _Platform(msgspec.Struct, rename='camel'):
     address: str
     row_bytes: int = 65536
-    tx_ms: float = 5
 
 
 class _Settings(msgspec.Struct, rename='camel'):
@@ -112,13 +108,9 @@
         first_start=wire.bootstrap,
         store_host=store_host,
         store_port=store_port,
-        store=StoreBounds(
-            wire.platform.row_bytes, wire.platform.tx_ms / MS_PER_S
-        ),
+        row_bytes=wire.platform.row_bytes,
         bounds=PromiseBounds(
-            drain_s=bounds.drain_ms / MS_PER_S,
             grace_s=bounds.grace_s,
-            apply_s=bounds.config_apply_ms / MS_PER_S,
             rate_window_s=bounds.quota_window_s,
             rate_overshoot=bounds.quota_overshoot,
             rate_slack=bounds.quota_slack,
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -7,8 +7,8 @@
 import socket
 from typing import Any
 
+from jackdawfield.gateway.connection_pool import ConnectionPool
 from jackdawfield.gateway.connections import BodyEnd
-from jackdawfield.gateway.connections import ConnectionPool
 from jackdawfield.gateway.connections import OutgoingRequest
 from jackdawfield.gateway.connections import ResponseHead
 from jackdawfield.gateway.daemon import Gateway
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -3,9 +3,9 @@
 
 from result import Err
 
+from jackdawfield.gateway.connection_pool import ConnectionPool
 from jackdawfield.gateway.connections import BodyEnd
 from jackdawfield.gateway.connections import Connection
-from jackdawfield.gateway.connections import ConnectionPool
 from jackdawfield.gateway.connections import Fault
 from jackdawfield.gateway.connections import OutgoingRequest
 from jackdawfield.gateway.connections import ResponseHead
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -8,8 +8,8 @@
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import ForwardedHeaders
 from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.connection_pool import ConnectionPool
 from jackdawfield.gateway.connections import BodyEnd
-from jackdawfield.gateway.connections import ConnectionPool
 from jackdawfield.gateway.dispatch import Dispatcher
 from jackdawfield.gateway.dispatch import Running
 from jackdawfield.gateway.dispatch import WireNames
@@ -55,8 +55,6 @@
         False,
         0.0,
         False,
-        False,
-        0.0,
     )
     passed_on = (('Host', 'host'), ('X-Id', 'a'))
     headers = CallHeaders(
--- a/tests/gateway/test_store_path.py
+++ b/tests/gateway/test_store_path.py
@@ -5,7 +5,7 @@
 
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
-from jackdawfield.gateway.connections import ConnectionPool
+from jackdawfield.gateway.connection_pool import ConnectionPool
 from jackdawfield.gateway.rows import RowKey
 from jackdawfield.gateway.rows import RowTransaction
 from jackdawfield.gateway.store_path import StorePath
--- a/tests/gateway/test_turn_store.py
+++ b/tests/gateway/test_turn_store.py
@@ -3,12 +3,14 @@
 import unittest
 from unittest import mock
 
+from jackdawfield.gateway.chains import Chain
+from jackdawfield.gateway.chains import ChainReader
+from jackdawfield.gateway.chains import Missing
+from jackdawfield.gateway.chains import Uncertain
 from jackdawfield.gateway.ledger import Settle
 from jackdawfield.gateway.model import TurnId
-from jackdawfield.gateway.turn_store import Chain
-from jackdawfield.gateway.turn_store import Missing
+from jackdawfield.gateway.turn_cache import TurnCache
 from jackdawfield.gateway.turn_store import TurnStore
-from jackdawfield.gateway.turn_store import Uncertain
 from jackdawfield.gateway.turn_store import Verdict
 from jackdawfield.model import OrganisationId
 from jackdawfield.standins.row_store import MemoryRowStore
@@ -32,7 +34,11 @@
         self.store = self.instance('a')
 
     def instance(self, writer: str) -> TurnStore:
-        return TurnStore(self.rows, writer, ROW_BYTES, CACHE_BYTES)
+        return TurnStore(self.rows, writer, ROW_BYTES, TurnCache(CACHE_BYTES))
+
+    def reader(self) -> ChainReader:
+        """Return the chains as an instance that kept nothing reads them."""
+        return ChainReader(self.rows, TurnCache(CACHE_BYTES))
 
     async def keep(
         self, store: TurnStore, turn: str, parent: str | None
@@ -40,14 +46,13 @@
         kept = record(turn, parent, turn.encode())
         return await store.commit(PROGRAM, kept, None, soon())
 
-    async def chain(self, store: TurnStore, turn: str) -> object:
-        return await store.chain(ORGANISATION, PROGRAM, TurnId(turn))
+    async def chain(self, turn: str) -> object:
+        return await self.reader().chain(ORGANISATION, PROGRAM, TurnId(turn))
 
     async def test_any_instance_finds_a_chain_in_one_read(self) -> None:
         await self.keep(self.store, '1', None)
         await self.keep(self.store, '2', '1')
-        other = self.instance('b')
-        found = await self.chain(other, '2')
+        found = await self.chain('2')
         assert isinstance(found, Chain)
         ids = [item.turn_id for item in found.records]
         self.assertEqual(ids, ['1', '2'])
@@ -55,25 +60,24 @@
 
     async def test_turn_of_another_program_is_found(self) -> None:
         await self.keep(self.store, '1', None)
-        other = self.instance('b')
         guess = record('x', None, b'').program[::-1]
-        found = await other.chain(
+        found = await self.reader().chain(
             ORGANISATION, type(PROGRAM)(guess), TurnId('1')
         )
         self.assertIsInstance(found, Chain)
 
     async def test_missing_only_if_every_part_was_read(self) -> None:
-        self.assertIsInstance(await self.chain(self.store, 'no'), Missing)
+        self.assertIsInstance(await self.chain('no'), Missing)
         for reads in range(17):
             self.rows.troubles.extend([Trouble.NONE] * reads)
             self.rows.troubles.append(Trouble.AWAY)
-            found = await self.chain(self.store, 'no')
+            found = await self.chain('no')
             self.assertIsInstance(found, Uncertain)
             self.rows.troubles.clear()
 
     async def test_turn_of_another_organisation_is_missing(self) -> None:
         await self.keep(self.store, '1', None)
-        found = await self.store.chain(
+        found = await self.reader().chain(
             OrganisationId('other'), PROGRAM, TurnId('1')
         )
         self.assertIsInstance(found, Missing)
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -30,7 +30,8 @@
         self.assertEqual(settings.caller_port, 8368)
         self.assertEqual(settings.store_port, 8362)
         self.assertEqual(settings.regions_by_domain['b'], 's')
-        self.assertEqual(settings.bounds.drain_s, 2.5)
+        self.assertEqual(settings.bounds.grace_s, 8)
+        self.assertEqual(settings.row_bytes, 65536)
 
     def test_bad_settings_name_the_file_and_the_field(self) -> None:
         for change in ({'node': 1}, {'platform': {'address': 'none'}}):
