--- a/jackdawfield/standins/base.py
+++ b/jackdawfield/standins/base.py
@@ -21,6 +21,8 @@
     delay_s: float = 0.0
     lose_answers: int = 0
     cut: frozenset[str] = field(default_factory=frozenset)
+    # Bodies of the requests that are held up now.
+    held_bodies: list[str] = field(default_factory=list)
 
 
 class StandInHandler(tornado.web.RequestHandler):
@@ -47,7 +49,14 @@
             self.finish('{"error": "down"}')
             return
         if self.faults.delay_s:
-            await asyncio.sleep(self.faults.delay_s)
+            await self.hold(self.faults.delay_s)
+
+    async def hold(self, delay_s: float) -> None:
+        """Hold a request up and show it meanwhile."""
+        text = self.request.body.decode(errors='replace')
+        self.faults.held_bodies.append(text)
+        await asyncio.sleep(delay_s)
+        self.faults.held_bodies.remove(text)
 
     def drop(self) -> None:
         """Close the connection without an answer."""
@@ -75,6 +84,10 @@
         """Keep the stand-in's state."""
         self.state = state
 
+    def get(self) -> None:
+        """Show the requests that are held up now."""
+        self.finish(json.dumps({'held': self.state.faults.held_bodies}))
+
     def post(self) -> None:
         """Replace the named faults."""
         for name, value in json.loads(self.request.body).items():
--- a/tests/test_effects_path.py
+++ b/tests/test_effects_path.py
@@ -1,5 +1,6 @@
 """Tests on real daemons that effects run at most once."""
 
+from base64 import b64encode
 from concurrent.futures import ThreadPoolExecutor
 import signal
 import time
@@ -13,6 +14,8 @@
 from tests.fleet import wait_for
 
 LEASE_S = 1.5
+# What the keys of claims begin with, as the table's interface has them.
+CLAIM_KEY = b64encode(b'effect').decode()
 
 
 def home_of(fleet, program):
@@ -136,8 +139,15 @@
         self.fleet.table.faults(delay_s=1.0)
         first = pool.submit(self.book, self.entry)
         wait_for(lambda: 'event=effect_requested' in self.home.log_text())
+        # The line is written before the claim leaves the home.
+        wait_for(self.claim_is_held)
         return first
 
+    def claim_is_held(self):
+        """Return whether the table holds up the claim of an effect."""
+        held = self.fleet.table.get('/faults')['held']
+        return any(CLAIM_KEY in body for body in held)
+
     def test_killed_with_its_claim_in_flight_runs_at_most_once(self):
         with ThreadPoolExecutor(1) as pool:
             first = self.request_in_flight(pool)
