Give waiting, owned rates and the headers of one connection one place each

Cause: Dispatcher and Admission held two jobs each, a member's row was written in four places, admission was timed in two, the mark of a due first piece was dropped in five. Places takes over the calls that wait, RateOwner what an instance owns of the rates; one method writes a member's row, one finally drops the mark. Dead code is gone: entry's exception, a connection's mark, a parameter. Ruled out: one retry loop for turns without a budget and ledgers, since one waits for a row of its own; they share their pauses.

--- a/jackdawfield/gateway/calls.py
+++ b/jackdawfield/gateway/calls.py
@@ -10,6 +10,21 @@
 
 HeaderPairs = tuple[tuple[str, str], ...]
 
+# Headers that concern one connection; the HTTP libraries set their own.
+CONNECTION_HEADERS = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    )
+)
+
 
 @dataclass(frozen=True, slots=True)
 class CallHeaders:
--- a/jackdawfield/gateway/connections.py
+++ b/jackdawfield/gateway/connections.py
@@ -94,7 +94,6 @@
         self._ended = False
         self._lost = False
         self._idle_limit_s = DEFAULT_IDLE_S
-        self.fresh = True
         self.lost_reason = ''
         self.idle_until_s = 0.0
 
@@ -257,7 +256,6 @@
         parser.start_next_cycle()
         self._request = None
         self._parts.clear()
-        self.fresh = False
         self.idle_until_s = time.monotonic() + self._idle_limit_s
         return True
 
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -33,6 +33,8 @@
 from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.model import ServerEntry
+from jackdawfield.gateway.places import Places
+from jackdawfield.gateway.rate_owner import RateOwner
 from jackdawfield.gateway.rows import RowKey
 from jackdawfield.gateway.rows import RowStore
 from jackdawfield.gateway.rows import StoredRow
@@ -120,8 +122,9 @@
             settings.domain_id, dict(settings.regions_by_domain)
         )
         self.server_pool = ConnectionPool()
+        self.places = Places(self.servers)
         self.dispatcher = Dispatcher(
-            self.servers, self.server_pool, self._adapter.names
+            self.places, self.server_pool, self._adapter.names
         )
         cache = TurnCache(int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE))
         self.turns = TurnStore(
@@ -131,7 +134,12 @@
             cache,
         )
         chains = ChainReader(self.store, cache)
-        self.admission = Admission(settings, self.members, self.links)
+        self.rate_owner = RateOwner(
+            settings.instance_id, self.members, self.links
+        )
+        self.admission = Admission(
+            settings, self.members, self.links, self.rate_owner
+        )
         self.metrics = GatewayMetrics(settings.instance_id)
         self.turn_calls = TurnCalls(
             self.dispatcher,
@@ -185,7 +193,7 @@
                 self.members.take_all,
                 self.members.take_changes,
                 wait_s=MEMBERS_WAIT_S,
-                saw=self.admission.ownership.saw,
+                saw=self.rate_owner.ownership.saw,
             ),
         ]
 
@@ -194,7 +202,7 @@
         settings = self.settings
         self.store_path.register(self.peers)
         self.members.register(self.peers)
-        self.admission.register(self.peers)
+        self.rate_owner.register(self.peers)
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
         self.front.listen(settings.host, settings.caller_port)
         self._health.listen(settings.host, settings.health_port)
@@ -204,7 +212,7 @@
         self._tasks.spawn(self._follow_members())
         self._tasks.spawn(self._check())
         self._tasks.spawn(self._remove_expired())
-        self._tasks.spawn(self.admission.keep_attested())
+        self._tasks.spawn(self.rate_owner.keep_attested())
         log_event(
             LOG,
             'started',
@@ -226,7 +234,7 @@
             await asyncio.sleep(CHECK_S)
             for server_id in self.servers.expire(time.monotonic()):
                 log_event(LOG, 'server_gone', server=server_id)
-            if self.admission.ownership.outlasted(boot_time_s()):
+            if self.rate_owner.ownership.outlasted(boot_time_s()):
                 await self.members.establish()
                 await self.members.clear_suspended()
 
@@ -253,8 +261,8 @@
             return
         self.entry.configuration = configuration
         self.turn_calls.configuration = configuration
-        self.dispatcher.configuration = configuration
-        self.admission.configure(configuration)
+        self.places.configuration = configuration
+        self.rate_owner.configure(configuration)
         log_event(LOG, 'configuration_applied', version=configuration.version)
 
     def _decode_servers(
--- a/jackdawfield/gateway/dispatch.py
+++ b/jackdawfield/gateway/dispatch.py
@@ -20,16 +20,14 @@
 from jackdawfield.gateway.connections import OutgoingRequest
 from jackdawfield.gateway.connections import ResponseHead
 from jackdawfield.gateway.model import CallKind
-from jackdawfield.gateway.model import FleetConfiguration
+from jackdawfield.gateway.places import Places
+from jackdawfield.gateway.places import RETRY_SOON_S
 from jackdawfield.gateway.servers import note_failure
 from jackdawfield.gateway.servers import note_full
 from jackdawfield.gateway.servers import note_success
-from jackdawfield.gateway.servers import Servers
 from jackdawfield.gateway.servers import ServerState
 from jackdawfield.gateway.servers import Wanted
-from jackdawfield.gateway.waiting import LONGEST_WAIT_S
 from jackdawfield.gateway.waiting import needs_place
-from jackdawfield.gateway.waiting import Waiting
 from jackdawfield.logs import log_event
 from jackdawfield.model import ServerId
 from jackdawfield.model import ServiceName
@@ -47,9 +45,6 @@
 # route's target latency, and not before this time.
 SLOW_FACTOR = 2.0
 LEAST_SLOW_S = 0.3
-RETRY_SOON_S = 0.1
-
-
 # Answers to idempotent calls up to this size are held until they are whole.
 COLLECT_BYTES = 262144
 
@@ -111,25 +106,15 @@
     reason: str
 
 
-@dataclass(frozen=True, slots=True)
-class _Turn:
-    """Holds a call that waits for a place."""
-
-    wanted: Wanted
-    server: asyncio.Future[ServerState | None]
-
-
 class Dispatcher:
     """Chooses servers and exchanges requests with them."""
 
     def __init__(
-        self, servers: Servers, pool: ConnectionPool, names: WireNames
+        self, places: Places, pool: ConnectionPool, names: WireNames
     ) -> None:
-        self.servers = servers
+        self._places = places
         self.pool = pool
         self._names = names
-        self.configuration: FleetConfiguration | None = None
-        self._waiting_by_service: dict[ServiceName, Waiting[_Turn]] = {}
 
     async def start(
         self,
@@ -153,7 +138,7 @@
                 needs_place(call),
                 frozenset(excluded),
             )
-            server = await self._place(call, wanted)
+            server = await self._places.take(call, wanted)
             if isinstance(server, Refusal):
                 return server
             if server is None:
@@ -176,66 +161,6 @@
             return Failure(502, reason)
         return Refusal(503, reason, RETRY_SOON_S)
 
-    async def _place(
-        self, call: Call, wanted: Wanted
-    ) -> ServerState | Refusal | None:
-        """Return a server with a place taken, waiting in the calls' order."""
-        server = self.servers.choose(wanted, time.monotonic())
-        if server is None:
-            return None
-        waiting = self._waiting(wanted.service)
-        if not wanted.placed or (server.has_room and not len(waiting)):
-            server.in_flight += 1
-            return server
-        rank = waiting.rank(call, self.configuration)
-        wait_s = waiting.expected_wait_s(rank)
-        if wait_s > LONGEST_WAIT_S:
-            return Refusal(503, 'servers are full', wait_s)
-        turn = _Turn(wanted, asyncio.get_running_loop().create_future())
-        waiting.put(rank, turn)
-        self._admit_waiting(wanted.service)
-        try:
-            async with asyncio.timeout(LONGEST_WAIT_S):
-                return await asyncio.shield(turn.server)
-        except TimeoutError:
-            if turn.server.done():
-                return turn.server.result()
-            turn.server.cancel()
-            return Refusal(503, 'servers are full', RETRY_SOON_S)
-        except asyncio.CancelledError:
-            if not turn.server.cancel():
-                self._give_back(turn.server.result())
-            raise
-
-    def _admit_waiting(self, service: ServiceName) -> None:
-        """Give those that wait the room that there is."""
-        waiting = self._waiting(service)
-        while (turn := waiting.first()) is not None:
-            if turn.server.done():
-                waiting.pop()
-                continue
-            server = self.servers.choose(turn.wanted, time.monotonic())
-            if server is not None and not server.has_room:
-                return
-            waiting.pop()
-            if server is not None:
-                server.in_flight += 1
-            turn.server.set_result(server)
-
-    def _waiting(self, service: ServiceName) -> Waiting[_Turn]:
-        return self._waiting_by_service.setdefault(service, Waiting())
-
-    def _give_back(self, server: ServerState | None) -> None:
-        if server is not None:
-            self._release(server)
-
-    def _release(self, server: ServerState) -> None:
-        """Give a place back and let the next call have it."""
-        server.in_flight -= 1
-        service = server.entry.service
-        self._waiting(service).count_end(time.monotonic())
-        self._admit_waiting(service)
-
     async def _attempt(
         self, call: Call, server: ServerState, body: bytes, more: bool
     ) -> Running | _NotRun | _Lost:
@@ -246,7 +171,7 @@
             kept = isinstance(outcome, Running)
         finally:
             if not kept:
-                self._release(server)
+                self._places.release(server)
         if not isinstance(outcome, Running):
             log_event(
                 LOG,
@@ -278,30 +203,45 @@
         request = self._request(call, server, body, left_s)
         if isinstance(connection.send(request), Err):
             return _NotRun('unreached')
+        limit_s = _answer_limit_s(call, left_s, more)
+        outcome: Running | _NotRun | _Lost | None = None
         if call.route.kind is CallKind.STREAM:
             server.due_since_by_number[id(connection)] = now_s
         try:
-            async with asyncio.timeout(_answer_limit_s(call, left_s, more)):
-                begun = await self._begin(call, server, connection, now_s)
+            outcome = await self._answer(
+                call, server, connection, now_s, limit_s
+            )
+        finally:
+            # The first piece of a begun answer is noted when it comes.
+            if not isinstance(outcome, Running):
+                server.due_since_by_number.pop(id(connection), None)
+        return outcome
+
+    async def _answer(
+        self,
+        call: Call,
+        server: ServerState,
+        connection: Connection,
+        sent_at_s: float,
+        limit_s: float,
+    ) -> Running | _NotRun | _Lost:
+        try:
+            async with asyncio.timeout(limit_s):
+                begun = await self._begin(call, server, connection, sent_at_s)
         except TimeoutError:
-            server.due_since_by_number.pop(id(connection), None)
             connection.abort('no answer in time')
             self._note_failure(server, time.monotonic(), 'no answer in time')
             return _Lost('no answer in time')
         except asyncio.CancelledError:
-            server.due_since_by_number.pop(id(connection), None)
             connection.abort('caller left')
             raise
         if begun is None:
-            server.due_since_by_number.pop(id(connection), None)
             self._note_failure(server, time.monotonic(), 'answer lost')
             connection.abort('answer lost')
             return _Lost(connection.lost_reason or 'answer lost')
-        head = begun.head
-        if self._says_not_run(head):
-            server.due_since_by_number.pop(id(connection), None)
-            await self._drop_refusal(server, connection, head)
-            return _NotRun(f'server answered {head.status}, not run')
+        if self._says_not_run(begun.head):
+            await self._drop_refusal(server, connection, begun.head)
+            return _NotRun(f'server answered {begun.head.status}, not run')
         return begun
 
     async def _begin(
@@ -370,7 +310,7 @@
     def end(self, running: Running, end: BodyEnd | None) -> None:
         """Give a call's connection back; None if the caller has left."""
         server = running.server
-        self._release(server)
+        self._places.release(server)
         server.due_since_by_number.pop(id(running.connection), None)
         if end is None:
             running.connection.abort('caller left')
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -1,7 +1,6 @@
 """Decides what becomes of a caller's request and carries it out."""
 
 import asyncio
-from dataclasses import dataclass
 import logging
 import time
 
@@ -30,11 +29,6 @@
 NO_ROUTE = 'none'
 
 
-@dataclass(frozen=True, slots=True)
-class _Refused(Exception):
-    refusal: Refusal
-
-
 class Entry:
     """Serves the requests that reach this instance."""
 
@@ -137,9 +131,8 @@
     async def _forward(
         self, call: Call, service: ServiceName, reply: Reply
     ) -> Refusal | Failure | None:
-        started_s = time.monotonic()
-        refusal = await self._admission.admit(call)
-        self._metrics.record_admission(call, time.monotonic() - started_s)
+        with self._metrics.time_admission(call):
+            refusal = await self._admission.admit(call)
         if refusal is not None:
             return refusal
         running = await self._dispatcher.start(call, service, call.body, None)
--- a/jackdawfield/gateway/front.py
+++ b/jackdawfield/gateway/front.py
@@ -18,6 +18,7 @@
 from tornado.httputil import ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from jackdawfield.gateway.calls import CONNECTION_HEADERS
 from jackdawfield.gateway.connections import ResponseHead
 
 LOG = logging.getLogger(__name__)
@@ -27,10 +28,6 @@
 # Idle connections end after the configured limit; this is the last resort.
 IDLE_LIMIT_S = 120.0
 REASONS_BY_STATUS = responses
-# Headers of an answer that concern one connection only.
-CONNECTION_HEADERS = frozenset(
-    ('connection', 'keep-alive', 'transfer-encoding', 'upgrade', 'trailer')
-)
 
 
 class Received:
--- a/jackdawfield/gateway/measurement.py
+++ b/jackdawfield/gateway/measurement.py
@@ -1,6 +1,8 @@
 """Counts and times what an instance of the gateway does."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+from contextlib import contextmanager
 import time
 
 from jackdawfield.gateway.calls import Call
@@ -56,9 +58,15 @@
         """Time a server's first piece."""
         self._record(Metric.SERVER_FIRST, call, elapsed_s)
 
-    def record_admission(self, call: Call, elapsed_s: float) -> None:
-        """Time how long a call waited for the rate."""
-        self._record(Metric.ADMISSION, call, elapsed_s)
+    @contextmanager
+    def time_admission(self, call: Call) -> Iterator[None]:
+        """Time how long a call waits for the rate."""
+        started_s = time.monotonic()
+        try:
+            yield
+        finally:
+            elapsed_s = time.monotonic() - started_s
+            self._record(Metric.ADMISSION, call, elapsed_s)
 
     def record_commit(self, call: Call, elapsed_s: float) -> None:
         """Time how long a turn waited for the store."""
--- a/jackdawfield/gateway/members.py
+++ b/jackdawfield/gateway/members.py
@@ -24,6 +24,7 @@
 from jackdawfield.gateway.member_rows import suspended
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.rows import RowOutcome
 from jackdawfield.gateway.rows import RowStore
 from jackdawfield.gateway.rows import RowTransaction
 from jackdawfield.gateway.rows import StoredRow
@@ -110,9 +111,6 @@
             if instance_id != self._own_id and row.serving
         }
 
-    def _key(self, instance_id: InstanceId) -> RowKey:
-        return RowKey(MEMBERS_TABLE, '', instance_id)
-
     # The own row
 
     async def join(self) -> None:
@@ -159,13 +157,20 @@
         return True
 
     async def _write_own(self, version: int) -> bool:
-        key = self._key(self._own_id)
-        put = (key, msgspec.msgpack.encode(self.own))
-        outcome = await self._store.transact(
-            RowTransaction(((key, version),), (put,)), WRITE_TIMEOUT_S
-        )
+        outcome = await self._write(self._own_id, self.own, version)
         return isinstance(outcome, Committed)
 
+    async def _write(
+        self, instance_id: InstanceId, row: MemberRow, version: int | None
+    ) -> RowOutcome:
+        """Write a member's row, under its version if one is given."""
+        key = RowKey(MEMBERS_TABLE, '', instance_id)
+        conditions = () if version is None else ((key, version),)
+        put = (key, msgspec.msgpack.encode(row))
+        return await self._store.transact(
+            RowTransaction(conditions, (put,)), WRITE_TIMEOUT_S
+        )
+
     async def establish(self) -> None:
         """Write that this instance's rights have outlasted older ones."""
         row = self.by_id.get(self._own_id)
@@ -187,11 +192,7 @@
         for instance_id in self.to_clear():
             row = self.by_id[instance_id]
             version = self._versions_by_id[instance_id]
-            key = self._key(instance_id)
-            put = (key, msgspec.msgpack.encode(leaving(row)))
-            outcome = await self._store.transact(
-                RowTransaction(((key, version),), (put,)), WRITE_TIMEOUT_S
-            )
+            outcome = await self._write(instance_id, leaving(row), version)
             log_event(
                 LOG,
                 'member_cleared',
@@ -229,11 +230,7 @@
     async def leave(self) -> None:
         """Write that this instance holds no rights, so that others do."""
         self.leaving = True
-        put = (
-            self._key(self._own_id),
-            msgspec.msgpack.encode(leaving(self.own)),
-        )
-        await self._store.transact(RowTransaction((), (put,)), WRITE_TIMEOUT_S)
+        await self._write(self._own_id, leaving(self.own), None)
 
     def _rejoin_if_suspended(self) -> None:
         own = self.by_id.get(self._own_id)
@@ -335,11 +332,8 @@
         if not proven and not await self._has_witnesses(instance_id):
             log_event(LOG, 'isolated', silent=instance_id)
             return
-        key = self._key(instance_id)
-        put = (key, msgspec.msgpack.encode(suspended(row, proven)))
-        outcome = await self._store.transact(
-            RowTransaction(((key, version),), (put,)), WRITE_TIMEOUT_S
-        )
+        gone = suspended(row, proven)
+        outcome = await self._write(instance_id, gone, version)
         log_event(
             LOG,
             'member_suspended',
--- /dev/null
+++ b/jackdawfield/gateway/rate_owner.py
@@ -0,0 +1,181 @@
+"""Grants tokens of the rates that this instance owns, and hands them over."""
+
+import asyncio
+import logging
+
+from jackdawfield.background import BackgroundTasks
+from jackdawfield.decisions.buckets import Contract
+from jackdawfield.drivers.peers import PeerLinks
+from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.clock import boot_time_s
+from jackdawfield.gateway.members import Members
+from jackdawfield.gateway.model import FleetConfiguration
+from jackdawfield.gateway.ownership import Lost
+from jackdawfield.gateway.ownership import Ownership
+from jackdawfield.gateway.rates import contract_of
+from jackdawfield.gateway.rates import RateBucket
+from jackdawfield.logs import log_event
+from jackdawfield.messages.fleet_rates import AskTokens
+from jackdawfield.messages.fleet_rates import HandedOver
+from jackdawfield.messages.fleet_rates import HandOver
+from jackdawfield.messages.fleet_rates import TokensGranted
+from jackdawfield.model import InstanceId
+from jackdawfield.model import OrganisationId
+
+LOG = logging.getLogger(__name__)
+# A hand-over may come before the view that makes this instance the owner.
+HAND_OVER_KEPT_S = 3.0
+HAND_OVER_TIMEOUT_S = 0.5
+ATTEST_S = 0.5
+
+
+class RateOwner:
+    """Holds the contracts, and the buckets of those that are owned here."""
+
+    def __init__(
+        self, own_id: InstanceId, members: Members, links: PeerLinks
+    ) -> None:
+        self._own_id = own_id
+        self._members = members
+        self._links = links
+        self.ownership = Ownership(own_id)
+        self.contracts_by_id: dict[OrganisationId, Contract] = {}
+        self._buckets_by_id: dict[OrganisationId, RateBucket] = {}
+        self._handed_by_id: dict[OrganisationId, tuple[float, float]] = {}
+        self._tasks = BackgroundTasks()
+        members.listen(self._on_members)
+
+    def register(self, server: PeerServer) -> None:
+        """Answer the messages of other instances."""
+        server.handle(AskTokens, self._answer_ask)
+        server.handle(HandOver, self._answer_hand_over)
+
+    def configure(self, configuration: FleetConfiguration) -> None:
+        """Follow the contracts of the configuration in force."""
+        before = self.contracts_by_id
+        self.contracts_by_id = {
+            organisation.organisation_id: contract_of(organisation)
+            for organisation in configuration.organisations_by_id.values()
+            if organisation.rate_per_s > 0
+        }
+        for organisation_id, contract in self.contracts_by_id.items():
+            if before.get(organisation_id) != contract:
+                log_event(
+                    LOG,
+                    'contract',
+                    organisation=organisation_id,
+                    rate_per_s=contract.rate_per_s,
+                    burst=contract.burst,
+                )
+        now_s = boot_time_s()
+        for organisation_id, bucket in self._buckets_by_id.items():
+            new_contract = self.contracts_by_id.get(organisation_id)
+            if new_contract is not None:
+                bucket.follow(new_contract, now_s)
+        self._hand_over(
+            self.ownership.set_organisations(self.contracts_by_id, now_s)
+        )
+
+    def _on_members(self) -> None:
+        now_s = boot_time_s()
+        self.ownership.inherited = self._members.inherited
+        self.ownership.first_start = self._members.first_start
+        self._hand_over(
+            self.ownership.set_members(
+                self._members.by_id, self._members.version, now_s
+            )
+        )
+        for organisation_id in list(self._handed_by_id):
+            self._accept_handed(organisation_id, now_s)
+
+    async def keep_attested(self) -> None:
+        """Ask the members of their views while rights depend on it."""
+        while True:
+            await asyncio.sleep(ATTEST_S)
+            ownership = self.ownership
+            read = ownership.just_read(boot_time_s() + ATTEST_S)
+            settling = self._members.unsettled and not ownership.known
+            if read and not ownership.needs_attestations and not settling:
+                continue
+            members = self._members.by_id.items()
+            asked = [
+                instance_id
+                for instance_id, row in members
+                if instance_id != self._own_id and not row.left
+            ]
+            await asyncio.gather(*(self._ask_view(i) for i in asked))
+
+    async def _ask_view(self, instance_id: InstanceId) -> None:
+        asked_at_s = boot_time_s()
+        pong = await self._members.ping(instance_id)
+        if pong is not None:
+            self._members.note_answer(instance_id)
+            self.ownership.attested(
+                instance_id, asked_at_s, pong.members_version, boot_time_s()
+            )
+
+    async def _answer_ask(self, ask: AskTokens) -> TokensGranted:
+        return self.grant(ask)
+
+    def grant(self, ask: AskTokens) -> TokensGranted:
+        """Answer an ask, as not active if this instance may not grant."""
+        now_s = boot_time_s()
+        organisation_id = ask.organisation_id
+        contract = self.contracts_by_id.get(organisation_id)
+        if contract is None:
+            return TokensGranted(False)
+        if self._members.leaving:
+            return TokensGranted(False)
+        if not self.ownership.may_grant(organisation_id, now_s):
+            return TokensGranted(False)
+        bucket = self._buckets_by_id.get(organisation_id)
+        if bucket is None:
+            since_s = self.ownership.active_since_s(organisation_id)
+            bucket = RateBucket(contract, 0.0, since_s)
+            self._buckets_by_id[organisation_id] = bucket
+            log_event(LOG, 'rate_owned', organisation=organisation_id)
+        return bucket.grant(ask, now_s)
+
+    def _hand_over(self, lost: list[Lost]) -> None:
+        for item in lost:
+            bucket = self._buckets_by_id.pop(item.organisation_id, None)
+            tokens = bucket.tokens if bucket is not None else 0.0
+            row = self._members.by_id.get(item.new_owner)
+            log_event(
+                LOG,
+                'rate_handed_over',
+                organisation=item.organisation_id,
+                new_owner=item.new_owner,
+                tokens=tokens,
+            )
+            if row is None:
+                continue
+            message = HandOver(item.organisation_id, self._own_id, tokens)
+            self._tasks.spawn(
+                self._links.request(row.address, message, HAND_OVER_TIMEOUT_S)
+            )
+
+    async def _answer_hand_over(self, message: HandOver) -> HandedOver:
+        now_s = boot_time_s()
+        until_s = now_s + HAND_OVER_KEPT_S
+        handed = (message.tokens, until_s)
+        self._handed_by_id[message.organisation_id] = handed
+        self._accept_handed(message.organisation_id, now_s)
+        return HandedOver()
+
+    def _accept_handed(
+        self, organisation_id: OrganisationId, now_s: float
+    ) -> None:
+        tokens, until_s = self._handed_by_id[organisation_id]
+        contract = self.contracts_by_id.get(organisation_id)
+        if now_s >= until_s or contract is None:
+            del self._handed_by_id[organisation_id]
+            return
+        if not self.ownership.take_over(organisation_id, now_s):
+            return
+        del self._handed_by_id[organisation_id]
+        bucket = RateBucket(contract, tokens, now_s)
+        self._buckets_by_id[organisation_id] = bucket
+        log_event(
+            LOG, 'rate_owned', organisation=organisation_id, tokens=tokens
+        )
--- a/jackdawfield/gateway/turn_calls.py
+++ b/jackdawfield/gateway/turn_calls.py
@@ -97,9 +97,8 @@
             refusal = await self._begin_reservation(turn)
             if refusal is not None:
                 return refusal
-            started_s = time.monotonic()
-            refusal = await self._admission.admit(call)
-            self._metrics.record_admission(call, time.monotonic() - started_s)
+            with self._metrics.time_admission(call):
+                refusal = await self._admission.admit(call)
             if refusal is not None:
                 return refusal
             outcome = await self._run(turn, service, reply)
--- a/jackdawfield/gateway/turn_store.py
+++ b/jackdawfield/gateway/turn_store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import OrderedDict
+from collections.abc import Iterator
 import dataclasses
 from dataclasses import dataclass
 from enum import Enum
@@ -142,7 +143,7 @@
     async def _put(
         self, puts: tuple[tuple[RowKey, bytes], ...], deadline_s: float
     ) -> bool:
-        pause_s = RETRY_S
+        pauses_s = _pauses_s()
         while (left_s := deadline_s - time.monotonic()) > 0:
             transaction = RowTransaction((), puts)
             outcome = await self._store.transact(
@@ -150,8 +151,7 @@
             )
             if isinstance(outcome, Committed):
                 return True
-            await asyncio.sleep(pause_s)
-            pause_s = min(MAX_RETRY_S, pause_s * 2)
+            await asyncio.sleep(next(pauses_s))
         return False
 
     def _account(self, program: ProgramKey) -> _Account:
@@ -188,13 +188,12 @@
 
     async def _run(self, program: ProgramKey, account: _Account) -> None:
         try:
-            pause_s = RETRY_S
+            pauses_s = _pauses_s()
             while account.works:
                 if await self._step(program, account):
-                    pause_s = RETRY_S
+                    pauses_s = _pauses_s()
                     continue
-                await asyncio.sleep(pause_s)
-                pause_s = min(MAX_RETRY_S, pause_s * 2)
+                await asyncio.sleep(next(pauses_s))
         finally:
             account.task = None
             for work in account.works:
@@ -207,7 +206,7 @@
         if not works:
             return True
         ledger = account.ledger
-        plan = ledger.plan(w.event for w in works if w.event is not None)
+        plan = _plan(ledger, works)
         refused = not all(plan.verdicts)
         if refused and not ledger.known:
             return await self._reread(program, ledger)
@@ -218,7 +217,7 @@
         if not plan.must_write and not puts:
             if refused and not await self._reread(program, ledger):
                 return False
-            plan = ledger.plan(w.event for w in works if w.event is not None)
+            plan = _plan(ledger, works)
             if not plan.must_write:
                 ledger.free = plan.free
                 self._finish(account, works, plan)
@@ -338,6 +337,18 @@
         account.works = [w for w in account.works if not w.done.done()]
 
 
+def _pauses_s() -> Iterator[float]:
+    """Yield the pauses between tries, each twice the last up to a limit."""
+    pause_s = RETRY_S
+    while True:
+        yield pause_s
+        pause_s = min(MAX_RETRY_S, pause_s * 2)
+
+
+def _plan(ledger: Ledger, works: list[_Work]) -> LedgerPlan:
+    return ledger.plan(w.event for w in works if w.event is not None)
+
+
 def _resolve(work: _Work, verdict: Verdict) -> None:
     if not work.done.done():
         work.done.set_result(verdict)
--- a/jackdawfield/platform/headers.py
+++ b/jackdawfield/platform/headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from jackdawfield.gateway.calls import CallHeaders
+from jackdawfield.gateway.calls import CONNECTION_HEADERS
 from jackdawfield.gateway.calls import ForwardedHeaders
 from jackdawfield.gateway.model import TurnId
 from jackdawfield.model import ProgramId
@@ -40,22 +41,8 @@
         'kv-fetch',
     )
 )
-# These concern one connection; the HTTP libraries set their own.
-CONNECTION_HEADERS = frozenset(
-    (
-        'connection',
-        'content-length',
-        'expect',
-        'keep-alive',
-        'proxy-authenticate',
-        'proxy-authorization',
-        'proxy-connection',
-        'te',
-        'trailer',
-        'transfer-encoding',
-        'upgrade',
-    )
-)
+# The HTTP libraries count the body and ask for it themselves.
+BODY_HEADERS = frozenset(('content-length', 'expect'))
 
 
 def _number(text: str | None) -> int | None:
@@ -103,7 +90,7 @@
         if key.lower() == 'connection'
         for name in value.split(',')
     }
-    dropped = SYSTEM_HEADERS | CONNECTION_HEADERS | named
+    dropped = SYSTEM_HEADERS | CONNECTION_HEADERS | BODY_HEADERS | named
     return tuple(pair for pair in pairs if pair[0].lower() not in dropped)
 
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -17,6 +17,7 @@
 from jackdawfield.gateway.model import CallRoute
 from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.model import Target
+from jackdawfield.gateway.places import Places
 from jackdawfield.gateway.servers import Servers
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
@@ -123,7 +124,7 @@
             )
             servers.put(entry)
             servers.by_id[entry.server_id].in_flight = number
-        self.dispatcher = Dispatcher(servers, self.pool, NAMES)
+        self.dispatcher = Dispatcher(Places(servers), self.pool, NAMES)
         return await self.dispatcher.start(asked, SERVICE, b'body', None)
 
     @property
