--- a/jackdawfield/gateway/turn_store.py
+++ b/jackdawfield/gateway/turn_store.py
@@ -1,8 +1,8 @@
 """Writes turns and budgets to the store, and removes what is over."""
 
 import asyncio
-from collections import OrderedDict
 from collections.abc import Iterator
+from collections import OrderedDict
 import dataclasses
 from dataclasses import dataclass
 from enum import Enum
