--- a/jackdawfield/gateway/turn_store.py
+++ b/jackdawfield/gateway/turn_store.py
@@ -1,7 +1,6 @@
 """Writes turns and budgets to the store, and removes what is over."""
 
 import asyncio
-from collections.abc import Iterator
 from collections import OrderedDict
 import dataclasses
 from dataclasses import dataclass
@@ -21,6 +20,7 @@
 from jackdawfield.gateway.ledger import LedgerEvent
 from jackdawfield.gateway.ledger import LedgerPlan
 from jackdawfield.gateway.ledger import Reserve
+from jackdawfield.gateway.pauses import growing_pauses_s
 from jackdawfield.gateway.retention import Expired
 from jackdawfield.gateway.retention import is_over
 from jackdawfield.gateway.retention import KEYS_PER_WRITE
@@ -143,7 +143,7 @@
     async def _put(
         self, puts: tuple[tuple[RowKey, bytes], ...], deadline_s: float
     ) -> bool:
-        pauses_s = _pauses_s()
+        pauses_s = growing_pauses_s(RETRY_S, MAX_RETRY_S)
         while (left_s := deadline_s - time.monotonic()) > 0:
             transaction = RowTransaction((), puts)
             outcome = await self._store.transact(
@@ -188,10 +188,10 @@
 
     async def _run(self, program: ProgramKey, account: _Account) -> None:
         try:
-            pauses_s = _pauses_s()
+            pauses_s = growing_pauses_s(RETRY_S, MAX_RETRY_S)
             while account.works:
                 if await self._step(program, account):
-                    pauses_s = _pauses_s()
+                    pauses_s = growing_pauses_s(RETRY_S, MAX_RETRY_S)
                     continue
                 await asyncio.sleep(next(pauses_s))
         finally:
@@ -337,14 +337,6 @@
         account.works = [w for w in account.works if not w.done.done()]
 
 
-def _pauses_s() -> Iterator[float]:
-    """Yield the pauses between tries, each twice the last up to a limit."""
-    pause_s = RETRY_S
-    while True:
-        yield pause_s
-        pause_s = min(MAX_RETRY_S, pause_s * 2)
-
-
 def _plan(ledger: Ledger, works: list[_Work]) -> LedgerPlan:
     return ledger.plan(w.event for w in works if w.event is not None)
 
