--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,10 @@
 PYTHON ?= python3.11
 VENV ?= .venv
 BIN := $(VENV)/bin
+SEED ?= 1
 STAMP := $(VENV)/.installed
 
-.PHONY: setup test lint unit demo bench plots clean
+.PHONY: setup test lint unit demo bench soak plots clean
 
 setup: $(STAMP)
 
@@ -14,9 +15,9 @@
 	touch $(STAMP)
 
 lint: setup
-	$(BIN)/ruff format --check jackdawfield tests bench scripts
-	$(BIN)/ruff check jackdawfield tests bench scripts
-	$(BIN)/flake8 jackdawfield tests bench scripts
+	$(BIN)/ruff format --check jackdawfield tests bench scripts soak
+	$(BIN)/ruff check jackdawfield tests bench scripts soak
+	$(BIN)/flake8 jackdawfield tests bench scripts soak
 	$(BIN)/mypy
 
 unit: setup
@@ -30,5 +31,8 @@
 bench: setup
 	$(BIN)/python -m bench
 
+soak: setup
+	$(BIN)/python -m soak --seed $(SEED)
+
 clean:
 	rm -rf $(VENV)
--- a/jackdawfield/standins/row_store.py
+++ b/jackdawfield/standins/row_store.py
@@ -1,6 +1,7 @@
 """Stands in for the platform's store of rows, in memory."""
 
 import asyncio
+from bisect import bisect_right
 from collections import deque
 from enum import Enum
 
@@ -121,19 +122,16 @@
             return Err(StoreError('history is gone', history_gone=True))
         if trouble is not Trouble.NONE:
             return Err(StoreError('the store is away'))
-        rows = self._changed_since(table, after)
-        if not rows:
-            try:
-                async with asyncio.timeout(wait_s):
+        try:
+            async with asyncio.timeout(wait_s):
+                while not (rows := self._changed_since(table, after)):
                     await self._changed.wait()
-            except TimeoutError:
-                pass
-            rows = self._changed_since(table, after)
+        except TimeoutError:
+            rows = ()
         return Ok(RowsChanged(rows, self.version))
 
     def _changed_since(self, table: str, after: int) -> tuple[StoredRow, ...]:
+        first = bisect_right(self._history, after, key=lambda row: row.version)
         return tuple(
-            row
-            for row in self._history
-            if row.key.table == table and row.version > after
+            row for row in self._history[first:] if row.key.table == table
         )
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Runs the gateway's processes under seeded faults and checks promises."""
