Count store calls by kind and answer, waits for places, ages of tables

A wrapper of the store measures what the adapter's calls answer. Tests of the gateway that read the metrics pass.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -27,6 +27,7 @@
 from jackdawfield.gateway.front import Front
 from jackdawfield.gateway.front import Received
 from jackdawfield.gateway.front import Reply
+from jackdawfield.gateway.measured_store import MeasuredStore
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.members import Members
 from jackdawfield.gateway.members import MEMBERS_TABLE
@@ -92,9 +93,11 @@
         self._incarnation = secrets.token_hex(4)
         self._tasks = BackgroundTasks()
         self.stopping = False
+        self.metrics = GatewayMetrics(settings.instance_id)
         self._build_store()
         self._build_calls()
         self._followers = self._build_followers()
+        self._add_gauges()
         self.front = Front(self._serve)
         self._health = Front(self._answer_health)
         self._metrics_front = Front(self._answer_metrics)
@@ -111,7 +114,9 @@
             self.links,
             lambda: self.members.relay_addresses(),
         )
-        self.store = self._adapter.open_store(self.store_path)
+        self.store = MeasuredStore(
+            self._adapter.open_store(self.store_path), self.metrics
+        )
         self.members = Members(
             settings, self.store, self.links, self._incarnation
         )
@@ -122,7 +127,7 @@
             settings.domain_id, dict(settings.regions_by_domain)
         )
         self.server_pool = ConnectionPool()
-        self.places = Places(self.servers)
+        self.places = Places(self.servers, self.metrics)
         self.dispatcher = Dispatcher(
             self.places, self.server_pool, self._adapter.names
         )
@@ -140,7 +145,6 @@
         self.admission = Admission(
             settings, self.members, self.links, self.rate_owner
         )
-        self.metrics = GatewayMetrics(settings.instance_id)
         self.turn_calls = TurnCalls(
             self.dispatcher,
             chains,
@@ -151,14 +155,12 @@
         self.entry = Entry(
             self.dispatcher, self.turn_calls, self.admission, self.metrics
         )
-        self._add_gauges()
 
     def _add_gauges(self) -> None:
         gauge = self.metrics.gauge
         gauge('requests_in_flight', lambda: self.front.in_flight)
         gauge('servers_listed', lambda: len(self.servers.by_id))
         gauge('members_known', lambda: len(self.members.by_id))
-        gauge('store_calls', lambda: self.store_path.calls)
         gauge('server_connections_opened', lambda: self.server_pool.opened)
         gauge('store_reached_directly', lambda: self.store_path.direct)
         gauge(
@@ -166,6 +168,8 @@
             lambda: time.monotonic() - self.store_path.reached_at_s,
         )
         gauge('configuration_version', self._configuration_version)
+        for follower in self._followers:
+            gauge(f'{follower.table}_table_age_s', follower.age_s)
 
     def _configuration_version(self) -> int:
         configuration = self.entry.configuration
--- a/jackdawfield/gateway/follower.py
+++ b/jackdawfield/gateway/follower.py
@@ -39,7 +39,7 @@
         saw: Callable[[float], None] | None = None,
     ) -> None:
         self._store = store
-        self._table = table
+        self.table = table
         self._take_all = take_all
         self._take_changes = take_changes
         self._doubt_s = doubt_s
@@ -47,8 +47,13 @@
         self._saw = saw
         self._failed_at_s = float('-inf')
         self._pause_s = FIRST_PAUSE_S
+        self._seen_at_s = boot_time_s()
         self.version: int | None = None
 
+    def age_s(self) -> float:
+        """Return how long ago the store was asked for what is known."""
+        return boot_time_s() - self._seen_at_s
+
     async def run(self) -> None:
         """Follow the table for ever."""
         while True:
@@ -69,7 +74,7 @@
 
     async def _read_all(self) -> bool:
         asked_at_s = boot_time_s()
-        found = await self._store.read(self._table, '')
+        found = await self._store.read(self.table, '')
         if isinstance(found, Err):
             self._log_failure(found.err_value.reason)
             return False
@@ -80,7 +85,7 @@
 
     async def _read_changes(self, after: int) -> bool:
         asked_at_s = boot_time_s()
-        found = await self._store.changes(self._table, after, self._wait_s)
+        found = await self._store.changes(self.table, after, self._wait_s)
         if isinstance(found, Err):
             self._log_failure(found.err_value.reason)
             if found.err_value.history_gone:
@@ -93,8 +98,9 @@
         return True
 
     def _note(self, asked_at_s: float) -> None:
+        self._seen_at_s = asked_at_s
         if self._saw is not None:
             self._saw(asked_at_s)
 
     def _log_failure(self, reason: str) -> None:
-        log_event(LOG, 'table_unread', table=self._table, reason=reason)
+        log_event(LOG, 'table_unread', table=self.table, reason=reason)
--- /dev/null
+++ b/jackdawfield/gateway/measured_store.py
@@ -0,0 +1,63 @@
+"""Counts and times the calls to the store, by kind and answer."""
+
+import time
+
+from result import Err
+from result import Result
+
+from jackdawfield.gateway.measurement import GatewayMetrics
+from jackdawfield.gateway.rows import RowOutcome
+from jackdawfield.gateway.rows import RowsChanged
+from jackdawfield.gateway.rows import RowsRead
+from jackdawfield.gateway.rows import RowStore
+from jackdawfield.gateway.rows import RowTransaction
+from jackdawfield.gateway.rows import StoreError
+
+ANSWERED = 'answered'
+HISTORY_GONE = 'history gone'
+NOT_ANSWERED = 'not answered'
+
+
+class MeasuredStore:
+    """Passes calls on to a store of rows."""
+
+    def __init__(self, store: RowStore, metrics: GatewayMetrics) -> None:
+        self._store = store
+        self._metrics = metrics
+
+    async def read(
+        self, table: str, part: str, first: str = '', last: str = ''
+    ) -> Result[RowsRead, StoreError]:
+        """Return the rows with keys from the first to before the last."""
+        started_s = time.monotonic()
+        found = await self._store.read(table, part, first, last)
+        self._record('read', _answer(found), started_s)
+        return found
+
+    async def transact(
+        self, transaction: RowTransaction, timeout_s: float
+    ) -> RowOutcome:
+        """Write rows, sent once, and return what is known of it."""
+        started_s = time.monotonic()
+        outcome = await self._store.transact(transaction, timeout_s)
+        self._record('write', type(outcome).__name__, started_s)
+        return outcome
+
+    async def changes(
+        self, table: str, after: int, wait_s: float
+    ) -> Result[RowsChanged, StoreError]:
+        """Return the rows changed after a version, waiting for some."""
+        started_s = time.monotonic()
+        found = await self._store.changes(table, after, wait_s)
+        self._record('changes', _answer(found), started_s)
+        return found
+
+    def _record(self, kind: str, answer: str, started_s: float) -> None:
+        elapsed_s = time.monotonic() - started_s
+        self._metrics.record_store_call(kind, answer, elapsed_s)
+
+
+def _answer(found: Result[object, StoreError]) -> str:
+    if not isinstance(found, Err):
+        return ANSWERED
+    return HISTORY_GONE if found.err_value.history_gone else NOT_ANSWERED
--- a/jackdawfield/gateway/measurement.py
+++ b/jackdawfield/gateway/measurement.py
@@ -2,12 +2,18 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from contextlib import AbstractContextManager
 from contextlib import contextmanager
 import time
 
+from hdrh.histogram import HdrHistogram
+
 from jackdawfield.gateway.calls import Call
+from jackdawfield.metrics import LOWEST_MS
 from jackdawfield.metrics import Metric
+from jackdawfield.metrics import new_histogram
 from jackdawfield.metrics import PREFIX
+from jackdawfield.metrics import QUANTILES
 from jackdawfield.metrics import Registry
 
 MS_PER_S = 1000
@@ -28,6 +34,8 @@
         self._registry = Registry(instance_id)
         self._reasons: dict[tuple[str, int, str], int] = {}
         self._gauges_by_name: dict[str, Gauge] = {}
+        self._store_calls: dict[tuple[str, str], int] = {}
+        self._store_times_by_kind: dict[str, HdrHistogram] = {}
 
     def gauge(self, name: str, read: Gauge) -> None:
         """Show a value that is read when it is asked for."""
@@ -58,20 +66,38 @@
         """Time a server's first piece."""
         self._record(Metric.SERVER_FIRST, call, elapsed_s)
 
-    @contextmanager
-    def time_admission(self, call: Call) -> Iterator[None]:
+    def time_admission(self, call: Call) -> AbstractContextManager[None]:
         """Time how long a call waits for the rate."""
+        return self._timed(Metric.ADMISSION, call)
+
+    def time_place(self, call: Call) -> AbstractContextManager[None]:
+        """Time how long a call waits for a place at a server."""
+        return self._timed(Metric.PLACE, call)
+
+    @contextmanager
+    def _timed(self, metric: Metric, call: Call) -> Iterator[None]:
         started_s = time.monotonic()
         try:
             yield
         finally:
-            elapsed_s = time.monotonic() - started_s
-            self._record(Metric.ADMISSION, call, elapsed_s)
+            self._record(metric, call, time.monotonic() - started_s)
 
     def record_commit(self, call: Call, elapsed_s: float) -> None:
         """Time how long a turn waited for the store."""
         self._record(Metric.COMMIT, call, elapsed_s)
 
+    def record_store_call(
+        self, kind: str, answer: str, elapsed_s: float
+    ) -> None:
+        """Count and time a call to the store; long polls wait on purpose."""
+        key = (kind, answer)
+        self._store_calls[key] = self._store_calls.get(key, 0) + 1
+        times = self._store_times_by_kind.get(kind)
+        if times is None:
+            times = new_histogram()
+            self._store_times_by_kind[kind] = times
+        times.record_value(max(LOWEST_MS, round(elapsed_s * MS_PER_S)))
+
     def _record(self, metric: Metric, call: Call, elapsed_s: float) -> None:
         organisation = call.organisation_id or OPEN
         self._registry.record(
@@ -90,7 +116,21 @@
             reason = reason.replace('\\', '/').replace('"', "'")
             labels = f'route="{route}",status="{status}",reason="{reason}"'
             lines.append(f'{PREFIX}refusals{{{labels}}} {count}')
+        lines += self._store_lines()
         for name, read in sorted(self._gauges_by_name.items()):
             lines.append(f'# TYPE {PREFIX}{name} gauge')
             lines.append(f'{PREFIX}{name} {read():g}')
         return '\n'.join([*lines, ''])
+
+    def _store_lines(self) -> list[str]:
+        lines = [f'# TYPE {PREFIX}store_calls counter']
+        for (kind, answer), count in sorted(self._store_calls.items()):
+            labels = f'kind="{kind}",answer="{answer}"'
+            lines.append(f'{PREFIX}store_calls{{{labels}}} {count}')
+        lines.append(f'# TYPE {PREFIX}store_ms summary')
+        for kind, times in sorted(self._store_times_by_kind.items()):
+            for quantile in QUANTILES:
+                value = times.get_value_at_percentile(quantile)
+                labels = f'kind="{kind}",quantile="{quantile / 100:g}"'
+                lines.append(f'{PREFIX}store_ms{{{labels}}} {value}')
+        return lines
--- a/jackdawfield/gateway/places.py
+++ b/jackdawfield/gateway/places.py
@@ -6,6 +6,7 @@
 
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.servers import Servers
 from jackdawfield.gateway.servers import ServerState
@@ -28,8 +29,9 @@
 class Places:
     """Holds the calls that wait for a place, by service."""
 
-    def __init__(self, servers: Servers) -> None:
+    def __init__(self, servers: Servers, metrics: GatewayMetrics) -> None:
         self._servers = servers
+        self._metrics = metrics
         self.configuration: FleetConfiguration | None = None
         self._waiting_by_service: dict[ServiceName, Waiting[_Turn]] = {}
 
@@ -51,6 +53,10 @@
         turn = _Turn(wanted, asyncio.get_running_loop().create_future())
         waiting.put(rank, turn)
         self._admit_waiting(wanted.service)
+        with self._metrics.time_place(call):
+            return await self._wait(turn)
+
+    async def _wait(self, turn: _Turn) -> ServerState | Refusal | None:
         try:
             async with asyncio.timeout(LONGEST_WAIT_S):
                 return await asyncio.shield(turn.server)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -13,6 +13,7 @@
 from jackdawfield.gateway.dispatch import Dispatcher
 from jackdawfield.gateway.dispatch import Running
 from jackdawfield.gateway.dispatch import WireNames
+from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.model import CallRoute
 from jackdawfield.gateway.model import ServerEntry
@@ -124,7 +125,8 @@
             )
             servers.put(entry)
             servers.by_id[entry.server_id].in_flight = number
-        self.dispatcher = Dispatcher(Places(servers), self.pool, NAMES)
+        places = Places(servers, GatewayMetrics('i'))
+        self.dispatcher = Dispatcher(places, self.pool, NAMES)
         return await self.dispatcher.start(asked, SERVICE, b'body', None)
 
     @property
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -199,3 +199,12 @@
         text = self.first.metrics.text()
         self.assertIn('reason="no such route"', text)
         self.assertIn('jackdawfield_commit_ms', text)
+        self.assertIn('store_calls{kind="write",answer="Committed"}', text)
+        self.assertIn('store_ms{kind="read",quantile="0.5"}', text)
+        self.assertRegex(text, 'servers_table_age_s [0-9.]+')
+
+    async def test_metrics_count_a_store_that_does_not_answer(self) -> None:
+        self.fleet.store.refusing = True
+        await self.fleet.turn(self.first, 't1', b'one.', Deadline_Ms='300')
+        text = self.first.metrics.text()
+        self.assertIn('store_calls{kind="write",answer="NotApplied"}', text)
