Share failures of servers between the instances, and shun with a cap

Cause: on the grown sites 66 to 91 instances send a server a request every ten seconds or so each; two failures in a row at one instance, the only sign that avoided a server, come too late for servers that fail 14 to 45% of their requests, hang or flap while they are called well. A server's 5xx counts as a failure, and so does a first piece due for 1 s while the others are prompt. Ruled out: reports through the store (each would cost 66 long polls), health answers (they are false on these sites, and priced).

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -23,6 +23,7 @@
 from jackdawfield.gateway.dispatch import Dispatcher
 from jackdawfield.gateway.dispatch import WireNames
 from jackdawfield.gateway.entry import Entry
+from jackdawfield.gateway.failures import FailureReports
 from jackdawfield.gateway.follower import TableFollower
 from jackdawfield.gateway.front import Front
 from jackdawfield.gateway.front import Received
@@ -128,8 +129,14 @@
         )
         self.server_pool = ConnectionPool()
         self.places = Places(self.servers, self.metrics)
+        self.failures = FailureReports(
+            settings.region_id, self.servers, self.members, self.links
+        )
         self.dispatcher = Dispatcher(
-            self.places, self.server_pool, self._adapter.names
+            self.places,
+            self.server_pool,
+            self._adapter.names,
+            self.failures.report,
         )
         cache = TurnCache(int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE))
         self.turns = TurnStore(
@@ -207,6 +214,7 @@
         self.store_path.register(self.peers)
         self.members.register(self.peers)
         self.rate_owner.register(self.peers)
+        self.failures.register(self.peers)
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
         self.front.listen(settings.host, settings.caller_port)
         self._health.listen(settings.host, settings.health_port)
--- a/jackdawfield/gateway/dispatch.py
+++ b/jackdawfield/gateway/dispatch.py
@@ -22,6 +22,7 @@
 from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.places import Places
 from jackdawfield.gateway.places import RETRY_SOON_S
+from jackdawfield.gateway.servers import HANG_S
 from jackdawfield.gateway.servers import note_failure
 from jackdawfield.gateway.servers import note_full
 from jackdawfield.gateway.servers import note_success
@@ -38,6 +39,7 @@
 VAIN_TRIES = 4
 STATUS_MISDIRECTED = 421
 STATUS_FULL = 503
+STATUS_SERVER_ERROR = 500
 SUCCESS_CLASS = 2
 # What is left of a call's time below which no server is asked.
 LEAST_TIME_S = 0.02
@@ -110,8 +112,13 @@
     """Chooses servers and exchanges requests with them."""
 
     def __init__(
-        self, places: Places, pool: ConnectionPool, names: WireNames
+        self,
+        places: Places,
+        pool: ConnectionPool,
+        names: WireNames,
+        report: Callable[[ServerState], None],
     ) -> None:
+        self._report = report
         self._places = places
         self.pool = pool
         self._names = names
@@ -205,6 +212,7 @@
             return _NotRun('unreached')
         limit_s = _answer_limit_s(call, left_s, more)
         outcome: Running | _NotRun | _Lost | None = None
+        watch = self._watch_silence(server)
         if call.route.kind is CallKind.STREAM:
             server.due_since_by_number[id(connection)] = now_s
         try:
@@ -212,11 +220,21 @@
                 call, server, connection, now_s, limit_s
             )
         finally:
+            watch.cancel()
             # The first piece of a begun answer is noted when it comes.
             if not isinstance(outcome, Running):
                 server.due_since_by_number.pop(id(connection), None)
         return outcome
 
+    def _watch_silence(self, server: ServerState) -> asyncio.TimerHandle:
+        """Report a server that alone does not answer for long."""
+
+        def note() -> None:
+            if self._places.servers.hangs(server, time.monotonic()):
+                self._report(server)
+
+        return asyncio.get_running_loop().call_later(HANG_S, note)
+
     async def _answer(
         self,
         call: Call,
@@ -319,13 +337,18 @@
             running.connection.abort('answer cut')
             self._note_failure(server, time.monotonic(), 'answer cut')
             return
-        note_success(server)
+        if running.head.status >= STATUS_SERVER_ERROR:
+            reason = f'answered {running.head.status}'
+            self._note_failure(server, time.monotonic(), reason)
+        else:
+            note_success(server)
         entry = server.entry
         self.pool.release(entry.host, entry.port, running.connection)
 
     def _note_failure(
         self, server: ServerState, now_s: float, reason: str
     ) -> None:
+        self._report(server)
         if note_failure(server, now_s):
             log_event(
                 LOG,
--- a/jackdawfield/gateway/places.py
+++ b/jackdawfield/gateway/places.py
@@ -30,7 +30,7 @@
     """Holds the calls that wait for a place, by service."""
 
     def __init__(self, servers: Servers, metrics: GatewayMetrics) -> None:
-        self._servers = servers
+        self.servers = servers
         self._metrics = metrics
         self.configuration: FleetConfiguration | None = None
         self._waiting_by_service: dict[ServiceName, Waiting[_Turn]] = {}
@@ -39,7 +39,7 @@
         self, call: Call, wanted: Wanted
     ) -> ServerState | Refusal | None:
         """Return a server with a place taken, waiting in the calls' order."""
-        server = self._servers.choose(wanted, time.monotonic())
+        server = self.servers.choose(wanted, time.monotonic())
         if server is None:
             return None
         waiting = self._waiting(wanted.service)
@@ -77,7 +77,7 @@
             if turn.server.done():
                 waiting.pop()
                 continue
-            server = self._servers.choose(turn.wanted, time.monotonic())
+            server = self.servers.choose(turn.wanted, time.monotonic())
             if server is not None and not server.has_room:
                 return
             waiting.pop()
--- a/jackdawfield/gateway/servers.py
+++ b/jackdawfield/gateway/servers.py
@@ -3,9 +3,11 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+import random
 
 from jackdawfield.decisions.placement import score
 from jackdawfield.gateway.model import ServerEntry
+from jackdawfield.gateway.standing import Standing
 from jackdawfield.gateway.waiting import Window
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
@@ -33,6 +35,12 @@
 # that a server that got no more work is tried again.
 WAIT_WEIGHT = 0.3
 WAIT_HALF_LIFE_S = 1.0
+# At most this share of a service's servers is shunned at once.
+MOST_SHUNNED = 1 / 3
+# A first piece that is due for longer tells of a server that hangs, if the
+# others do not let calls wait for as long as this.
+HANG_S = 1.0
+PROMPT_S = 0.2
 
 
 @dataclass(slots=True)
@@ -45,6 +53,7 @@
     avoid_until_s: float = 0.0
     full_until_s: float = 0.0
     missing_since_s: float | None = None
+    standing: Standing = field(default_factory=Standing)
     window: Window = field(default_factory=lambda: Window.of(1))
     # When the requests were sent whose first piece is still due, by number.
     due_since_by_number: dict[int, float] = field(default_factory=dict)
@@ -115,8 +124,11 @@
         """Add a server or take over what changed of it."""
         state = self.by_id.get(entry.server_id)
         if state is None or state.entry.started_ms != entry.started_ms:
-            window = Window.of(entry.slots)
-            self.by_id[entry.server_id] = ServerState(entry, window=window)
+            self.by_id[entry.server_id] = ServerState(
+                entry,
+                standing=Standing(trial_order=random.random()),
+                window=Window.of(entry.slots),
+            )
             return
         state.entry = entry
         state.missing_since_s = None
@@ -157,12 +169,32 @@
         ]
         if not usable:
             return None
-        good = [s for s in usable if s.avoid_until_s <= now_s]
-        candidates = good or usable
+        trusted = _without_shunned(usable, now_s)
+        good = [s for s in trusted if s.avoid_until_s <= now_s]
+        candidates = good or trusted
         return min(
             candidates, key=lambda state: self._cost(state, wanted, now_s)
         )
 
+    def note_report(
+        self, server_id: ServerId, weight: float, now_s: float
+    ) -> bool:
+        """Count a failure, and return whether it lets a server be shunned."""
+        state = self.by_id.get(server_id)
+        return state is not None and state.standing.note(weight, now_s)
+
+    def hangs(self, state: ServerState, now_s: float) -> bool:
+        """Return whether a server alone lets calls wait for long."""
+        waits_s = [
+            other.wait_s(now_s)
+            for other in self.by_id.values()
+            if other.entry.service == state.entry.service
+            and other is not state
+        ]
+        if not waits_s:
+            return False
+        return sum(waits_s) / len(waits_s) < PROMPT_S
+
     def _cost(
         self, state: ServerState, wanted: Wanted, now_s: float
     ) -> tuple[bool, bool, float, int]:
@@ -184,6 +216,17 @@
         return self._regions_by_domain.get(domain_id)
 
 
+def _without_shunned(
+    usable: list[ServerState], now_s: float
+) -> list[ServerState]:
+    """Leave out shunned servers, the worst first, up to the share."""
+    shunned = [s for s in usable if s.standing.shunned(now_s)]
+    shunned.sort(key=lambda s: -s.standing.times)
+    left_out = shunned[: int(len(usable) * MOST_SHUNNED)]
+    ids = {state.entry.server_id for state in left_out}
+    return [s for s in usable if s.entry.server_id not in ids]
+
+
 def note_success(state: ServerState) -> None:
     """Trust a server again after a whole answer."""
     state.failures = 0
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -20,6 +20,7 @@
 from jackdawfield.gateway.model import Target
 from jackdawfield.gateway.places import Places
 from jackdawfield.gateway.servers import Servers
+from jackdawfield.gateway.servers import ServerState
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
 from jackdawfield.model import RouteName
@@ -96,6 +97,11 @@
     turn.writer.write(f'{head}Content-Length: 2\r\n\r\nno'.encode())
 
 
+async def failing(turn: Turn) -> None:
+    head = f'HTTP/1.1 500 No\r\nX-Id: {turn.header("x-id")}\r\n'
+    turn.writer.write(f'{head}Content-Length: 2\r\n\r\nno'.encode())
+
+
 async def silent(turn: Turn) -> None:
     await asyncio.sleep(1.5)
 
@@ -125,8 +131,11 @@
             )
             servers.put(entry)
             servers.by_id[entry.server_id].in_flight = number
+        self.reported: list[ServerState] = []
         places = Places(servers, GatewayMetrics('i'))
-        self.dispatcher = Dispatcher(places, self.pool, NAMES)
+        self.dispatcher = Dispatcher(
+            places, self.pool, NAMES, self.reported.append
+        )
         return await self.dispatcher.start(asked, SERVICE, b'body', None)
 
     @property
@@ -184,6 +193,16 @@
         outcome = await self.dispatcher.start(asked, SERVICE, b'', None)
         self.assertIsInstance(outcome, Running)
 
+    async def test_failures_are_reported(self) -> None:
+        for script in (lost, unsigned, failing):
+            with self.subTest(script=script.__name__):
+                asked = call(CallKind.AT_MOST_ONCE)
+                outcome = await self.dispatch(asked, [script])
+                if isinstance(outcome, Running):
+                    self.dispatcher.end(outcome, BodyEnd.WHOLE)
+                ids = [state.entry.server_id for state in self.reported]
+                self.assertEqual(ids, ['s0'])
+
     async def test_caller_that_leaves_ends_the_work(self) -> None:
         asked = call(CallKind.STREAM)
         task = asyncio.create_task(self.dispatch(asked, [silent]))
