--- a/soak/backend.py
+++ b/soak/backend.py
@@ -91,7 +91,10 @@
                 return
             self.write(plain_body(request_id))
         if self.backend.sending_extra:
-            await self.finish()
+            try:
+                await self.finish()
+            except tornado.iostream.StreamClosedError:
+                return
             self._send_extra()
 
     async def _stream(self, run: Run) -> None:
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
-from dataclasses import dataclass
 from typing import Any
 
+from jackdawfield.decisions.table import Committed
+from jackdawfield.decisions.table import NotApplied
 from jackdawfield.gateway.admission import Admission
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
@@ -13,8 +14,9 @@
 from jackdawfield.gateway.daemon import Gateway
 from jackdawfield.gateway.dispatch import Dispatcher
 from jackdawfield.gateway.front import Reply
+from jackdawfield.gateway.measured_store import MeasuredStore
 from jackdawfield.gateway.model import CallKind
-import jackdawfield.gateway.places as places
+from jackdawfield.gateway.rows import RowConflict
 from jackdawfield.gateway.turn_store import TurnStore
 from jackdawfield.gateway.turn_store import Verdict
 
@@ -144,28 +146,20 @@
     _patch(Gateway, 'stop', Gateway.close)
 
 
-def give_servers_up() -> None:
-    """Never use a server again that failed once."""
+def give_store_up() -> None:
+    """Never write again once a write had no answer."""
+    transact = MeasuredStore.transact
+    given_up = False
 
-    @dataclass
-    class _Avoided:
-        ids: set[str]
-
-    avoided = _Avoided(set())
-    take = places.Places.take
-    note = Dispatcher._note_failure
-
-    def note_failure(self: Dispatcher, server: Any, *args: Any) -> None:
-        avoided.ids.add(server.entry.server_id)
-        note(self, server, *args)
-
-    async def changed(self: Any, call: Any, wanted: Any) -> object:
-        excluded = wanted.excluded | avoided.ids
-        wanted = dataclasses.replace(wanted, excluded=frozenset(excluded))
-        return await take(self, call, wanted)
+    async def changed(self: MeasuredStore, *args: Any) -> object:
+        nonlocal given_up
+        if given_up:
+            return NotApplied('given up')
+        outcome = await transact(self, *args)
+        given_up = not isinstance(outcome, Committed | RowConflict)
+        return outcome
 
-    _patch(Dispatcher, '_note_failure', note_failure)
-    _patch(places.Places, 'take', changed)
+    _patch(MeasuredStore, 'transact', changed)
 
 
 VARIANTS_BY_NAME: dict[str, Callable[[], None]] = {
@@ -179,5 +173,5 @@
     'stay-on-first-configuration': stay_on_first_configuration,
     'go-back': go_back,
     'cut-at-stop': cut_at_stop,
-    'give-servers-up': give_servers_up,
+    'give-store-up': give_store_up,
 }
