Spend less processor time a call: uvloop, head with the first piece

Ruled out: idle work (0.01 of a core) and imports (0.42 s a start) as the main part. Now the event loop is uvloop's; an answer's head goes out with its first piece, so that a call whose answer ends before any piece gets a 502 and no closed connection; checks run four times a second in place of ten.

--- a/jackdawfield/gateway/connections.py
+++ b/jackdawfield/gateway/connections.py
@@ -6,6 +6,7 @@
 from enum import Enum
 import socket
 import time
+from typing import cast
 
 import h11
 from result import Err
@@ -88,6 +89,7 @@
         )
         self._parts: deque[Part] = deque()
         self._buffered = 0
+        self._paused = False
         self._waiter: asyncio.Future[None] | None = None
         self._request: OutgoingRequest | None = None
         self._foreign = False
@@ -99,8 +101,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Set the socket's time limits."""
-        assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
+        # Not every event loop's transports derive from asyncio's classes.
+        self._transport = cast(asyncio.Transport, transport)
         limit_silence(transport)
 
     def data_received(self, data: bytes) -> None:
@@ -155,7 +157,10 @@
                     return
                 case h11.NEED_DATA | h11.PAUSED:
                     break
-        if self._buffered > PAUSE_BYTES and self._transport is not None:
+        if self._paused or self._buffered <= PAUSE_BYTES:
+            return
+        if self._transport is not None:
+            self._paused = True
             self._transport.pause_reading()
 
     def _take_head(self, event: h11.Response) -> None:
@@ -230,11 +235,16 @@
         part = self._parts.popleft()
         if isinstance(part, bytes):
             self._buffered -= len(part)
-            if self._buffered <= PAUSE_BYTES // 2 and self.usable:
-                assert self._transport is not None
-                self._transport.resume_reading()
+            self._resume_reading()
         return part
 
+    def _resume_reading(self) -> None:
+        if not self._paused or self._buffered > PAUSE_BYTES // 2:
+            return
+        if self.usable and self._transport is not None:
+            self._paused = False
+            self._transport.resume_reading()
+
     def finish(self) -> bool:
         """Return whether the connection may be kept after an exchange."""
         parser = self._parser
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -11,6 +11,7 @@
 
 from result import Err
 from result import Result
+import uvloop
 
 from jackdawfield.background import BackgroundTasks
 from jackdawfield.drivers.peers import PeerLinks
@@ -53,7 +54,7 @@
 BYTES_PER_MB = 1024 * 1024
 # Share of an instance's memory for turns that it has served.
 CACHE_SHARE = 0.15
-CHECK_S = 0.1
+CHECK_S = 0.25
 REMOVE_S = 5.0
 # Often enough that the view of the members stays fresh.
 MEMBERS_WAIT_S = 0.8
@@ -368,8 +369,13 @@
         self.server_pool.close()
 
 
-async def run(settings: GatewaySettings, adapter: Adapter) -> None:
-    """Serve until SIGTERM."""
+def run(settings: GatewaySettings, adapter: Adapter) -> None:
+    """Serve until SIGTERM, on the event loop that makes fewer calls."""
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(_serve(settings, adapter))
+
+
+async def _serve(settings: GatewaySettings, adapter: Adapter) -> None:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -148,9 +148,8 @@
             self._dispatcher.end(running, end)
         if end is BodyEnd.WHOLE:
             reply.finish()
-        else:
-            reply.cut()
-        return None
+            return None
+        return reply.cut_short(end)
 
     def _refuse(
         self, request_id: str, route: str, refusal: Refusal, reply: Reply
--- a/jackdawfield/gateway/front.py
+++ b/jackdawfield/gateway/front.py
@@ -19,6 +19,8 @@
 from tornado.iostream import StreamClosedError
 
 from jackdawfield.gateway.calls import CONNECTION_HEADERS
+from jackdawfield.gateway.calls import Failure
+from jackdawfield.gateway.connections import BodyEnd
 from jackdawfield.gateway.connections import ResponseHead
 
 LOG = logging.getLogger(__name__)
@@ -55,6 +57,8 @@
 
     def __init__(self, connection: HTTP1Connection) -> None:
         self._connection = connection
+        # Goes out with the first piece of the body.
+        self._head: tuple[ResponseStartLine, HTTPHeaders] | None = None
         self.started = False
         self.ended = False
         self.status = 0
@@ -69,30 +73,32 @@
         )
         if retry_after_s is not None:
             headers['Retry-After'] = f'{retry_after_s:.3f}'
-        self._write_head(status, headers, body)
+        self._head = _start_line(status), headers
+        self.status = status
+        ignore_lost(self._write(body))
         self.finish()
 
     def start(self, head: ResponseHead) -> None:
-        """Write the status and the headers of a server's answer."""
+        """Begin a server's answer; its head goes with the first piece."""
         headers = HTTPHeaders()
         for name, value in head.headers:
             if name.lower() not in CONNECTION_HEADERS:
                 headers.add(name, value)
-        self._write_head(head.status, headers, b'')
+        self._head = _start_line(head.status), headers
+        self.status = head.status
 
-    def _write_head(
-        self, status: int, headers: HTTPHeaders, body: bytes
-    ) -> None:
+    def _write(self, piece: bytes) -> Awaitable[None]:
+        head, self._head = self._head, None
         self.started = True
-        self.status = status
-        phrase = REASONS_BY_STATUS.get(status, 'Unknown')
-        line = ResponseStartLine('HTTP/1.1', status, phrase)
-        ignore_lost(self._connection.write_headers(line, headers, body))
+        if head is None:
+            return self._connection.write(piece)
+        line, headers = head
+        return self._connection.write_headers(line, headers, piece)
 
     async def write(self, piece: bytes) -> bool:
         """Write a piece of the body; False if the caller has left."""
         try:
-            await self._connection.write(piece)
+            await self._write(piece)
         except StreamClosedError:
             return False
         return True
@@ -100,6 +106,8 @@
     def finish(self) -> None:
         """End the answer as complete."""
         self.ended = True
+        if self._head is not None:
+            ignore_lost(self._write(b''))
         try:
             self._connection.finish()
         except HTTPOutputError:
@@ -110,6 +118,21 @@
         self.ended = True
         self._connection.close()
 
+    def cut_short(self, end: BodyEnd | None) -> Failure | None:
+        """End an answer that is not whole, whose end is None without caller.
+
+        Return a failure to answer with if nothing has gone out yet.
+        """
+        if end is not None and not self.started:
+            return Failure(502, 'answer cut')
+        self.cut()
+        return None
+
+
+def _start_line(status: int) -> ResponseStartLine:
+    phrase = REASONS_BY_STATUS.get(status, 'Unknown')
+    return ResponseStartLine('HTTP/1.1', status, phrase)
+
 
 def ignore_lost(written: Awaitable[None]) -> None:
     """Let a write to a caller that has left fail silently.
@@ -153,6 +176,7 @@
 
     def finish(self) -> None:
         """Run the handler of the whole request."""
+        # The HTTP library turns it off after each answer.
         self._connection.stream.set_nodelay(True)
         self._task = asyncio.create_task(self._run())
         self._connection.set_close_callback(self._left)
--- a/jackdawfield/gateway/turn_calls.py
+++ b/jackdawfield/gateway/turn_calls.py
@@ -175,8 +175,7 @@
         finally:
             self._dispatcher.end(running, end)
         if end is not BodyEnd.WHOLE:
-            reply.cut()
-            return None
+            return reply.cut_short(end)
         turn.whole = True
         turn.first_s = running.first_s or 0.0
         self._metrics.record_first(turn.call, turn.first_s)
--- a/jackdawfield/platform/__main__.py
+++ b/jackdawfield/platform/__main__.py
@@ -1,6 +1,5 @@
 """Starts an instance on the users' platform."""
 
-import asyncio
 import os
 from pathlib import Path
 import sys
@@ -46,7 +45,7 @@
         print(settings.err_value, file=sys.stderr)
         return EXIT_SETTINGS
     configure_logs(settings.ok_value.instance_id, 'info')
-    asyncio.run(run(settings.ok_value, ADAPTER))
+    run(settings.ok_value, ADAPTER)
     return 0
 
 
