Begin a regained rate without tokens, and hand rates over before leaving

While reading that: a right lost without a hand-over kept its bucket at the old owner, which went on from it, full, once it had the right again; another owner may have granted everything meanwhile. Now a bucket belongs to one right; a right that begins anew begins without tokens. A planned stop gives every right up that is in force and hands it over before the row says so.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -349,6 +349,7 @@
         last_s = started_s + grace_s - STOP_MARGIN_S
         self.front.close_after_answers()
         log_event(LOG, 'stopping', in_flight=self.front.in_flight)
+        self.rate_owner.leave()
         await self.members.leave()
         await asyncio.sleep(LISTEN_AFTER_STOP_S)
         while self.front.in_flight and time.monotonic() < last_s:
--- a/jackdawfield/gateway/ownership.py
+++ b/jackdawfield/gateway/ownership.py
@@ -166,6 +166,18 @@
         self._waits_by_id.pop(organisation_id, None)
         return True
 
+    def give_up(self, now_s: float) -> list[Lost]:
+        """End every right that is in force, and return the next owners."""
+        others = [i for i in self._serving() if i != self._own_id]
+        lost = []
+        for organisation_id in list(self._active_from_by_id):
+            acted = self.may_grant(organisation_id, now_s)
+            del self._active_from_by_id[organisation_id]
+            new = owner(str(organisation_id), others)
+            if acted and new is not None:
+                lost.append(Lost(organisation_id, new))
+        return lost
+
     def set_organisations(
         self, organisation_ids: Iterable[OrganisationId], now_s: float
     ) -> list[Lost]:
--- a/jackdawfield/gateway/rate_owner.py
+++ b/jackdawfield/gateway/rate_owner.py
@@ -1,6 +1,7 @@
 """Grants tokens of the rates that this instance owns, and hands them over."""
 
 import asyncio
+from dataclasses import dataclass
 import logging
 
 from jackdawfield.background import BackgroundTasks
@@ -29,6 +30,14 @@
 ATTEST_S = 0.5
 
 
+@dataclass(frozen=True, slots=True)
+class _Owned:
+    """Holds a bucket and since when the right that it serves is in force."""
+
+    bucket: RateBucket
+    since_s: float
+
+
 class RateOwner:
     """Holds the contracts, and the buckets of those that are owned here."""
 
@@ -40,7 +49,7 @@
         self._links = links
         self.ownership = Ownership(own_id)
         self.contracts_by_id: dict[OrganisationId, Contract] = {}
-        self._buckets_by_id: dict[OrganisationId, RateBucket] = {}
+        self._buckets_by_id: dict[OrganisationId, _Owned] = {}
         self._handed_by_id: dict[OrganisationId, tuple[float, float]] = {}
         self._tasks = BackgroundTasks()
         members.listen(self._on_members)
@@ -68,10 +77,10 @@
                     burst=contract.burst,
                 )
         now_s = boot_time_s()
-        for organisation_id, bucket in self._buckets_by_id.items():
+        for organisation_id, owned in self._buckets_by_id.items():
             new_contract = self.contracts_by_id.get(organisation_id)
             if new_contract is not None:
-                bucket.follow(new_contract, now_s)
+                owned.bucket.follow(new_contract, now_s)
         self._hand_over(
             self.ownership.set_organisations(self.contracts_by_id, now_s)
         )
@@ -128,18 +137,23 @@
             return TokensGranted(False)
         if not self.ownership.may_grant(organisation_id, now_s):
             return TokensGranted(False)
-        bucket = self._buckets_by_id.get(organisation_id)
-        if bucket is None:
-            since_s = self.ownership.active_since_s(organisation_id)
-            bucket = RateBucket(contract, 0.0, since_s)
-            self._buckets_by_id[organisation_id] = bucket
+        since_s = self.ownership.active_since_s(organisation_id)
+        owned = self._buckets_by_id.get(organisation_id)
+        # Between two rights, another owner may have granted everything.
+        if owned is None or owned.since_s != since_s:
+            owned = _Owned(RateBucket(contract, 0.0, since_s), since_s)
+            self._buckets_by_id[organisation_id] = owned
             log_event(LOG, 'rate_owned', organisation=organisation_id)
-        return bucket.grant(ask, now_s)
+        return owned.bucket.grant(ask, now_s)
+
+    def leave(self) -> None:
+        """Hand over every right before this instance leaves."""
+        self._hand_over(self.ownership.give_up(boot_time_s()))
 
     def _hand_over(self, lost: list[Lost]) -> None:
         for item in lost:
-            bucket = self._buckets_by_id.pop(item.organisation_id, None)
-            tokens = bucket.tokens if bucket is not None else 0.0
+            owned = self._buckets_by_id.pop(item.organisation_id, None)
+            tokens = owned.bucket.tokens if owned is not None else 0.0
             row = self._members.by_id.get(item.new_owner)
             log_event(
                 LOG,
@@ -175,7 +189,7 @@
             return
         del self._handed_by_id[organisation_id]
         bucket = RateBucket(contract, tokens, now_s)
-        self._buckets_by_id[organisation_id] = bucket
+        self._buckets_by_id[organisation_id] = _Owned(bucket, now_s)
         log_event(
             LOG, 'rate_owned', organisation=organisation_id, tokens=tokens
         )
--- a/tests/gateway/test_ownership.py
+++ b/tests/gateway/test_ownership.py
@@ -218,6 +218,8 @@
             case 3:
                 self.suspend(node, proven=False)
             case 4:
+                if max(node.cut_until_s, node.frozen_until_s) <= self.now_s:
+                    self.send(node.ownership.give_up(self.now_s))
                 node.alive = False
                 row = self.table.get(node.name)
                 if row is not None and self.store_away_until_s <= self.now_s:
