--- a/jackdawfield/logs.py
+++ b/jackdawfield/logs.py
@@ -8,13 +8,14 @@
 from jackdawfield.log_output import BoundedLogHandler
 
 MS_PER_S = 1000
+SPECIAL = re.compile(r'[ "=\n\r\t]')
 KEY = re.compile(r'(jf_[a-z0-9]+_)[0-9a-f]{64}', re.IGNORECASE)
 
 
 def quote(value: object) -> str:
     """Return a value as it stands in a log line."""
     text = str(value)
-    if text and not any(c in text for c in ' "=\n\r\t'):
+    if text and SPECIAL.search(text) is None:
         return text
     escaped = text.replace('\\', '\\\\').replace('"', '\\"')
     return '"' + escaped.replace('\n', '\\n').replace('\r', '\\r') + '"'
@@ -39,13 +40,21 @@
 
     def __init__(self, instance_id: str) -> None:
         super().__init__()
-        self._instance_id = instance_id
+        self._instance = quote(instance_id)
+        self._second = -1
+        self._moment = ''
+
+    def _moment_of(self, second: int) -> str:
+        if second != self._second:
+            self._second = second
+            self._moment = time.strftime(
+                '%Y-%m-%dT%H:%M:%S', time.gmtime(second)
+            )
+        return self._moment
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the line of a record."""
-        moment = time.strftime(
-            '%Y-%m-%dT%H:%M:%S', time.gmtime(record.created)
-        )
+        moment = self._moment_of(int(record.created))
         message = record.getMessage()
         if not message.startswith('event='):
             message = f'event=message text={quote(message)}'
@@ -56,13 +65,19 @@
         return (
             f'at={moment}.{int(record.msecs):03d}Z'
             f' level={record.levelname.lower()}'
-            f' instance={quote(self._instance_id)}'
+            f' instance={self._instance}'
             f' logger={record.name} {message}'
         )
 
 
 def configure_logs(instance_id: str, level: str) -> None:
     """Send all logs to standard output in key=value form."""
+    # No line tells of threads, processes or places in the source, which the
+    # library would find out for each record.
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+    logging._srcfile = None
     handler = BoundedLogHandler(sys.stdout.fileno())
     handler.setFormatter(KeyValueFormatter(instance_id))
     root = logging.getLogger()
