Log a call whose caller has left, and what each call waited for

Now caller_left and call_timed_out say what the call waited for: rate, server, chain, budget, answer or commit; explain tells. Test: a call whose caller left says what it waited for; no line before.

--- a/jackdawfield/explain.py
+++ b/jackdawfield/explain.py
@@ -30,7 +30,10 @@
 
 # What an event says of a request's end, the most telling first.
 CAUSES_BY_EVENT = {
-    'call_timed_out': 'its time was over before it was answered',
+    'caller_left': 'its caller left after {ms} ms, while it waited for the'
+    ' {waiting_for}',
+    'call_timed_out': 'its time was over before it was answered, while it'
+    ' waited for the {waiting_for}',
     'call_refused': 'refused with {status}, not run: {reason}',
     'turn_not_kept': 'its turn could not be written in time, so that the '
     'answer was not ended',
--- a/jackdawfield/gateway/calls.py
+++ b/jackdawfield/gateway/calls.py
@@ -1,6 +1,7 @@
 """Defines a caller's request, what goes to a server and what comes back."""
 
 from dataclasses import dataclass
+from enum import Enum
 
 from jackdawfield.gateway.model import CallRoute
 from jackdawfield.gateway.model import TurnId
@@ -26,6 +27,17 @@
 )
 
 
+class Stage(Enum):
+    """Names what a call under way waits for."""
+
+    RATE = 'rate'
+    SERVER = 'server'
+    CHAIN = 'chain'
+    BUDGET = 'budget'
+    ANSWER = 'answer'
+    COMMIT = 'commit'
+
+
 @dataclass(frozen=True, slots=True)
 class CallHeaders:
     """Holds what the headers of a caller's request say."""
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -9,6 +9,7 @@
 from jackdawfield.gateway.calls import CallHeaders
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.calls import Stage
 from jackdawfield.gateway.connections import BodyEnd
 from jackdawfield.gateway.dispatch import Dispatcher
 from jackdawfield.gateway.dispatch import Running
@@ -58,6 +59,9 @@
                 await self._run(checked, reply)
         except TimeoutError:
             self._time_out(checked, reply)
+        except asyncio.CancelledError:
+            self._end_left(checked, reply)
+            raise
         self._metrics.count_end(checked, reply.status)
         log_event(
             LOG,
@@ -69,6 +73,20 @@
             ms=round((time.monotonic() - checked.arrived_at_s) * 1000),
         )
 
+    def _end_left(self, call: Call, reply: Reply) -> None:
+        """Log and count a call whose caller has left before its end."""
+        self._metrics.count_reason(call.route.name, 0, 'caller left')
+        log_event(
+            LOG,
+            'caller_left',
+            logging.WARNING,
+            request=call.request_id,
+            route=call.route.name,
+            waiting_for=reply.stage.value,
+            begun=reply.started,
+            ms=round((time.monotonic() - call.arrived_at_s) * 1000),
+        )
+
     def _check(
         self, received: Received, headers: CallHeaders
     ) -> Call | Refusal:
@@ -135,6 +153,7 @@
             refusal = await self._admission.admit(call)
         if refusal is not None:
             return refusal
+        reply.stage = Stage.SERVER
         running = await self._dispatcher.start(call, service, call.body, None)
         if isinstance(running, Refusal):
             self._admission.give_back(call)
@@ -142,6 +161,7 @@
             return running
         end: BodyEnd | None = None
         try:
+            reply.stage = Stage.ANSWER
             reply.start(running.head)
             end = await pass_on(running, reply)
         finally:
@@ -172,6 +192,7 @@
             'call_timed_out',
             logging.WARNING,
             request=call.request_id,
+            waiting_for=reply.stage.value,
             begun=reply.started,
         )
         if reply.ended:
--- a/jackdawfield/gateway/front.py
+++ b/jackdawfield/gateway/front.py
@@ -20,6 +20,7 @@
 
 from jackdawfield.gateway.calls import CONNECTION_HEADERS
 from jackdawfield.gateway.calls import Failure
+from jackdawfield.gateway.calls import Stage
 from jackdawfield.gateway.connections import BodyEnd
 from jackdawfield.gateway.connections import ResponseHead
 
@@ -59,6 +60,7 @@
         self._connection = connection
         # Goes out with the first piece of the body.
         self._head: tuple[ResponseStartLine, HTTPHeaders] | None = None
+        self.stage = Stage.RATE
         self.started = False
         self.ended = False
         self.status = 0
--- a/jackdawfield/gateway/turn_calls.py
+++ b/jackdawfield/gateway/turn_calls.py
@@ -9,6 +9,7 @@
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.calls import Stage
 from jackdawfield.gateway.chains import Chain
 from jackdawfield.gateway.chains import ChainReader
 from jackdawfield.gateway.chains import Missing
@@ -89,14 +90,17 @@
         )
         turn = _Turn(call, program)
         if headers.previous_turn is not None:
+            reply.stage = Stage.CHAIN
             refusal = await self._read_chain(turn, headers.previous_turn)
             if refusal is not None:
                 return refusal
         try:
+            reply.stage = Stage.BUDGET
             # A turn over its budget takes nothing from the rate.
             refusal = await self._begin_reservation(turn)
             if refusal is not None:
                 return refusal
+            reply.stage = Stage.RATE
             with self._metrics.time_admission(call):
                 refusal = await self._admission.admit(call)
             if refusal is not None:
@@ -160,6 +164,7 @@
     ) -> Refusal | Failure | None:
         parent = turn.parent
         prompt = prompt_of(turn.chain, turn.call.body)
+        reply.stage = Stage.SERVER
         running = await self._dispatcher.start(
             turn.call, service, prompt, parent.server_id if parent else None
         )
@@ -168,8 +173,10 @@
         server_id = running.server.entry.server_id
         end: BodyEnd | None = None
         try:
+            reply.stage = Stage.BUDGET
             if not await self._reserved(turn):
                 return Failure(502, 'budget not reserved in time')
+            reply.stage = Stage.ANSWER
             reply.start(running.head)
             end = await self._pass_on(turn, running, reply)
         finally:
@@ -180,6 +187,7 @@
         turn.first_s = running.first_s or 0.0
         self._metrics.record_first(turn.call, turn.first_s)
         if running.head.status == STATUS_OK:
+            reply.stage = Stage.COMMIT
             if not await self._commit(turn, service, server_id):
                 reply.cut()
                 return None
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -210,6 +210,7 @@
         settings = gateway.settings
         found = await self.pool.open(HOST, settings.caller_port, LIMIT_S)
         connection = found.unwrap()
+        self.last = connection
         request = OutgoingRequest('POST', path, tuple(pairs), body)
         connection.send(request).unwrap()
         answer = Answer()
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -193,6 +193,24 @@
         self.assertIs(await connection.next_part(), BodyEnd.WHOLE)
         await stopping
 
+    async def test_call_whose_caller_left_says_what_it_waited_for(
+        self,
+    ) -> None:
+        await self.fleet.turn(self.first, 't1', b'one.')
+        self.fleet.store.refusing = True
+        with self.assertLogs('jackdawfield.gateway.entry') as logs:
+            asked = asyncio.create_task(
+                self.fleet.turn(self.first, 't2', b'two.', previous='t1')
+            )
+            await asyncio.sleep(0.4)
+            asked.cancel()
+            self.fleet.last.abort('left')
+            await asyncio.sleep(0.2)
+        left = [line for line in logs.output if 'caller_left' in line]
+        self.assertEqual(len(left), 1)
+        self.assertIn('request=t2', left[0])
+        self.assertIn('waiting_for=commit', left[0])
+
     async def test_metrics_tell_what_was_refused(self) -> None:
         await self.fleet.call(self.first, 'r1', '/none/x')
         await self.fleet.turn(self.first, 't1', b'one.')
