Let rights settle together after restarts, not one instance at a time

An instance notes in its row that its rights have outlasted older ones; each such row was a new version, after which every other waited 2.5 s anew for a majority that knows it: one after another, in a larger fleet for minutes. A row starts that wait anew only if an incarnation, its serving or its leaving changed, since nothing else moves a right. Test: planned restarts of all settle together, within the stated waits; fails before.

--- a/jackdawfield/gateway/ownership.py
+++ b/jackdawfield/gateway/ownership.py
@@ -45,6 +45,8 @@
         self._owners_by_id: dict[OrganisationId, InstanceId | None] = {}
         self._viewed_at_s = float('-inf')
         self.version = 0
+        # The newest version by which a member's standing changed.
+        self._moved_version = 0
         # When each member was last asked, and how new its view was.
         self._attested_by_id: dict[InstanceId, tuple[float, int]] = {}
         # Since when a majority know this view.
@@ -119,7 +121,8 @@
         if self.known and not self._waits_by_id:
             return
         knowing = sum(
-            known >= self.version for _, known in self._attested_by_id.values()
+            known >= self._moved_version
+            for _, known in self._attested_by_id.values()
         )
         if not self._is_majority(knowing + 1):
             return
@@ -147,6 +150,12 @@
             if row.serving
         ]
 
+    def _standing(self) -> dict[InstanceId, tuple[str, bool, bool]]:
+        return {
+            instance_id: (row.incarnation, row.serving, row.left)
+            for instance_id, row in self._members_by_id.items()
+        }
+
     def may_grant(self, organisation_id: OrganisationId, now_s: float) -> bool:
         """Return whether this instance may grant tokens now."""
         active_from_s = self._active_from_by_id.get(organisation_id)
@@ -198,9 +207,12 @@
             self.inherited = False
         # Rights that are lost are handed over if the old view was fresh.
         before = self._serving()
+        standing = self._standing()
         lost = self._update(dict(members_by_id), now_s)
-        if version > self.version:
-            self.version = version
+        self.version = max(self.version, version)
+        # A row that only tells that rights have settled moves none of them.
+        if standing != self._standing():
+            self._moved_version = version
             self._known_at_s = None
         for member_id in list(self._attested_by_id):
             row = members_by_id.get(member_id)
--- a/tests/gateway/test_ownership.py
+++ b/tests/gateway/test_ownership.py
@@ -301,6 +301,25 @@
         ownership.saw(later_s)
         self.assertTrue(ownership.may_grant(owned, later_s))
 
+    def test_planned_restarts_of_all_settle_together(self) -> None:
+        """Bound the time in which a loss of all would find no heirs.
+
+        Rights settle once a majority know the last change and every older
+        view is stale; that some have settled already starts nothing anew.
+        """
+        fleet = run(1, troubles=False)
+        for name in NAMES:
+            fleet.send(fleet.nodes[name].ownership.give_up(fleet.now_s))
+            fleet.write(name, leaving(fleet.table[name]))
+            fleet.start(name)
+            for _ in range(20):
+                fleet.step()
+        restarted_s = fleet.now_s
+        while not all(row.established for row in fleet.table.values()):
+            fleet.step()
+            most_s = 2 * TAKEOVER_WAIT_S + 2 * ATTEST_S + POLL_S
+            self.assertLess(fleet.now_s - restarted_s, most_s)
+
     def test_stale_view_gives_no_rights(self) -> None:
         ownership = Ownership(NAMES[0])
         ownership.inherited = True
