Take no request late in a planned stop

Connections that wait stayed open until the process ended, and with requests always under way it ended at the last moment of its grace. Ruled out: a slow server (the request was 46 ms old). Now listening ends and waiting connections are closed 3 s after the stop began, when the balancer has let go of the instance; what is under way is answered. A request that crosses the close has not been passed on. Tests: planned stop takes nothing late, fails before; the soak's check of planned stops now counts late calls that were passed on, too.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -352,9 +352,10 @@
         self.rate_owner.leave()
         await self.members.leave()
         await asyncio.sleep(LISTEN_AFTER_STOP_S)
+        self.front.stop_listening()
+        self.front.close_idle()
         while self.front.in_flight and time.monotonic() < last_s:
             await asyncio.sleep(CHECK_S)
-        self.front.stop_listening()
         log_event(LOG, 'stopped', in_flight=self.front.in_flight)
         await self.close()
 
--- a/jackdawfield/gateway/front.py
+++ b/jackdawfield/gateway/front.py
@@ -166,6 +166,7 @@
         headers: HTTPHeaders,
     ) -> None:
         """Take in the request's head."""
+        self._front.idle.discard(self)
         assert isinstance(start_line, RequestStartLine)
         self._line = start_line
         self._pairs = list(headers.get_all())
@@ -185,9 +186,14 @@
 
     def on_connection_close(self) -> None:
         """Forget a request that did not come in whole."""
+        self._front.idle.discard(self)
         if self._line is not None and self._task is None:
             self._front.in_flight -= 1
 
+    def close(self) -> None:
+        """Close the connection that waits for a request."""
+        self._connection.stream.close()
+
     def _left(self) -> None:
         if self._task is not None:
             self._task.cancel()
@@ -225,6 +231,8 @@
     def __init__(self, handler: Handler) -> None:
         self.handler = handler
         self.in_flight = 0
+        # Connections that wait for their next request.
+        self.idle: set[_Exchange] = set()
         self._server = HTTPServer(
             self,
             max_body_size=MAX_BODY_BYTES,
@@ -237,7 +245,9 @@
     ) -> HTTPMessageDelegate:
         """Return what takes in the next request of a connection."""
         assert isinstance(request_conn, HTTP1Connection)
-        return _Exchange(self, request_conn)
+        exchange = _Exchange(self, request_conn)
+        self.idle.add(exchange)
+        return exchange
 
     def listen(self, host: str, port: int) -> None:
         """Listen on an address."""
@@ -251,6 +261,11 @@
         """Take no more connections."""
         self._server.stop()
 
+    def close_idle(self) -> None:
+        """Close the connections that wait, so that no request comes late."""
+        for exchange in list(self.idle):
+            exchange.close()
+
     async def close(self) -> None:
         """Close every connection."""
         await self._server.close_all_connections()
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -15,6 +15,7 @@
 from soak.world import BUDGET_TOKENS
 from soak.world import BURST
 from soak.world import FREE
+from soak.world import GRACE_S
 from soak.world import LIMITED
 from soak.world import MOST_TOKENS
 from soak.world import PROBES
@@ -188,27 +189,33 @@
 
 
 def planned_stops(record: Record) -> Found:
-    """Find calls that a planned stop alone cut."""
+    """Find calls that a planned stop alone cut.
+
+    Before the stop a call must be answered; after it, if it was passed on.
+    """
+    ran = {run.request_id for run in record.runs}
     for instance, stopped_s in record.planned_stops:
+        others = [
+            t
+            for t in record.troubles
+            if t.kind not in HARMLESS_KINDS
+            and not (
+                t.kind == FaultKind.PLANNED_STOP.value
+                and t.instance == instance
+            )
+        ]
         for outcome in record.outcomes:
             if outcome.instance != instance or outcome.status == 504:
                 continue
-            if not outcome.started_s < stopped_s < outcome.ended_s:
+            late = outcome.started_s >= stopped_s
+            if late and outcome.request_id not in ran:
                 continue
-            others = [
-                t
-                for t in record.troubles
-                if t.kind not in HARMLESS_KINDS
-                and not (
-                    t.kind == FaultKind.PLANNED_STOP.value
-                    and t.instance == instance
-                )
-            ]
-            ended_s = outcome.ended_s
-            disturbed = not _undisturbed(
-                others, instance, outcome.started_s - 1, ended_s
-            )
-            if not disturbed and not outcome.whole:
+            if outcome.ended_s <= stopped_s or outcome.whole:
+                continue
+            if outcome.started_s > stopped_s + GRACE_S:
+                continue
+            from_s = outcome.started_s - 1
+            if _undisturbed(others, instance, from_s, outcome.ended_s):
                 yield f'{outcome.request_id} was cut by the stop'
 
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -3,9 +3,11 @@
 
 from jackdawfield.gateway.connections import BodyEnd
 from jackdawfield.gateway.connections import OutgoingRequest
+from jackdawfield.gateway.daemon import LISTEN_AFTER_STOP_S
 from jackdawfield.gateway.ownership import TAKEOVER_WAIT_S
 from jackdawfield.gateway.rows import RowKey
 from tests.gateway.fleet import configuration
+from tests.gateway.fleet import engine
 from tests.gateway.fleet import Fleet
 from tests.gateway.fleet import HOST
 from tests.gateway.scripted_server import Turn
@@ -193,6 +195,31 @@
         self.assertIs(await connection.next_part(), BodyEnd.WHOLE)
         await stopping
 
+    async def test_planned_stop_takes_nothing_late(self) -> None:
+        found = await self.fleet.pool.open(
+            HOST, self.first.settings.caller_port, 1.0
+        )
+        connection = found.unwrap()
+        release = asyncio.Event()
+
+        async def slow(turn: Turn) -> None:
+            await release.wait()
+            await engine(turn)
+
+        self.fleet.server.script = slow
+        stopping = asyncio.create_task(self.first.stop())
+        await asyncio.sleep(LISTEN_AFTER_STOP_S - 0.3)
+        asked = asyncio.create_task(
+            self.fleet.call(self.first, 'r1', '/tool/x')
+        )
+        await asyncio.sleep(0.6)
+        # What would come now might still run when the process ends.
+        self.assertFalse(connection.usable)
+        self.assertFalse(stopping.done())
+        release.set()
+        self.assertTrue((await asked).whole)
+        await stopping
+
     async def test_call_whose_caller_left_says_what_it_waited_for(
         self,
     ) -> None:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -152,6 +152,13 @@
         seen.planned_stops = [('i0', 10.05)]
         self.assert_broken(seen, 'planned stops cut nothing')
 
+    def test_late_call_that_was_passed_on_and_cut(self) -> None:
+        cut = outcome('r', 11, status=0, whole=False, body=b'')
+        for runs, found in (((), []), ((run('r', 11),), [1])):
+            seen = record((cut,), runs)
+            seen.planned_stops = [('i0', 10.05)]
+            self.assertEqual(len(check(seen)), len(found))
+
     def test_failure_in_the_calm(self) -> None:
         failed = outcome('r', CALM_FROM_S + 3, status=503)
         self.assert_broken(record((failed,)), 'served again in the calm')
