Let the soak use the listener, the tasks and the resets that exist

The stand-in store and the soak's servers each listened on a free port by the same lines; the soak and the scripted server each reset connections by theirs; the soak kept tasks in a list whose failures nobody saw, beside the background tasks that log them. Three ways of a server to fail were set by their attribute's name; they are an Enum and a table now. The statuses that promise not run stood twice, two fields were never read, one class of calls was never made, a number had no name.

--- a/jackdawfield/standins/base.py
+++ b/jackdawfield/standins/base.py
@@ -5,9 +5,12 @@
 from dataclasses import field
 import json
 import signal
+import socket
+import struct
 from typing import Any
 
 import tornado.httpserver
+import tornado.netutil
 import tornado.web
 
 CLIENT_HEADER = 'User-Agent'
@@ -97,6 +100,34 @@
         self.finish('{}')
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Reset a connection instead of closing it."""
+    sock = writer.get_extra_info('socket')
+    if sock is not None and sock.fileno() >= 0:
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+class FreePortServer:
+    """Listens on a free port for a stand-in that a test runs itself."""
+
+    def __init__(self, path: str, handler: type, **arguments: Any) -> None:
+        application = tornado.web.Application([(path, handler, arguments)])
+        self._server = tornado.httpserver.HTTPServer(application)
+        self.port = 0
+
+    def start(self, host: str) -> None:
+        """Listen on a free port."""
+        sockets = tornado.netutil.bind_sockets(0, host)
+        self.port = sockets[0].getsockname()[1]
+        self._server.add_sockets(sockets)
+
+    def stop(self) -> None:
+        """Listen no more."""
+        self._server.stop()
+
+
 async def serve(state: Any, routes: list[Any], port: int) -> None:
     """Serve until SIGTERM or SIGINT."""
     stop = asyncio.Event()
--- a/jackdawfield/standins/platform_store.py
+++ b/jackdawfield/standins/platform_store.py
@@ -8,8 +8,6 @@
 from typing import Any
 
 from result import Err
-import tornado.httpserver
-import tornado.netutil
 import tornado.web
 
 from jackdawfield.decisions.table import Committed
@@ -17,6 +15,7 @@
 from jackdawfield.gateway.rows import RowKey
 from jackdawfield.gateway.rows import RowTransaction
 from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.standins.base import FreePortServer
 from jackdawfield.standins.row_store import MemoryRowStore
 
 MS_PER_S = 1000
@@ -39,7 +38,7 @@
     return {**wire, 'ver': row.version, 'value': value}
 
 
-class PlatformStoreStandIn:
+class PlatformStoreStandIn(FreePortServer):
     """Serves a store of rows; refusing it answers 503, silent never."""
 
     def __init__(self, rows: MemoryRowStore) -> None:
@@ -47,22 +46,7 @@
         self.refusing = False
         self.silent = False
         self.calls = 0
-        self.port = 0
-        self._server: tornado.httpserver.HTTPServer | None = None
-
-    def start(self, host: str) -> None:
-        """Listen on a free port."""
-        handlers = [(r'/-/([a-z-]+)', _Handler, {'standin': self})]
-        application = tornado.web.Application(handlers)
-        self._server = tornado.httpserver.HTTPServer(application)
-        sockets = tornado.netutil.bind_sockets(0, host)
-        self.port = sockets[0].getsockname()[1]
-        self._server.add_sockets(sockets)
-
-    def stop(self) -> None:
-        """Listen no more."""
-        if self._server is not None:
-            self._server.stop()
+        super().__init__(r'/-/([a-z-]+)', _Handler, standin=self)
 
 
 class _Handler(tornado.web.RequestHandler):
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -1,13 +1,15 @@
 """Serves as a backend server that records what it runs."""
 
 import asyncio
+from enum import Enum
 from hashlib import sha256
 import time
 
-import tornado.httpserver
-import tornado.netutil
+from tornado.http1connection import HTTP1Connection
+import tornado.iostream
 import tornado.web
 
+from jackdawfield.standins.base import FreePortServer
 from soak.record import CallClass
 from soak.record import Run
 from soak.world import events_of
@@ -23,31 +25,22 @@
     return sha256(body).hexdigest()[:16]
 
 
-class Backend:
+class Misbehaviour(Enum):
+    """Names what a server does wrong for a while."""
+
+    REFUSING = 'refuses every call'
+    CUTTING = 'cuts its answers'
+    EXTRA = 'sends answers that nobody asked for'
+
+
+class Backend(FreePortServer):
     """Holds one server, its way of failing and what it has run."""
 
     def __init__(self, server_id: str, runs: list[Run]) -> None:
         self.server_id = server_id
         self.runs = runs
-        self.refusing = False
-        self.cutting = False
-        self.sending_extra = False
-        self.port = 0
-        self._server: tornado.httpserver.HTTPServer | None = None
-
-    def start(self, host: str) -> None:
-        """Listen on a free port."""
-        handlers = [(r'/([a-z]+)/.*', _Handler, {'backend': self})]
-        application = tornado.web.Application(handlers)
-        self._server = tornado.httpserver.HTTPServer(application)
-        sockets = tornado.netutil.bind_sockets(0, host)
-        self.port = sockets[0].getsockname()[1]
-        self._server.add_sockets(sockets)
-
-    def stop(self) -> None:
-        """Listen no more."""
-        if self._server is not None:
-            self._server.stop()
+        self.misbehaviours: set[Misbehaviour] = set()
+        super().__init__(r'/([a-z]+)/.*', _Handler, backend=self)
 
 
 class _Handler(tornado.web.RequestHandler):
@@ -57,6 +50,9 @@
         """Take the server that this request reached."""
         self.backend = backend
 
+    def _does(self, misbehaviour: Misbehaviour) -> bool:
+        return misbehaviour in self.backend.misbehaviours
+
     def _header(self, name: str) -> str:
         return self.request.headers.get(PREFIX + name, '')
 
@@ -68,7 +64,7 @@
         if self._header('Expect-Instance') != self.backend.server_id:
             self.set_status(421)
             return
-        if self.backend.refusing:
+        if self._does(Misbehaviour.REFUSING):
             self.set_header(PREFIX + 'Not-Executed', '1')
             self.set_status(503)
             return
@@ -86,11 +82,11 @@
             await self._stream(run)
         else:
             await asyncio.sleep(PLAIN_WORK_S)
-            if self.backend.cutting:
+            if self._does(Misbehaviour.CUTTING):
                 self._cut()
                 return
             self.write(plain_body(request_id))
-        if self.backend.sending_extra:
+        if self._does(Misbehaviour.EXTRA):
             try:
                 await self.finish()
             except tornado.iostream.StreamClosedError:
@@ -100,7 +96,7 @@
     async def _stream(self, run: Run) -> None:
         self.set_header('Content-Type', 'text/event-stream')
         for number, event in enumerate(events_of(run.request_id)):
-            if number and self.backend.cutting:
+            if number and self._does(Misbehaviour.CUTTING):
                 self._cut()
                 return
             await asyncio.sleep(EVENT_S)
@@ -111,21 +107,22 @@
             except tornado.iostream.StreamClosedError:
                 return
 
-    def _cut(self) -> None:
+    @property
+    def _io(self) -> tornado.iostream.IOStream:
         connection = self.request.connection
-        assert connection is not None
-        connection.stream.close()  # type: ignore[attr-defined]
+        assert isinstance(connection, HTTP1Connection)
+        return connection.stream
+
+    def _cut(self) -> None:
+        self._io.close()
 
     def _send_extra(self) -> None:
         """Send an answer that belongs to no request."""
-        connection = self.request.connection
-        assert connection is not None
         body = b'done another'
         head = (
             f'HTTP/1.1 200 OK\r\n{PREFIX}Request-Id: another\r\n'
             f'{PREFIX}Server-Stamp: {self.backend.server_id}\r\n'
             f'Content-Length: {len(body)}\r\n\r\n'
         )
-        stream = connection.stream  # type: ignore[attr-defined]
-        if not stream.closed():
-            stream.write(head.encode() + body)
+        if not self._io.closed():
+            self._io.write(head.encode() + body)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,8 @@
 from soak.record import CallClass
 from soak.record import Outcome
 from soak.record import Record
+from soak.record import RETRIED_STATUSES
+from soak.world import APPLY_S
 from soak.world import BUDGET_TOKENS
 from soak.world import FREE
 from soak.world import FREE_KEY
@@ -38,6 +40,8 @@
 CONNECT_TIMEOUT_S = 0.5
 ANSWER_MARGIN_S = 1.0
 PROBE_PAUSE_S = 0.2
+# A withdrawn key is tried beyond the time in which it must stop.
+PROBED_S = 2 * APPLY_S
 THINK_S = 0.05
 MOST_TRIES = 3
 MOST_RETRY_AFTER_S = 1.0
@@ -46,7 +50,6 @@
 LOOPING_TURNS = 14
 USUAL_TURNS = (2, 5)
 LIMITED_SHARE = 0.5
-NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +96,7 @@
             for key in keys:
                 await self._probe(key)
             withdrawn_s = self._record.withdrawn_at_s_by_key.get(keys[0])
-            if withdrawn_s and time.monotonic() - withdrawn_s > 8:
+            if withdrawn_s and time.monotonic() - withdrawn_s > PROBED_S:
                 seen = newest
 
     async def _probe(self, key: str) -> None:
@@ -158,7 +161,7 @@
             if outcome is None:
                 await asyncio.sleep(0.1)
                 continue
-            if outcome.status not in NOT_RUN_STATUSES:
+            if outcome.status not in RETRIED_STATUSES:
                 return outcome
             await asyncio.sleep(min(MOST_RETRY_AFTER_S, retry_after_s))
         return outcome
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from soak.record import CallClass
+from soak.record import NOT_RUN_STATUSES
 from soak.record import Outcome
 from soak.record import Record
 from soak.record import Trouble
@@ -28,7 +29,6 @@
 
 Found = Iterator[str]
 ONCE_CLASSES = (CallClass.TURN, CallClass.ORDER)
-NOT_RUN_STATUSES = frozenset((402, 408, 421, 429, 503))
 # Fewer calls than this in the calm would say nothing about it.
 LEAST_CALM_CALLS = 5
 # Faults of the servers do not keep an instance from the store.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,7 @@
 from jackdawfield.standins.platform_store import PlatformStoreStandIn
 from jackdawfield.standins.row_store import Trouble as StoreTrouble
 from soak.backend import Backend
+from soak.backend import Misbehaviour
 from soak.instances import Instance
 from soak.proxy import Proxy
 from soak.proxy import Trouble as LinkTrouble
@@ -40,6 +41,11 @@
     FaultKind.SERVER_SILENT: LinkTrouble.SILENT,
     FaultKind.SERVER_SLOW: LinkTrouble.SLOW,
 }
+MISBEHAVIOURS_BY_KIND = {
+    FaultKind.SERVER_REFUSING: Misbehaviour.REFUSING,
+    FaultKind.SERVER_CUTTING: Misbehaviour.CUTTING,
+    FaultKind.SERVER_EXTRA: Misbehaviour.EXTRA,
+}
 
 
 class Faults:
@@ -75,9 +81,9 @@
             FaultKind.SERVER_RESET: self._reset_server,
             FaultKind.SERVER_SILENT: self._trouble_server_link,
             FaultKind.SERVER_SLOW: self._trouble_server_link,
-            FaultKind.SERVER_REFUSING: self._refuse_at_server,
-            FaultKind.SERVER_CUTTING: self._cut_at_server,
-            FaultKind.SERVER_EXTRA: self._send_extra,
+            FaultKind.SERVER_REFUSING: self._misbehave,
+            FaultKind.SERVER_CUTTING: self._misbehave,
+            FaultKind.SERVER_EXTRA: self._misbehave,
             FaultKind.SERVER_LEAVING: self._leave_server,
             FaultKind.KEY_WITHDRAWN: self._withdraw_key,
             FaultKind.CONFIGURATION: self._configure,
@@ -101,7 +107,6 @@
         now_s = time.monotonic()
         wire = configuration(self._version, self.key_version)
         self._store.rows.put(CONFIGURATION, json.dumps(wire).encode())
-        self._record.written_versions[self._version] = now_s
         if with_new_key:
             self._record.withdrawn_at_s_by_key[before] = now_s
 
@@ -227,23 +232,15 @@
     async def _trouble_server_link(self, fault: Fault) -> None:
         await self._trouble_link(fault, self._backend(fault)[1], None)
 
-    async def _while_set(self, fault: Fault, name: str) -> None:
+    async def _misbehave(self, fault: Fault) -> None:
         backend = self._backend(fault)[0]
+        misbehaviour = MISBEHAVIOURS_BY_KIND[fault.kind]
         from_s = time.monotonic()
-        setattr(backend, name, True)
+        backend.misbehaviours.add(misbehaviour)
         await asyncio.sleep(fault.lasts_s)
-        setattr(backend, name, False)
+        backend.misbehaviours.discard(misbehaviour)
         self._note(fault, None, from_s)
 
-    async def _refuse_at_server(self, fault: Fault) -> None:
-        await self._while_set(fault, 'refusing')
-
-    async def _cut_at_server(self, fault: Fault) -> None:
-        await self._while_set(fault, 'cutting')
-
-    async def _send_extra(self, fault: Fault) -> None:
-        await self._while_set(fault, 'sending_extra')
-
     def _list_server(
         self, backend: Backend, proxy: Proxy, leaving: bool
     ) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,8 +2,8 @@
 
 import asyncio
 from enum import Enum
-import socket
-import struct
+
+from jackdawfield.standins.base import reset_connection
 
 CHUNK_BYTES = 65536
 SLOW_S = 0.15
@@ -45,7 +45,7 @@
     def reset(self) -> None:
         """Reset every connection."""
         for writer in list(self._writers):
-            _reset(writer)
+            reset_connection(writer)
 
     def stop(self) -> None:
         """Listen no more and close every connection."""
@@ -59,7 +59,7 @@
         try:
             there, back = await asyncio.open_connection(*self._target)
         except OSError:
-            _reset(writer)
+            reset_connection(writer)
             return
         self._writers |= {writer, back}
         blocked_there = frozenset((Trouble.SILENT,))
@@ -90,14 +90,6 @@
                 sink.write(data)
                 await sink.drain()
         except ConnectionError:
-            _reset(sink)
+            reset_connection(sink)
             return
         sink.close()
-
-
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info('socket')
-    if sock is not None and sock.fileno() >= 0:
-        linger = struct.pack('ii', 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
--- a/soak/record.py
+++ b/soak/record.py
@@ -4,6 +4,11 @@
 from dataclasses import field
 from enum import Enum
 
+# Answers which promise that a call has not run; after the first ones a
+# caller comes back.
+RETRIED_STATUSES = frozenset((408, 421, 429, 503))
+NOT_RUN_STATUSES = RETRIED_STATUSES | {402}
+
 
 class CallClass(Enum):
     """Names the classes of calls."""
@@ -11,8 +16,6 @@
     TURN = 'turn'
     ORDER = 'order'
     LOOKUP = 'lookup'
-    # A call with a key that is withdrawn during the run.
-    PROBE = 'probe'
 
 
 @dataclass(slots=True)
@@ -95,6 +98,4 @@
     # When each instance was told to stop, with its name.
     planned_stops: list[tuple[str, float]] = field(default_factory=list)
     withdrawn_at_s_by_key: dict[str, float] = field(default_factory=dict)
-    written_versions: dict[int, float] = field(default_factory=dict)
     calm_from_s: float = 0.0
-    ended_s: float = 0.0
--- a/soak/run.py
+++ b/soak/run.py
@@ -7,6 +7,7 @@
 import random
 import time
 
+from jackdawfield.background import BackgroundTasks
 from jackdawfield.standins.platform_store import PlatformStoreStandIn
 from jackdawfield.standins.row_store import MemoryRowStore
 from soak.backend import Backend
@@ -58,7 +59,8 @@
         self._store = PlatformStoreStandIn(MemoryRowStore())
         self._backends: list[tuple[Backend, Proxy]] = []
         self._instances: list[Instance] = []
-        self._tasks: list[asyncio.Task[None]] = []
+        self._calling = BackgroundTasks()
+        self._watching = BackgroundTasks()
 
     async def play(self, length_s: float) -> Report:
         """Play the seed and return what it showed."""
@@ -71,8 +73,7 @@
             self._record.calm_from_s = time.monotonic()
             await asyncio.sleep(CALM_S)
             callers.ending = True
-            await asyncio.wait(self._tasks, timeout=END_LIMIT_S)
-            self._record.ended_s = time.monotonic()
+            await self._calling.wait(END_LIMIT_S)
             callers.close()
         finally:
             await self._stop()
@@ -124,10 +125,9 @@
 
     def _run(self, callers: Callers, faults: Faults) -> None:
         for _ in range(CALLERS):
-            self._tasks.append(asyncio.create_task(callers.run_programs()))
-        probes = callers.run_probes(lambda: faults.key_version)
-        self._tasks.append(asyncio.create_task(probes))
-        self._watching = asyncio.create_task(self._watch_versions())
+            self._calling.spawn(callers.run_programs())
+        self._calling.spawn(callers.run_probes(lambda: faults.key_version))
+        self._watching.spawn(self._watch_versions())
 
     async def _watch_versions(self) -> None:
         while True:
@@ -150,10 +150,8 @@
         await asyncio.gather(*brought)
 
     async def _stop(self) -> None:
-        for task in self._tasks:
-            task.cancel()
-        if hasattr(self, '_watching'):
-            self._watching.cancel()
+        self._calling.cancel()
+        self._watching.cancel()
         await asyncio.gather(*(i.kill() for i in self._instances))
         for instance in self._instances:
             instance.store.stop()
--- a/tests/gateway/scripted_server.py
+++ b/tests/gateway/scripted_server.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-import socket
-import struct
+
+from jackdawfield.standins.base import reset_connection
 
 Script = Callable[['Turn'], Awaitable[None]]
 
@@ -30,10 +30,7 @@
 
     def reset(self) -> None:
         """Reset the connection instead of closing it."""
-        sock = self.writer.get_extra_info('socket')
-        linger = struct.pack('ii', 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-        self.writer.transport.abort()
+        reset_connection(self.writer)
 
     def answer(
         self, body: bytes, status: str = '200 OK', extra: str = ''
