Leave no process behind when a soak is told to stop

A soak that got SIGTERM left up to four instances running (seen twice, reproduced here by a signal after 3 to 11 s). Cause: the signal raised an exception in whatever ran just then, and faults under way went on after the run and started their instances again. Ruled out: the kill itself, which waits for each process's end. A signal now cancels the run, and faults belong to a group that ends with it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -6,7 +6,6 @@
 import json
 import logging
 from pathlib import Path
-import signal
 import sys
 import tempfile
 
@@ -94,9 +93,6 @@
         help='play the seeds with one broken variant',
     )
     options = parser.parse_args()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        # Both end the run's own processes first.
-        signal.signal(number, signal.default_int_handler)
     # The stand-ins' own access lines say nothing that the record lacks.
     logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
     logs = options.logs or Path(tempfile.mkdtemp(prefix='soak-'))
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,6 +5,7 @@
 import os
 from pathlib import Path
 import random
+import signal
 import time
 
 from jackdawfield.background import BackgroundTasks
@@ -63,7 +64,15 @@
         self._watching = BackgroundTasks()
 
     async def play(self, length_s: float) -> Report:
-        """Play the seed and return what it showed."""
+        """Play the seed and return what it showed.
+
+        A signal cancels the run, which ends its own processes first.
+        """
+        loop = asyncio.get_running_loop()
+        playing = asyncio.current_task()
+        assert playing is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, playing.cancel)
         schedule = draw_schedule(self._seed, length_s)
         try:
             faults = await self._start()
@@ -142,12 +151,12 @@
 
     async def _bring(self, faults: Faults, schedule: list[Fault]) -> None:
         started_s = time.monotonic()
-        brought = []
-        for fault in schedule:
-            due_s = started_s + fault.at_s - time.monotonic()
-            await asyncio.sleep(max(0.0, due_s))
-            brought.append(asyncio.create_task(faults.bring(fault)))
-        await asyncio.gather(*brought)
+        # A fault that outlived the run would start its instance again.
+        async with asyncio.TaskGroup() as group:
+            for fault in schedule:
+                due_s = started_s + fault.at_s - time.monotonic()
+                await asyncio.sleep(max(0.0, due_s))
+                group.create_task(faults.bring(fault))
 
     async def _stop(self) -> None:
         self._calling.cancel()
