Part the gateway's modules by subject

They move into http, storage, fleet, rates, programs, servers and streams, their tests beside them; behaviour is unchanged.

--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -4,22 +4,22 @@
 import logging
 import time
 
-from jackdawfield.gateway.admission import Admission
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import CallHeaders
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.calls import Stage
-from jackdawfield.gateway.connections import BodyEnd
-from jackdawfield.gateway.dispatch import Dispatcher
-from jackdawfield.gateway.dispatch import ResponseStream
-from jackdawfield.gateway.front import IncomingRequest
-from jackdawfield.gateway.front import Reply
+from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.listener import IncomingRequest
+from jackdawfield.gateway.http.listener import Reply
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import FleetConfiguration
+from jackdawfield.gateway.programs.turn_calls import TurnCalls
+from jackdawfield.gateway.rates.admission import Admission
 from jackdawfield.gateway.routes import choose_service
 from jackdawfield.gateway.routes import find_route
-from jackdawfield.gateway.turn_calls import TurnCalls
+from jackdawfield.gateway.servers.dispatch import Dispatcher
+from jackdawfield.gateway.servers.dispatch import ResponseStream
 from jackdawfield.logs import log_event
 from jackdawfield.model import OrganisationId
 from jackdawfield.model import ServiceName
--- /dev/null
+++ b/jackdawfield/gateway/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Track the members of the fleet and what each of them owns."""
--- a/jackdawfield/gateway/ownership.py
+++ b/jackdawfield/gateway/fleet/ownership.py
@@ -14,8 +14,8 @@
 from dataclasses import dataclass
 
 from jackdawfield.decisions.placement import choose_owner
-from jackdawfield.gateway.member_rows import MemberRow
-from jackdawfield.gateway.member_rows import no_takeover_pending
+from jackdawfield.gateway.fleet.member_rows import MemberRow
+from jackdawfield.gateway.fleet.member_rows import no_takeover_pending
 from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
 
--- /dev/null
+++ b/jackdawfield/gateway/http/__init__.py
@@ -0,0 +1,1 @@
+"""Carry HTTP/1.1 towards callers, backend servers and the store."""
--- a/jackdawfield/gateway/front.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -21,8 +21,8 @@
 from jackdawfield.gateway.calls import CONNECTION_HEADERS
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Stage
-from jackdawfield.gateway.connections import BodyEnd
-from jackdawfield.gateway.connections import ResponseHead
+from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.connection import ResponseHead
 
 LOG = logging.getLogger(__name__)
 # Enforced by Tornado while a body arrives. It is above any limit that the
--- a/jackdawfield/gateway/connection_pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -7,9 +7,9 @@
 from result import Ok
 from result import Result
 
-from jackdawfield.gateway.connections import Connection
-from jackdawfield.gateway.connections import ExchangeError
-from jackdawfield.gateway.connections import Fault
+from jackdawfield.gateway.http.connection import Connection
+from jackdawfield.gateway.http.connection import ExchangeError
+from jackdawfield.gateway.http.connection import Fault
 
 SWEEP_INTERVAL_S = 1.0
 
--- /dev/null
+++ b/jackdawfield/gateway/programs/__init__.py
@@ -0,0 +1,1 @@
+"""Keep the turns and token budgets of programs."""
--- a/jackdawfield/gateway/chains.py
+++ b/jackdawfield/gateway/programs/chains.py
@@ -7,16 +7,16 @@
 from result import Err
 
 from jackdawfield.gateway.model import TurnId
-from jackdawfield.gateway.rows import read_row
-from jackdawfield.gateway.rows import RowStore
-from jackdawfield.gateway.turn_cache import TurnCache
-from jackdawfield.gateway.turns import all_parts
-from jackdawfield.gateway.turns import decode_turns
-from jackdawfield.gateway.turns import index_key
-from jackdawfield.gateway.turns import ProgramKey
-from jackdawfield.gateway.turns import TurnError
-from jackdawfield.gateway.turns import TurnRecord
-from jackdawfield.gateway.turns import TURNS_TABLE
+from jackdawfield.gateway.programs.turn_cache import TurnCache
+from jackdawfield.gateway.programs.turns import all_parts
+from jackdawfield.gateway.programs.turns import decode_turns
+from jackdawfield.gateway.programs.turns import index_key
+from jackdawfield.gateway.programs.turns import ProgramKey
+from jackdawfield.gateway.programs.turns import TurnError
+from jackdawfield.gateway.programs.turns import TurnRecord
+from jackdawfield.gateway.programs.turns import TURNS_TABLE
+from jackdawfield.gateway.storage.rows import read_row
+from jackdawfield.gateway.storage.rows import RowStore
 from jackdawfield.logs import log_event
 from jackdawfield.model import OrganisationId
 
--- a/jackdawfield/gateway/ledger.py
+++ b/jackdawfield/gateway/programs/ledger.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from jackdawfield.gateway.rows import RowKey
-from jackdawfield.gateway.turns import ProgramKey
+from jackdawfield.gateway.programs.turns import ProgramKey
+from jackdawfield.gateway.storage.rows import RowKey
 
 PROGRAMS_TABLE = 'programs'
 # An instance keeps a turn's tokens for the next turn, and so saves a write,
--- a/jackdawfield/gateway/retention.py
+++ b/jackdawfield/gateway/programs/retention.py
@@ -3,8 +3,8 @@
 from collections import deque
 from dataclasses import dataclass
 
-from jackdawfield.gateway.rows import RowKey
-from jackdawfield.gateway.turns import ProgramKey
+from jackdawfield.gateway.programs.turns import ProgramKey
+from jackdawfield.gateway.storage.rows import RowKey
 
 # Wall clocks of instances may differ by a few seconds.
 CLOCK_SKEW_MARGIN_S = 10.0
--- a/jackdawfield/gateway/turn_cache.py
+++ b/jackdawfield/gateway/programs/turn_cache.py
@@ -3,7 +3,7 @@
 from collections import OrderedDict
 
 from jackdawfield.gateway.model import TurnId
-from jackdawfield.gateway.turns import TurnRecord
+from jackdawfield.gateway.programs.turns import TurnRecord
 from jackdawfield.model import OrganisationId
 
 
--- a/jackdawfield/gateway/turns.py
+++ b/jackdawfield/gateway/programs/turns.py
@@ -13,8 +13,8 @@
 import msgspec
 
 from jackdawfield.gateway.model import TurnId
-from jackdawfield.gateway.rows import RowKey
-from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.model import OrganisationId
 from jackdawfield.model import ProgramId
 from jackdawfield.model import ServerId
--- /dev/null
+++ b/jackdawfield/gateway/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Limit organisations' requests over the whole fleet."""
--- a/jackdawfield/gateway/admission.py
+++ b/jackdawfield/gateway/rates/admission.py
@@ -11,11 +11,11 @@
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.clock import boot_time_s
-from jackdawfield.gateway.members import Members
+from jackdawfield.gateway.fleet.members import Members
 from jackdawfield.gateway.model import GatewaySettings
-from jackdawfield.gateway.rate_owner import RateOwner
-from jackdawfield.gateway.rates import fallback_rate
-from jackdawfield.gateway.rates import LocalTokens
+from jackdawfield.gateway.rates.owner import RateOwner
+from jackdawfield.gateway.rates.tokens import fallback_rate
+from jackdawfield.gateway.rates.tokens import LocalTokens
 from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_rates import AskTokens
 from jackdawfield.messages.fleet_rates import TokensGranted
--- a/jackdawfield/gateway/rate_owner.py
+++ b/jackdawfield/gateway/rates/owner.py
@@ -9,12 +9,12 @@
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.clock import boot_time_s
-from jackdawfield.gateway.members import Members
+from jackdawfield.gateway.fleet.members import Members
+from jackdawfield.gateway.fleet.ownership import LostOwnership
+from jackdawfield.gateway.fleet.ownership import Ownership
 from jackdawfield.gateway.model import FleetConfiguration
-from jackdawfield.gateway.ownership import LostOwnership
-from jackdawfield.gateway.ownership import Ownership
-from jackdawfield.gateway.rates import contract_from
-from jackdawfield.gateway.rates import RateBucket
+from jackdawfield.gateway.rates.tokens import contract_from
+from jackdawfield.gateway.rates.tokens import RateBucket
 from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_rates import AskTokens
 from jackdawfield.messages.fleet_rates import HandedOver
--- /dev/null
+++ b/jackdawfield/gateway/servers/__init__.py
@@ -0,0 +1,1 @@
+"""Choose backend servers, queue calls for them and send them."""
--- a/jackdawfield/gateway/servers.py
+++ b/jackdawfield/gateway/servers/choice.py
@@ -10,9 +10,9 @@
 import random
 
 from jackdawfield.decisions.placement import rendezvous_score
-from jackdawfield.gateway.call_queue import ConcurrencyLimit
-from jackdawfield.gateway.ejection import EjectionState
 from jackdawfield.gateway.model import ServerEntry
+from jackdawfield.gateway.servers.call_queue import ConcurrencyLimit
+from jackdawfield.gateway.servers.ejection import EjectionState
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
 from jackdawfield.model import ServerId
--- a/jackdawfield/gateway/failures.py
+++ b/jackdawfield/gateway/servers/failures.py
@@ -10,9 +10,9 @@
 from jackdawfield.background import BackgroundTasks
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
-from jackdawfield.gateway.members import Members
-from jackdawfield.gateway.servers import Servers
-from jackdawfield.gateway.servers import ServerState
+from jackdawfield.gateway.fleet.members import Members
+from jackdawfield.gateway.servers.choice import Servers
+from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_servers import FailureNoted
 from jackdawfield.messages.fleet_servers import ServerFailed
--- a/jackdawfield/gateway/slot_queue.py
+++ b/jackdawfield/gateway/servers/slot_queue.py
@@ -4,15 +4,15 @@
 from dataclasses import dataclass
 import time
 
-from jackdawfield.gateway.call_queue import CallQueue
-from jackdawfield.gateway.call_queue import MAX_QUEUE_WAIT_S
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import FleetConfiguration
-from jackdawfield.gateway.servers import ServerCriteria
-from jackdawfield.gateway.servers import Servers
-from jackdawfield.gateway.servers import ServerState
+from jackdawfield.gateway.servers.call_queue import CallQueue
+from jackdawfield.gateway.servers.call_queue import MAX_QUEUE_WAIT_S
+from jackdawfield.gateway.servers.choice import ServerCriteria
+from jackdawfield.gateway.servers.choice import Servers
+from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.model import ServiceName
 
 RETRY_AFTER_S = 0.1
--- /dev/null
+++ b/jackdawfield/gateway/storage/__init__.py
@@ -0,0 +1,1 @@
+"""Read and write rows of the platform's store."""
--- a/jackdawfield/gateway/follower.py
+++ b/jackdawfield/gateway/storage/follower.py
@@ -7,8 +7,8 @@
 from result import Err
 
 from jackdawfield.gateway.clock import boot_time_s
-from jackdawfield.gateway.rows import RowStore
-from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.gateway.storage.rows import RowStore
+from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.logs import log_event
 
 LOG = logging.getLogger(__name__)
--- a/jackdawfield/gateway/measured_store.py
+++ b/jackdawfield/gateway/storage/measured.py
@@ -6,12 +6,12 @@
 from result import Result
 
 from jackdawfield.gateway.measurement import GatewayMetrics
-from jackdawfield.gateway.rows import RowOutcome
-from jackdawfield.gateway.rows import RowsChanged
-from jackdawfield.gateway.rows import RowsRead
-from jackdawfield.gateway.rows import RowStore
-from jackdawfield.gateway.rows import RowTransaction
-from jackdawfield.gateway.rows import StoreError
+from jackdawfield.gateway.storage.rows import RowOutcome
+from jackdawfield.gateway.storage.rows import RowsChanged
+from jackdawfield.gateway.storage.rows import RowsRead
+from jackdawfield.gateway.storage.rows import RowStore
+from jackdawfield.gateway.storage.rows import RowTransaction
+from jackdawfield.gateway.storage.rows import StoreError
 
 ANSWERED = 'answered'
 HISTORY_GONE = 'history gone'
--- /dev/null
+++ b/jackdawfield/gateway/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Read streams of events."""
--- a/jackdawfield/platform/__main__.py
+++ b/jackdawfield/platform/__main__.py
@@ -8,8 +8,8 @@
 
 from jackdawfield.gateway.daemon import Adapter
 from jackdawfield.gateway.daemon import run
-from jackdawfield.gateway.dispatch import HeaderFormat
-from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.servers.dispatch import HeaderFormat
+from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.logs import configure_logs
 from jackdawfield.platform.configuration import decode_configuration
 from jackdawfield.platform.configuration import decode_server
--- a/jackdawfield/platform/store.py
+++ b/jackdawfield/platform/store.py
@@ -12,17 +12,17 @@
 from jackdawfield.decisions.table import Committed
 from jackdawfield.decisions.table import NotApplied
 from jackdawfield.decisions.table import OutcomeUnknown
-from jackdawfield.gateway.connections import ExchangeError
-from jackdawfield.gateway.connections import Fault
-from jackdawfield.gateway.rows import RowConflict
-from jackdawfield.gateway.rows import RowKey
-from jackdawfield.gateway.rows import RowOutcome
-from jackdawfield.gateway.rows import RowsChanged
-from jackdawfield.gateway.rows import RowsRead
-from jackdawfield.gateway.rows import RowTransaction
-from jackdawfield.gateway.rows import StoredRow
-from jackdawfield.gateway.rows import StoreError
-from jackdawfield.gateway.store_path import StorePath
+from jackdawfield.gateway.http.connection import ExchangeError
+from jackdawfield.gateway.http.connection import Fault
+from jackdawfield.gateway.storage.path import StorePath
+from jackdawfield.gateway.storage.rows import RowConflict
+from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.storage.rows import RowOutcome
+from jackdawfield.gateway.storage.rows import RowsChanged
+from jackdawfield.gateway.storage.rows import RowsRead
+from jackdawfield.gateway.storage.rows import RowTransaction
+from jackdawfield.gateway.storage.rows import StoredRow
+from jackdawfield.gateway.storage.rows import StoreError
 from jackdawfield.platform.settings import MS_PER_S
 
 READ_TIMEOUT_S = 1.0
--- a/jackdawfield/standins/platform_store.py
+++ b/jackdawfield/standins/platform_store.py
@@ -11,10 +11,10 @@
 import tornado.web
 
 from jackdawfield.decisions.table import Committed
-from jackdawfield.gateway.rows import RowConflict
-from jackdawfield.gateway.rows import RowKey
-from jackdawfield.gateway.rows import RowTransaction
-from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.gateway.storage.rows import RowConflict
+from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.storage.rows import RowTransaction
+from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.standins.base import FreePortServer
 from jackdawfield.standins.row_store import MemoryRowStore
 
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,11 +9,11 @@
 
 from result import Err
 
-from jackdawfield.gateway.connection_pool import ConnectionPool
-from jackdawfield.gateway.connections import BodyEnd
-from jackdawfield.gateway.connections import Connection
-from jackdawfield.gateway.connections import OutgoingRequest
-from jackdawfield.gateway.connections import ResponseHead
+from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.connection import Connection
+from jackdawfield.gateway.http.connection import OutgoingRequest
+from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.pool import ConnectionPool
 from soak.backend import short_digest
 from soak.instances import CALLER_PORT
 from soak.instances import Instance
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 import signal
 import time
 
-from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.standins.platform_store import PlatformStoreStandIn
 from jackdawfield.standins.row_store import StoreFault
 from soak.backend import Backend
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -3,7 +3,7 @@
 import json
 from typing import Any
 
-from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.storage.rows import RowKey
 
 CONFIGURATION_KEY = RowKey('op', '', 'config')
 SERVICE = 'model'
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -10,18 +10,18 @@
 
 from jackdawfield.decisions.table import Committed
 from jackdawfield.decisions.table import NotApplied
-from jackdawfield.gateway.admission import Admission
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
-from jackdawfield.gateway.connections import Connection
 from jackdawfield.gateway.daemon import Gateway
-from jackdawfield.gateway.dispatch import Dispatcher
-from jackdawfield.gateway.front import Reply
-from jackdawfield.gateway.measured_store import MeasuredStore
+from jackdawfield.gateway.http.connection import Connection
+from jackdawfield.gateway.http.listener import Reply
 from jackdawfield.gateway.model import CallKind
-from jackdawfield.gateway.rows import RowConflict
-from jackdawfield.gateway.turn_store import TurnStore
-from jackdawfield.gateway.turn_store import Verdict
+from jackdawfield.gateway.programs.turn_store import TurnStore
+from jackdawfield.gateway.programs.turn_store import Verdict
+from jackdawfield.gateway.rates.admission import Admission
+from jackdawfield.gateway.servers.dispatch import Dispatcher
+from jackdawfield.gateway.storage.measured import MeasuredStore
+from jackdawfield.gateway.storage.rows import RowConflict
 
 # One in this many body chunks is dropped.
 DROP_INTERVAL_CHUNKS = 9
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/fleet/test_members.py
@@ -2,17 +2,17 @@
 
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
-from jackdawfield.gateway.member_rows import decode_member
-from jackdawfield.gateway.member_rows import MemberRow
-from jackdawfield.gateway.members import Members
-from jackdawfield.gateway.members import MEMBERS_TABLE
-from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.fleet.member_rows import decode_member
+from jackdawfield.gateway.fleet.member_rows import MemberRow
+from jackdawfield.gateway.fleet.members import Members
+from jackdawfield.gateway.fleet.members import MEMBERS_TABLE
+from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.model import InstanceId
 from jackdawfield.standins.row_store import MemoryRowStore
 from jackdawfield.standins.row_store import StoreFault
-from tests.gateway.fleet import free_port
-from tests.gateway.fleet import HOST
-from tests.gateway.fleet import settings_of
+from tests.gateway.harness import free_port
+from tests.gateway.harness import HOST
+from tests.gateway.harness import settings_of
 
 
 class MembersTest(unittest.IsolatedAsyncioTestCase):
--- a/tests/gateway/test_ownership.py
+++ b/tests/gateway/fleet/test_ownership.py
@@ -5,14 +5,14 @@
 
 from msgspec.structs import replace
 
-from jackdawfield.gateway.member_rows import mark_left
-from jackdawfield.gateway.member_rows import mark_suspended
-from jackdawfield.gateway.member_rows import MemberRow
-from jackdawfield.gateway.member_rows import no_takeover_pending
-from jackdawfield.gateway.ownership import CHANGE_FEED_LAG_S
-from jackdawfield.gateway.ownership import LostOwnership
-from jackdawfield.gateway.ownership import Ownership
-from jackdawfield.gateway.ownership import TAKEOVER_WAIT_S
+from jackdawfield.gateway.fleet.member_rows import mark_left
+from jackdawfield.gateway.fleet.member_rows import mark_suspended
+from jackdawfield.gateway.fleet.member_rows import MemberRow
+from jackdawfield.gateway.fleet.member_rows import no_takeover_pending
+from jackdawfield.gateway.fleet.ownership import CHANGE_FEED_LAG_S
+from jackdawfield.gateway.fleet.ownership import LostOwnership
+from jackdawfield.gateway.fleet.ownership import Ownership
+from jackdawfield.gateway.fleet.ownership import TAKEOVER_WAIT_S
 from jackdawfield.model import DomainId
 from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/harness.py
@@ -7,13 +7,13 @@
 import socket
 from typing import Any
 
-from jackdawfield.gateway.connection_pool import ConnectionPool
-from jackdawfield.gateway.connections import BodyEnd
-from jackdawfield.gateway.connections import OutgoingRequest
-from jackdawfield.gateway.connections import ResponseHead
 from jackdawfield.gateway.daemon import Gateway
+from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.connection import OutgoingRequest
+from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.model import GatewaySettings
-from jackdawfield.gateway.rows import RowKey
+from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.platform.__main__ import ADAPTER
 from jackdawfield.platform.settings import decode_settings
 from jackdawfield.standins.platform_store import PlatformStoreStandIn
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/http/test_connection.py
@@ -3,12 +3,12 @@
 
 from result import Err
 
-from jackdawfield.gateway.connection_pool import ConnectionPool
-from jackdawfield.gateway.connections import BodyEnd
-from jackdawfield.gateway.connections import Connection
-from jackdawfield.gateway.connections import Fault
-from jackdawfield.gateway.connections import OutgoingRequest
-from jackdawfield.gateway.connections import ResponseHead
+from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.connection import Connection
+from jackdawfield.gateway.http.connection import Fault
+from jackdawfield.gateway.http.connection import OutgoingRequest
+from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.pool import ConnectionPool
 from tests.gateway.scripted_server import answer
 from tests.gateway.scripted_server import ReceivedRequest
 from tests.gateway.scripted_server import Script
--- a/tests/gateway/test_ledger.py
+++ b/tests/gateway/programs/test_ledger.py
@@ -1,11 +1,11 @@
 import random
 import unittest
 
-from jackdawfield.gateway.ledger import encode_row
-from jackdawfield.gateway.ledger import Ledger
-from jackdawfield.gateway.ledger import LedgerPlan
-from jackdawfield.gateway.ledger import Reserve
-from jackdawfield.gateway.ledger import Settle
+from jackdawfield.gateway.programs.ledger import encode_row
+from jackdawfield.gateway.programs.ledger import Ledger
+from jackdawfield.gateway.programs.ledger import LedgerPlan
+from jackdawfield.gateway.programs.ledger import Reserve
+from jackdawfield.gateway.programs.ledger import Settle
 
 BUDGET = 1000
 MOST = 100
--- a/tests/gateway/test_turn_store.py
+++ b/tests/gateway/programs/test_turn_store.py
@@ -3,21 +3,21 @@
 import unittest
 from unittest import mock
 
-from jackdawfield.gateway.chains import Chain
-from jackdawfield.gateway.chains import ChainReader
-from jackdawfield.gateway.chains import TurnNotFound
-from jackdawfield.gateway.chains import TurnUnavailable
-from jackdawfield.gateway.ledger import Settle
 from jackdawfield.gateway.model import TurnId
-from jackdawfield.gateway.turn_cache import TurnCache
-from jackdawfield.gateway.turn_store import TurnStore
-from jackdawfield.gateway.turn_store import Verdict
+from jackdawfield.gateway.programs.chains import Chain
+from jackdawfield.gateway.programs.chains import ChainReader
+from jackdawfield.gateway.programs.chains import TurnNotFound
+from jackdawfield.gateway.programs.chains import TurnUnavailable
+from jackdawfield.gateway.programs.ledger import Settle
+from jackdawfield.gateway.programs.turn_cache import TurnCache
+from jackdawfield.gateway.programs.turn_store import TurnStore
+from jackdawfield.gateway.programs.turn_store import Verdict
 from jackdawfield.model import OrganisationId
 from jackdawfield.standins.row_store import MemoryRowStore
 from jackdawfield.standins.row_store import StoreFault
-from tests.gateway.test_turns import ORGANISATION
-from tests.gateway.test_turns import PROGRAM
-from tests.gateway.test_turns import record
+from tests.gateway.programs.test_turns import ORGANISATION
+from tests.gateway.programs.test_turns import PROGRAM
+from tests.gateway.programs.test_turns import record
 
 ROW_BYTES = 65536
 CACHE_BYTES = 1_000_000
@@ -130,7 +130,9 @@
 
     async def test_rows_are_removed_once_the_program_expired(self) -> None:
         event = Settle(0, 0, 1000)
-        with mock.patch('jackdawfield.gateway.turn_store.time.time') as now:
+        with mock.patch(
+            'jackdawfield.gateway.programs.turn_store.time.time'
+        ) as now:
             now.return_value = 1000.0
             for number, turn in enumerate(('1', '2')):
                 now.return_value = 1000.0 + 50 * number
@@ -151,7 +153,9 @@
         kept = dataclasses.replace(record('1', None, b''), kept_until_s=0.0)
         committed_s = time.time()
         await self.store.commit(PROGRAM, kept, None, deadline_s())
-        with mock.patch('jackdawfield.gateway.turn_store.time.time') as now:
+        with mock.patch(
+            'jackdawfield.gateway.programs.turn_store.time.time'
+        ) as now:
             now.return_value = committed_s + 60
             self.rows.injected_faults.append(StoreFault.UNAVAILABLE)
             await self.store.remove_expired()
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/programs/test_turns.py
@@ -2,16 +2,16 @@
 import unittest
 
 from jackdawfield.gateway.model import TurnId
-from jackdawfield.gateway.rows import StoredRow
-from jackdawfield.gateway.turns import build_prompt
-from jackdawfield.gateway.turns import decode_turns
-from jackdawfield.gateway.turns import encode_turn
-from jackdawfield.gateway.turns import index_key
-from jackdawfield.gateway.turns import program_key
-from jackdawfield.gateway.turns import shorten_id
-from jackdawfield.gateway.turns import TurnError
-from jackdawfield.gateway.turns import TurnRecord
-from jackdawfield.gateway.turns import TURNS_TABLE
+from jackdawfield.gateway.programs.turns import build_prompt
+from jackdawfield.gateway.programs.turns import decode_turns
+from jackdawfield.gateway.programs.turns import encode_turn
+from jackdawfield.gateway.programs.turns import index_key
+from jackdawfield.gateway.programs.turns import program_key
+from jackdawfield.gateway.programs.turns import shorten_id
+from jackdawfield.gateway.programs.turns import TurnError
+from jackdawfield.gateway.programs.turns import TurnRecord
+from jackdawfield.gateway.programs.turns import TURNS_TABLE
+from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.model import OrganisationId
 from jackdawfield.model import ProgramId
 from jackdawfield.model import ServerId
--- a/tests/gateway/test_rate_owner.py
+++ b/tests/gateway/rates/test_owner.py
@@ -8,11 +8,11 @@
 from unittest import mock
 
 from jackdawfield.decisions.buckets import Contract
-from jackdawfield.gateway.member_rows import mark_left
-from jackdawfield.gateway.member_rows import MemberRow
-from jackdawfield.gateway.ownership import TAKEOVER_WAIT_S
-from jackdawfield.gateway.ownership import VIEW_VALID_S
-from jackdawfield.gateway.rate_owner import RateOwner
+from jackdawfield.gateway.fleet.member_rows import mark_left
+from jackdawfield.gateway.fleet.member_rows import MemberRow
+from jackdawfield.gateway.fleet.ownership import TAKEOVER_WAIT_S
+from jackdawfield.gateway.fleet.ownership import VIEW_VALID_S
+from jackdawfield.gateway.rates.owner import RateOwner
 from jackdawfield.messages.fleet_rates import AskTokens
 from jackdawfield.messages.fleet_rates import HandOver
 from jackdawfield.model import DomainId
@@ -24,7 +24,7 @@
 OTHER = InstanceId('i1')
 ORG = OrganisationId('org')
 CONTRACT = Contract(10.0, 40)
-CLOCK = 'jackdawfield.gateway.rate_owner.boot_time_s'
+CLOCK = 'jackdawfield.gateway.rates.owner.boot_time_s'
 
 
 def row(name: str) -> MemberRow:
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/rates/test_tokens.py
@@ -2,12 +2,12 @@
 
 from jackdawfield.decisions.buckets import Contract
 from jackdawfield.gateway.model import PromisedLimits
-from jackdawfield.gateway.rates import BEGINNING_WAIT_S
-from jackdawfield.gateway.rates import CONTINUING_WAIT_S
-from jackdawfield.gateway.rates import fallback_rate
-from jackdawfield.gateway.rates import LocalTokens
-from jackdawfield.gateway.rates import RateBucket
-from jackdawfield.gateway.rates import SPARE_TTL_S
+from jackdawfield.gateway.rates.tokens import BEGINNING_WAIT_S
+from jackdawfield.gateway.rates.tokens import CONTINUING_WAIT_S
+from jackdawfield.gateway.rates.tokens import fallback_rate
+from jackdawfield.gateway.rates.tokens import LocalTokens
+from jackdawfield.gateway.rates.tokens import RateBucket
+from jackdawfield.gateway.rates.tokens import SPARE_TTL_S
 from jackdawfield.messages.fleet_rates import AskTokens
 from jackdawfield.model import OrganisationId
 
--- a/tests/gateway/test_call_queue.py
+++ b/tests/gateway/servers/test_call_queue.py
@@ -6,13 +6,13 @@
 from dataclasses import replace
 import unittest
 
-from jackdawfield.gateway.call_queue import CallQueue
-from jackdawfield.gateway.call_queue import ConcurrencyLimit
-from jackdawfield.gateway.call_queue import MAX_QUEUE_WAIT_S
-from jackdawfield.gateway.call_queue import MAX_SERVER_WAIT_S
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.model import CallKind
-from tests.gateway.test_dispatch import make_call
+from jackdawfield.gateway.servers.call_queue import CallQueue
+from jackdawfield.gateway.servers.call_queue import ConcurrencyLimit
+from jackdawfield.gateway.servers.call_queue import MAX_QUEUE_WAIT_S
+from jackdawfield.gateway.servers.call_queue import MAX_SERVER_WAIT_S
+from tests.gateway.servers.test_dispatch import make_call
 
 
 def make_turn(priority: int, finish_left_s: float | None) -> Call:
--- a/tests/gateway/test_servers.py
+++ b/tests/gateway/servers/test_choice.py
@@ -6,13 +6,13 @@
 import unittest
 
 from jackdawfield.gateway.model import ServerEntry
-from jackdawfield.gateway.servers import AVOID_S
-from jackdawfield.gateway.servers import MISSING_GRACE_S
-from jackdawfield.gateway.servers import record_failure
-from jackdawfield.gateway.servers import record_full
-from jackdawfield.gateway.servers import record_success
-from jackdawfield.gateway.servers import ServerCriteria
-from jackdawfield.gateway.servers import Servers
+from jackdawfield.gateway.servers.choice import AVOID_S
+from jackdawfield.gateway.servers.choice import MISSING_GRACE_S
+from jackdawfield.gateway.servers.choice import record_failure
+from jackdawfield.gateway.servers.choice import record_full
+from jackdawfield.gateway.servers.choice import record_success
+from jackdawfield.gateway.servers.choice import ServerCriteria
+from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
 from jackdawfield.model import ServerId
--- a/tests/gateway/test_failures.py
+++ b/tests/gateway/servers/test_failures.py
@@ -7,20 +7,20 @@
 import asyncio
 import unittest
 
-from jackdawfield.gateway.ejection import EjectionState
-from jackdawfield.gateway.ejection import FIRST_EJECTION_S
-from jackdawfield.gateway.ejection import JITTER_SHARE
-from jackdawfield.gateway.ejection import MAX_EJECTION_S
-from jackdawfield.gateway.ejection import REPORT_WINDOW_S
-from jackdawfield.gateway.failures import FailureReports
-from jackdawfield.gateway.failures import OWN_FAULT_SERVERS
-from jackdawfield.gateway.member_rows import MemberRow
+from jackdawfield.gateway.fleet.member_rows import MemberRow
 from jackdawfield.gateway.model import ServerEntry
-from jackdawfield.gateway.servers import HANG_S
-from jackdawfield.gateway.servers import MAX_EJECTED_SHARE
-from jackdawfield.gateway.servers import record_success
-from jackdawfield.gateway.servers import ServerCriteria
-from jackdawfield.gateway.servers import Servers
+from jackdawfield.gateway.servers.choice import HANG_S
+from jackdawfield.gateway.servers.choice import MAX_EJECTED_SHARE
+from jackdawfield.gateway.servers.choice import record_success
+from jackdawfield.gateway.servers.choice import ServerCriteria
+from jackdawfield.gateway.servers.choice import Servers
+from jackdawfield.gateway.servers.ejection import EjectionState
+from jackdawfield.gateway.servers.ejection import FIRST_EJECTION_S
+from jackdawfield.gateway.servers.ejection import JITTER_SHARE
+from jackdawfield.gateway.servers.ejection import MAX_EJECTION_S
+from jackdawfield.gateway.servers.ejection import REPORT_WINDOW_S
+from jackdawfield.gateway.servers.failures import FailureReports
+from jackdawfield.gateway.servers.failures import OWN_FAULT_SERVERS
 from jackdawfield.messages.fleet_servers import ServerFailed
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/storage/test_follower.py
@@ -1,9 +1,9 @@
 import asyncio
 import unittest
 
-from jackdawfield.gateway.follower import TableFollower
-from jackdawfield.gateway.rows import RowKey
-from jackdawfield.gateway.rows import StoredRow
+from jackdawfield.gateway.storage.follower import TableFollower
+from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.standins.row_store import MemoryRowStore
 from jackdawfield.standins.row_store import StoreFault
 
--- a/tests/gateway/test_store_path.py
+++ b/tests/gateway/storage/test_path.py
@@ -5,15 +5,15 @@
 
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
-from jackdawfield.gateway.connection_pool import ConnectionPool
-from jackdawfield.gateway.rows import RowKey
-from jackdawfield.gateway.rows import RowTransaction
-from jackdawfield.gateway.store_path import StorePath
+from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.storage.path import StorePath
+from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.storage.rows import RowTransaction
 from jackdawfield.platform.store import PlatformStore
 from jackdawfield.standins.platform_store import PlatformStoreStandIn
 from jackdawfield.standins.row_store import MemoryRowStore
-from tests.gateway.fleet import free_port
-from tests.gateway.fleet import HOST
+from tests.gateway.harness import free_port
+from tests.gateway.harness import HOST
 
 KEY = RowKey('table', 'part', 'key')
 
--- a/tests/gateway/test_event_stream.py
+++ b/tests/gateway/streams/test_events.py
@@ -1,7 +1,7 @@
 from itertools import accumulate
 import unittest
 
-from jackdawfield.gateway.event_stream import EventReader
+from jackdawfield.gateway.streams.events import EventReader
 
 STREAM = (
     b'id: 1\ndata: a b\n\n'
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,15 +1,15 @@
 import asyncio
 import unittest
 
-from jackdawfield.gateway.connections import BodyEnd
-from jackdawfield.gateway.connections import OutgoingRequest
 from jackdawfield.gateway.daemon import LISTEN_AFTER_STOP_S
-from jackdawfield.gateway.ownership import TAKEOVER_WAIT_S
-from jackdawfield.gateway.rows import RowKey
-from tests.gateway.fleet import configuration
-from tests.gateway.fleet import engine
-from tests.gateway.fleet import Fleet
-from tests.gateway.fleet import HOST
+from jackdawfield.gateway.fleet.ownership import TAKEOVER_WAIT_S
+from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.connection import OutgoingRequest
+from jackdawfield.gateway.storage.rows import RowKey
+from tests.gateway.harness import configuration
+from tests.gateway.harness import engine
+from tests.gateway.harness import Fleet
+from tests.gateway.harness import HOST
 from tests.gateway.scripted_server import ReceivedRequest
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,8 +11,8 @@
 from jackdawfield.drivers.peers import TIMEOUTS_TO_REOPEN
 from jackdawfield.messages.fleet_rates import Ping
 from jackdawfield.messages.fleet_rates import Pong
-from tests.gateway.fleet import free_port
-from tests.gateway.fleet import HOST
+from tests.gateway.harness import free_port
+from tests.gateway.harness import HOST
 
 
 class SilencingProxy:
