--- a/jackdawfield/drivers/backends.py
+++ b/jackdawfield/drivers/backends.py
@@ -14,11 +14,10 @@
 from jackdawfield.drivers.http import HttpClient
 from jackdawfield.drivers.http import HttpError
 from jackdawfield.drivers.http import HttpFault
+from jackdawfield.event_stream import EventParser
 
 PROGRAM_HEADER = 'X-Program'
 REQUEST_HEADER = 'X-Request-Id'
-EVENT_SEPARATOR = b'\n\n'
-DATA_PREFIX = b'data: '
 DONE_MARKER = b'[DONE]'
 
 
@@ -49,23 +48,38 @@
 EngineEvent = Token | Usage | BackendError
 
 
-class EventParser:
-    """Parses a stream of server-sent events into engine events."""
+class EngineStreamParser:
+    """Parses the stream of a chat completion into engine events."""
 
     def __init__(self) -> None:
-        self._buffer = b''
+        self._parser = EventParser()
+        self._is_malformed = False
         self.is_done = False
 
     def feed(self, chunk: bytes) -> list[EngineEvent]:
-        """Return the events that a chunk completes."""
-        *blocks, self._buffer = (self._buffer + chunk).split(EVENT_SEPARATOR)
-        events = []
-        for block in blocks:
-            events.extend(self._parse_block(block))
+        """Return the events that a chunk completes.
+
+        A malformed stream ends with an error; what follows is ignored.
+        """
+        if self._is_malformed:
+            return []
+        events: list[EngineEvent] = []
+        try:
+            for event in self._parser.feed(chunk):
+                if event.data is not None:
+                    events.extend(self._parse_data(event.data))
+        except ValueError as error:
+            events.append(self._malformed(str(error)))
+            return events
+        if self._parser.is_oversized:
+            events.append(self._malformed('event too large'))
         return events
 
-    def _parse_block(self, block: bytes) -> list[EngineEvent]:
-        data = block.removeprefix(DATA_PREFIX)
+    def _malformed(self, reason: str) -> BackendError:
+        self._is_malformed = True
+        return BackendError(HttpFault.LOST, f'malformed stream: {reason}')
+
+    def _parse_data(self, data: bytes) -> list[EngineEvent]:
         if data == DONE_MARKER:
             self.is_done = True
             return []
@@ -140,7 +154,7 @@
         headers: dict[str, str],
         timeout_s: float,
     ) -> AsyncIterator[EngineEvent]:
-        parser = EventParser()
+        parser = EngineStreamParser()
         queue: asyncio.Queue[EngineEvent] = asyncio.Queue()
 
         def on_chunk(chunk: bytes) -> None:
--- a/jackdawfield/drivers/http.py
+++ b/jackdawfield/drivers/http.py
@@ -13,7 +13,8 @@
 
 MAX_CONNECTIONS = 4_000
 CONNECT_TIMEOUT_S = 2.0
-MAX_ANSWER_BYTES = 256 * 1024 * 1024
+# An answer without end must not take the memory of a small instance.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class HttpFault(Enum):
--- a/jackdawfield/gateway/calls.py
+++ b/jackdawfield/gateway/calls.py
@@ -60,6 +60,8 @@
     max_tokens: int
     previous_turn: TurnId | None
     end_to_end_headers: HeaderPairs
+    # The last event that the caller has of a stream that it resumes.
+    last_event_id: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,6 +72,8 @@
     organisation_id: OrganisationId | None
     time_left_s: float
     end_to_end_headers: HeaderPairs
+    # The event after which the server continues a stream.
+    last_event_id: bytes | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -29,16 +29,20 @@
 from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.model import ServerEntry
+from jackdawfield.gateway.programs.accounts import ProgramAccounts
 from jackdawfield.gateway.programs.chains import ChainReader
+from jackdawfield.gateway.programs.expiry import RowExpiry
+from jackdawfield.gateway.programs.stream_calls import StreamCalls
 from jackdawfield.gateway.programs.turn_cache import TurnCache
-from jackdawfield.gateway.programs.turn_calls import TurnCalls
 from jackdawfield.gateway.programs.turn_store import TurnStore
+from jackdawfield.gateway.programs.unused_tokens import UnusedTokens
 from jackdawfield.gateway.rates.admission import Admission
 from jackdawfield.gateway.rates.owner import RateOwner
 from jackdawfield.gateway.servers.choice import MISSING_GRACE_S
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.dispatch import Dispatcher
-from jackdawfield.gateway.servers.dispatch import HeaderFormat
+from jackdawfield.gateway.servers.exchange import HeaderFormat
+from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.failures import FailureReports
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.storage.follower import TableFollower
@@ -134,18 +138,23 @@
         self.failure_reports = FailureReports(
             settings.region_id, self.servers, self.members, self.links
         )
-        self.dispatcher = Dispatcher(
-            self.slot_queue,
+        exchange = ServerExchange(
+            self.servers,
             self.server_pool,
             self._adapter.header_format,
             self.failure_reports.report,
         )
+        self.dispatcher = Dispatcher(self.slot_queue, exchange)
         cache = TurnCache(int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE))
-        self.turns = TurnStore(
+        self.expiry = RowExpiry(self.store)
+        self.unused_tokens = UnusedTokens(self.members, self.links)
+        self.accounts = ProgramAccounts(
             self.store,
             f'{settings.instance_id}.{self._incarnation}',
-            settings.row_bytes,
-            cache,
+            self.unused_tokens.collect,
+        )
+        turns = TurnStore(
+            self.store, self.accounts, self.expiry, settings.row_bytes, cache
         )
         chains = ChainReader(self.store, cache)
         self.rate_owner = RateOwner(
@@ -154,15 +163,17 @@
         self.admission = Admission(
             settings, self.members, self.links, self.rate_owner
         )
-        self.turn_calls = TurnCalls(
+        self.stream_calls = StreamCalls(
             self.dispatcher,
             chains,
-            self.turns,
+            turns,
+            self.accounts,
+            self.expiry,
             self.admission,
             self.metrics,
         )
         self.call_handler = CallHandler(
-            self.dispatcher, self.turn_calls, self.admission, self.metrics
+            self.dispatcher, self.stream_calls, self.admission, self.metrics
         )
 
     def _add_gauges(self) -> None:
@@ -219,6 +230,7 @@
         self.members.register(self.peers)
         self.rate_owner.register(self.peers)
         self.failure_reports.register(self.peers)
+        self.unused_tokens.register(self.peers, self.accounts)
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
         self.caller_listener.listen(settings.host, settings.caller_port)
         self._health_listener.listen(settings.host, settings.health_port)
@@ -243,7 +255,7 @@
     async def _remove_expired(self) -> None:
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_S)
-            await self.turns.remove_expired()
+            await self.expiry.remove_expired()
 
     async def _run_checks(self) -> None:
         while True:
@@ -276,7 +288,7 @@
         if current is not None and configuration.version <= current.version:
             return
         self.call_handler.configuration = configuration
-        self.turn_calls.configuration = configuration
+        self.stream_calls.configuration = configuration
         self.slot_queue.configuration = configuration
         self.rate_owner.configure(configuration)
         log_event(LOG, 'configuration_applied', version=configuration.version)
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -13,13 +13,14 @@
 from jackdawfield.gateway.http.listener import IncomingRequest
 from jackdawfield.gateway.http.listener import Reply
 from jackdawfield.gateway.measurement import GatewayMetrics
+from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.model import FleetConfiguration
-from jackdawfield.gateway.programs.turn_calls import TurnCalls
+from jackdawfield.gateway.programs.stream_calls import StreamCalls
 from jackdawfield.gateway.rates.admission import Admission
 from jackdawfield.gateway.routes import choose_service
 from jackdawfield.gateway.routes import find_route
 from jackdawfield.gateway.servers.dispatch import Dispatcher
-from jackdawfield.gateway.servers.dispatch import ResponseStream
+from jackdawfield.gateway.servers.dispatch import SentCall
 from jackdawfield.logs import log_event
 from jackdawfield.model import OrganisationId
 from jackdawfield.model import ServiceName
@@ -37,13 +38,13 @@
     def __init__(
         self,
         dispatcher: Dispatcher,
-        turn_calls: TurnCalls,
+        stream_calls: StreamCalls,
         admission: Admission,
         metrics: GatewayMetrics,
     ) -> None:
         self._metrics = metrics
         self._dispatcher = dispatcher
-        self._turn_calls = turn_calls
+        self._stream_calls = stream_calls
         self._admission = admission
         self.configuration: FleetConfiguration | None = None
 
@@ -128,8 +129,8 @@
             refusal = Refusal(503, 'route without service')
             self._refuse(call.request_id, call.route.name, refusal, reply)
             return
-        if call.route.keeps_turns:
-            outcome = await self._turn_calls.serve(call, service, reply)
+        if call.route.kind is CallKind.STREAM:
+            outcome = await self._stream_calls.serve(call, service, reply)
         else:
             outcome = await self._forward(call, service, reply)
         match outcome:
@@ -155,11 +156,12 @@
         if refusal is not None:
             return refusal
         reply.stage = Stage.SERVER
-        response = await self._dispatcher.start(call, service, call.body, None)
-        if isinstance(response, Refusal):
+        sent = await self._dispatcher.start(call, service, call.body, None)
+        if isinstance(sent, Refusal):
             self._admission.return_token(call)
-        if not isinstance(response, ResponseStream):
-            return response
+        if not isinstance(sent, SentCall):
+            return sent
+        response = sent.response
         end: BodyEnd | None = None
         try:
             reply.stage = Stage.ANSWER
--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -17,6 +17,8 @@
 from result import Result
 
 MAX_HEAD_BYTES = 65536
+# Interim heads and late responses skipped before a request's response.
+MAX_SKIPPED_RESPONSES = 8
 # The kernel closes a connection whose data stays unacknowledged for this long.
 TCP_USER_TIMEOUT_MS = 3000
 KEEPALIVE_IDLE_S = 2
@@ -103,6 +105,9 @@
         self._waiter: asyncio.Future[None] | None = None
         self._request: OutgoingRequest | None = None
         self._is_late_response = False
+        self._skipped_responses = 0
+        # Whether an earlier request was carried.
+        self._is_reused = False
         self._has_ended = False
         self._is_lost = False
         self._idle_limit_s = DEFAULT_IDLE_S
@@ -156,6 +161,8 @@
             match event:
                 case h11.Response():
                     self._handle_head(event)
+                case h11.InformationalResponse():
+                    self._skip_response()
                 case h11.Data(data=data):
                     if not self._is_late_response:
                         self._buffered_bytes += len(data)
@@ -184,14 +191,26 @@
         )
         request = self._request
         assert request is not None
-        echoed = head.get(request.echo_header) if request.echo_header else None
-        if echoed is not None and echoed != request.echo_value:
-            # Skip a late response to an earlier request of this connection.
-            self._is_late_response = True
-            return
+        if request.echo_header:
+            echoed = head.get(request.echo_header)
+            if echoed is None and self._is_reused:
+                # It may be a late response to an earlier request.
+                self.abort('answer without the id of its request')
+                return
+            if echoed is not None and echoed != request.echo_value:
+                # Skip a late response to an earlier request.
+                self._is_late_response = True
+                self._skip_response()
+                return
         self._idle_limit_s = idle_limit_s(head)
         self._push(head)
 
+    def _skip_response(self) -> None:
+        """Count a skipped response; close the connection after too many."""
+        self._skipped_responses += 1
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            self.abort('too many answers that belong to no request')
+
     def _handle_end(self) -> None:
         if not self._is_late_response:
             self._has_ended = True
@@ -234,6 +253,7 @@
         self._request = request
         self._has_ended = False
         self._is_late_response = False
+        self._skipped_responses = 0
         self._transport.write(data)
         return Ok(None)
 
@@ -279,6 +299,7 @@
         parser.start_next_cycle()
         self._request = None
         self._parts.clear()
+        self._is_reused = True
         self.idle_until_s = time.monotonic() + self._idle_limit_s
         return True
 
--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -54,6 +54,15 @@
     keeps_turns: bool
     retention_s: float
     is_open: bool
+    # A stream that broke off may be continued after its last event.
+    is_resumable: bool = False
+    # Longest pause between events of a stream that is still in time.
+    event_gap_s: float = 0.0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Return whether a request of the route may run more than once."""
+        return self.kind.repeatable or self.is_resumable
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/jackdawfield/gateway/programs/accounts.py
@@ -0,0 +1,357 @@
+"""Keep programs' token budgets in the store, over all instances.
+
+Each program has one row. An instance writes it in one transaction at a time,
+which carries all updates that wait, and the rows of turns with them.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+from dataclasses import dataclass
+from enum import Enum
+import logging
+import time
+
+from msgspec.structs import replace
+from result import Err
+
+from jackdawfield.decisions.table import Committed
+from jackdawfield.decisions.table import NotApplied
+from jackdawfield.decisions.table import OutcomeUnknown
+from jackdawfield.gateway.programs.ledger import encode_row
+from jackdawfield.gateway.programs.ledger import Ledger
+from jackdawfield.gateway.programs.ledger import ledger_key
+from jackdawfield.gateway.programs.ledger import LedgerEvent
+from jackdawfield.gateway.programs.ledger import LedgerPlan
+from jackdawfield.gateway.programs.ledger import Reserve
+from jackdawfield.gateway.programs.ledger import Return
+from jackdawfield.gateway.programs.ledger import Settle
+from jackdawfield.gateway.programs.turns import ProgramKey
+from jackdawfield.gateway.storage.backoff import backoff_delays_s
+from jackdawfield.gateway.storage.rows import read_row
+from jackdawfield.gateway.storage.rows import RowConflict
+from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.storage.rows import RowOutcome
+from jackdawfield.gateway.storage.rows import RowStore
+from jackdawfield.gateway.storage.rows import RowTransaction
+from jackdawfield.gateway.storage.rows import StoredRow
+from jackdawfield.logs import log_event
+
+LOG = logging.getLogger(__name__)
+WRITE_TIMEOUT_S = 0.8
+RETRY_S = 0.1
+MAX_RETRY_S = 0.4
+RETURN_TIMEOUT_S = 0.5
+# Ledgers beyond this many are evicted from memory, least recently used first.
+LEDGERS_KEPT = 4000
+
+Puts = tuple[tuple[RowKey, bytes], ...]
+# Asks the writers of a program's row to return the tokens they do not use;
+# returns whether any of them did.
+CollectUnused = Callable[[ProgramKey, Iterable[str]], Awaitable[bool]]
+
+
+class Verdict(Enum):
+    """Names the result of a reservation or of a write.
+
+    FITS also stands for a write that was applied, and UNKNOWN for an update
+    whose deadline passed first.
+    """
+
+    FITS = 'fits'
+    SPENT = 'spent'
+    UNKNOWN = 'unknown'
+
+
+@dataclass(slots=True)
+class _PendingUpdate:
+    event: LedgerEvent
+    puts: Puts
+    deadline_s: float
+    done: asyncio.Future[Verdict]
+    # Whether the other writers were asked for the tokens they do not use.
+    has_collected: bool = False
+
+
+class _Account:
+    """Holds a program's ledger and the updates that await its next write."""
+
+    def __init__(self, writer: str) -> None:
+        self.ledger = Ledger(writer)
+        self.pending: list[_PendingUpdate] = []
+        self.task: asyncio.Task[None] | None = None
+
+
+async def collect_nothing(program: ProgramKey, writers: Iterable[str]) -> bool:
+    """Stand for a fleet in which no other instance holds tokens."""
+    return False
+
+
+class ProgramAccounts:
+    """Reserves and settles the tokens of programs."""
+
+    def __init__(
+        self,
+        store: RowStore,
+        writer: str,
+        collect_unused: CollectUnused = collect_nothing,
+    ) -> None:
+        self._store = store
+        self._writer = writer
+        self._collect_unused = collect_unused
+        # The least recently used first.
+        self._accounts_by_program: dict[ProgramKey, _Account] = {}
+
+    def is_new(self, program: ProgramKey) -> bool:
+        """Return whether this instance has no account of a program yet."""
+        return program not in self._accounts_by_program
+
+    def is_likely_to_fit(
+        self, program: ProgramKey, tokens: int, budget: int, begins: bool
+    ) -> bool:
+        """Return whether a reservation is unlikely to be refused.
+
+        False if the ledger has not been loaded, except for the first turn of
+        a program, whose budget is unspent.
+        """
+        account = self._account_of(program)
+        if not account.ledger.is_loaded and not begins:
+            return False
+        queued = sum(
+            update.event.tokens
+            for update in account.pending
+            if isinstance(update.event, Reserve)
+        )
+        return account.ledger.is_likely_to_fit(tokens, queued, budget)
+
+    async def refresh(self, program: ProgramKey) -> None:
+        """Reload a program's ledger; another instance may have raised it."""
+        account = self._account_of(program)
+        if account.task is None:
+            await self._reload(program, account.ledger)
+
+    def granted_tokens(self, program: ProgramKey) -> int:
+        """Return the tokens granted to a program, as of the row last read."""
+        return self._account_of(program).ledger.row.granted
+
+    async def reserve(
+        self, program: ProgramKey, event: Reserve, deadline_s: float
+    ) -> Verdict:
+        """Reserve a call's tokens durably; UNKNOWN after the deadline."""
+        return await self.submit(program, event, (), deadline_s)
+
+    def keep_unused(self, program: ProgramKey, settled: Settle) -> None:
+        """Keep a call's unused tokens for the program's next call here."""
+        self._account_of(program).ledger.keep(settled)
+
+    async def return_unused(self, program: ProgramKey) -> bool:
+        """Write back the tokens that no call here uses; return if any."""
+        account = self._accounts_by_program.get(program)
+        if account is None or not account.ledger.available:
+            return False
+        deadline_s = time.monotonic() + RETURN_TIMEOUT_S
+        verdict = await self.submit(program, Return(), (), deadline_s)
+        return verdict is Verdict.FITS
+
+    def _account_of(self, program: ProgramKey) -> _Account:
+        account = self._accounts_by_program.pop(program, None)
+        if account is None:
+            account = _Account(self._writer)
+            self._evict_idle()
+        self._accounts_by_program[program] = account
+        return account
+
+    def _evict_idle(self) -> None:
+        while len(self._accounts_by_program) >= LEDGERS_KEPT:
+            oldest, account = next(iter(self._accounts_by_program.items()))
+            if account.task is not None:
+                return
+            del self._accounts_by_program[oldest]
+
+    async def submit(
+        self,
+        program: ProgramKey,
+        event: LedgerEvent,
+        puts: Puts,
+        deadline_s: float,
+    ) -> Verdict:
+        """Apply an event, and write rows with it; UNKNOWN if not in time."""
+        account = self._account_of(program)
+        done: asyncio.Future[Verdict] = (
+            asyncio.get_running_loop().create_future()
+        )
+        update = _PendingUpdate(event, puts, deadline_s, done)
+        account.pending.append(update)
+        if account.task is None:
+            account.task = asyncio.create_task(
+                self._process_updates(program, account)
+            )
+        try:
+            async with asyncio.timeout(deadline_s - time.monotonic()):
+                return await asyncio.shield(done)
+        except TimeoutError:
+            _resolve(update, Verdict.UNKNOWN)
+            return done.result()
+
+    async def _process_updates(
+        self, program: ProgramKey, account: _Account
+    ) -> None:
+        try:
+            delays_s = backoff_delays_s(RETRY_S, MAX_RETRY_S)
+            while account.pending:
+                if await self._try_updates(program, account):
+                    delays_s = backoff_delays_s(RETRY_S, MAX_RETRY_S)
+                    continue
+                await asyncio.sleep(next(delays_s))
+        finally:
+            account.task = None
+            for update in account.pending:
+                _resolve(update, Verdict.UNKNOWN)
+
+    async def _try_updates(
+        self, program: ProgramKey, account: _Account
+    ) -> bool:
+        """Try to write the pending updates; False if the store failed."""
+        self._expire_updates(account)
+        updates = list(account.pending)
+        if not updates:
+            return True
+        ledger = account.ledger
+        plan = _plan(ledger, updates)
+        has_refusals = not all(plan.verdicts)
+        if has_refusals and not ledger.is_loaded:
+            return await self._reload(program, ledger)
+        puts = [put for update in updates for put in update.puts]
+        if has_refusals and not plan.must_write and not puts:
+            # Other instances may have returned tokens since the last read.
+            await self._collect(program, ledger, updates)
+            if not await self._reload(program, ledger):
+                return False
+            plan = _plan(ledger, updates)
+        if not plan.must_write and not puts:
+            ledger.record_unwritten(plan)
+            self._resolve_all(account, updates, plan)
+            return True
+        active_row = replace(plan.row, active_s=time.time())
+        plan = dataclasses.replace(plan, row=active_row)
+        outcome = await self._write(program, ledger, plan, puts, updates)
+        return await self._handle_outcome(
+            program, account, updates, plan, outcome
+        )
+
+    async def _collect(
+        self,
+        program: ProgramKey,
+        ledger: Ledger,
+        updates: list[_PendingUpdate],
+    ) -> None:
+        """Have the other writers return unused tokens, once an update."""
+        if all(update.has_collected for update in updates):
+            return
+        for update in updates:
+            update.has_collected = True
+        others = [w for w in ledger.row.marks if w != self._writer]
+        if others:
+            await self._collect_unused(program, others)
+
+    async def _write(
+        self,
+        program: ProgramKey,
+        ledger: Ledger,
+        plan: LedgerPlan,
+        puts: list[tuple[RowKey, bytes]],
+        updates: list[_PendingUpdate],
+    ) -> RowOutcome:
+        key = ledger_key(program)
+        transaction = RowTransaction(
+            ((key, ledger.version),), (*puts, (key, encode_row(plan.row)))
+        )
+        left_s = (
+            max(update.deadline_s for update in updates) - time.monotonic()
+        )
+        timeout_s = max(RETRY_S, min(left_s, WRITE_TIMEOUT_S))
+        return await self._store.transact(transaction, timeout_s)
+
+    async def _handle_outcome(
+        self,
+        program: ProgramKey,
+        account: _Account,
+        updates: list[_PendingUpdate],
+        plan: LedgerPlan,
+        outcome: RowOutcome,
+    ) -> bool:
+        ledger = account.ledger
+        match outcome:
+            case Committed(revision):
+                ledger.record_written(plan, revision)
+                self._resolve_all(account, updates, plan)
+                return True
+            case RowConflict(rows):
+                key = ledger_key(program)
+                load_row(ledger, next((r for r in rows if r.key == key), None))
+            case NotApplied(reason):
+                log_event(LOG, 'ledger_unwritten', reason=reason)
+                return False
+            case OutcomeUnknown(reason):
+                log_event(LOG, 'ledger_in_doubt', reason=reason)
+                if not await self._reload(program, ledger):
+                    return False
+        if ledger.has_written(plan):
+            ledger.record_written(plan, ledger.version)
+            self._resolve_all(account, updates, plan)
+        return True
+
+    async def _reload(self, program: ProgramKey, ledger: Ledger) -> bool:
+        read = await read_row(self._store, ledger_key(program))
+        if isinstance(read, Err):
+            log_event(LOG, 'ledger_unread', reason=read.err_value.reason)
+            return False
+        load_row(ledger, read.ok_value)
+        return True
+
+    def _resolve_all(
+        self,
+        account: _Account,
+        updates: list[_PendingUpdate],
+        plan: LedgerPlan,
+    ) -> None:
+        verdicts = iter(plan.verdicts)
+        for update in updates:
+            fits = True
+            if isinstance(update.event, Reserve):
+                fits = next(verdicts)
+            _resolve(update, Verdict.FITS if fits else Verdict.SPENT)
+        done = set(map(id, updates))
+        account.pending = [
+            update for update in account.pending if id(update) not in done
+        ]
+
+    def _expire_updates(self, account: _Account) -> None:
+        now_s = time.monotonic()
+        for update in account.pending:
+            if update.deadline_s <= now_s:
+                _resolve(update, Verdict.UNKNOWN)
+        account.pending = [
+            update for update in account.pending if not update.done.done()
+        ]
+
+
+def _plan(ledger: Ledger, updates: list[_PendingUpdate]) -> LedgerPlan:
+    return ledger.plan(update.event for update in updates)
+
+
+def _resolve(update: _PendingUpdate, verdict: Verdict) -> None:
+    if not update.done.done():
+        update.done.set_result(verdict)
+
+
+def load_row(ledger: Ledger, row: StoredRow | None) -> None:
+    """Load a row into a ledger unless it is older than the ledger's own."""
+    if row is None:
+        ledger.load_row(None, 0)
+        return
+    # A read that overlapped with a write may return an older row.
+    if row.version >= ledger.version:
+        ledger.load_row(row.value, row.version)
--- /dev/null
+++ b/jackdawfield/gateway/programs/expiry.py
@@ -0,0 +1,71 @@
+"""Remove the rows of programs that are past their retention."""
+
+import logging
+import time
+
+from result import Err
+
+from jackdawfield.decisions.table import Committed
+from jackdawfield.gateway.programs.ledger import decode_row
+from jackdawfield.gateway.programs.ledger import ledger_key
+from jackdawfield.gateway.programs.retention import ExpiringRows
+from jackdawfield.gateway.programs.retention import is_expired
+from jackdawfield.gateway.programs.retention import MAX_KEYS_PER_WRITE
+from jackdawfield.gateway.programs.retention import RetentionQueue
+from jackdawfield.gateway.storage.rows import read_row
+from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.storage.rows import RowStore
+from jackdawfield.gateway.storage.rows import RowTransaction
+from jackdawfield.logs import log_event
+
+LOG = logging.getLogger(__name__)
+REMOVE_TIMEOUT_S = 0.8
+
+
+class RowExpiry:
+    """Removes the rows that this instance wrote once they have expired."""
+
+    def __init__(self, store: RowStore) -> None:
+        self._store = store
+        self._queue = RetentionQueue()
+
+    def add(self, rows: ExpiringRows) -> None:
+        """Schedule the removal of rows that were written now."""
+        self._queue.add(rows, time.time())
+
+    async def remove_expired(self) -> None:
+        """Remove the rows of programs that are past their retention."""
+        now_s = time.time()
+        for rows in self._queue.pop_due(now_s):
+            key = ledger_key(rows.program)
+            read = await read_row(self._store, key)
+            if isinstance(read, Err):
+                self._queue.add(rows, now_s)
+                continue
+            found = read.ok_value
+            active_s = decode_row(found.value if found else None).active_s
+            version = found.version if found else 0
+            if version and not is_expired(active_s, rows.retention_s, now_s):
+                self._queue.add(rows, active_s)
+                continue
+            await self._remove(rows, key, version)
+
+    async def _remove(
+        self, rows: ExpiringRows, key: RowKey, version: int
+    ) -> None:
+        removes = rows.keys[:MAX_KEYS_PER_WRITE]
+        if version:
+            removes += (key,)
+        if not removes:
+            return
+        transaction = RowTransaction(((key, version),), (), removes)
+        outcome = await self._store.transact(transaction, REMOVE_TIMEOUT_S)
+        log_event(
+            LOG,
+            'turns_removed',
+            program=rows.program.text,
+            rows=len(removes),
+            outcome=type(outcome).__name__,
+        )
+        if not isinstance(outcome, Committed):
+            self.add(rows)
--- a/jackdawfield/gateway/programs/ledger.py
+++ b/jackdawfield/gateway/programs/ledger.py
@@ -1,9 +1,9 @@
 """Divide a program's token budget between the instances that serve it.
 
 A row of the store holds the tokens granted to all instances so far. An
-instance raises it before a turn generates tokens and lowers it by what the
-turn left unused. Tokens that an instance holds when it ends count as spent,
-so that none are granted twice.
+instance raises it before a call generates tokens. What the call left unused
+is kept for the program's next call there, or returned to the row. Tokens that
+an instance holds when it ends count as spent, so that none are granted twice.
 """
 
 from collections.abc import Iterable
@@ -15,9 +15,9 @@
 from jackdawfield.gateway.storage.rows import RowKey
 
 PROGRAMS_TABLE = 'programs'
-# An instance keeps a turn's tokens for the next turn, and so saves a write,
-# only if the budget has room for this many turns more.
-TURNS_LEFT_TO_PREPAY = 3
+# An instance holds tokens for a program's next call, and so saves a write,
+# only if the budget has room for this many calls more.
+CALLS_LEFT_TO_PREPAY = 3
 WRITERS_KEPT = 6
 
 
@@ -36,22 +36,31 @@
 
 @dataclass(frozen=True, slots=True)
 class Reserve:
-    """Requests the largest number of tokens that a turn may generate."""
+    """Requests the largest number of tokens that a call may generate.
+
+    With `prepays`, a write of the row also grants the next call's tokens.
+    """
 
     tokens: int
     budget: int
+    prepays: bool = False
 
 
 @dataclass(frozen=True, slots=True)
 class Settle:
-    """Reports how many of a turn's reserved tokens were generated."""
+    """Reports how many of a call's reserved tokens were generated."""
 
     reserved: int
     used: int
     budget: int
 
 
-LedgerEvent = Reserve | Settle
+@dataclass(frozen=True, slots=True)
+class Return:
+    """Returns the tokens that this instance holds for no call."""
+
+
+LedgerEvent = Reserve | Settle | Return
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,7 +71,7 @@
     """
 
     row: LedgerRow
-    available: int
+    available_change: int
     verdicts: tuple[bool, ...]
     must_write: bool
 
@@ -70,8 +79,9 @@
 class Ledger:
     """Holds one program's budget on one instance.
 
-    Available tokens are granted to this instance, but to no turn yet. The
-    number counts this writer's writes of the row.
+    Available tokens are granted to this instance, but to no call yet. The
+    number identifies this writer's latest plan, so that a write whose answer
+    was lost is recognised in the row, also if it arrives late.
     """
 
     __slots__ = (
@@ -113,36 +123,66 @@
         unreserved = self.available
         verdicts = []
         last_settled: Settle | None = None
+        last_raised: Reserve | None = None
         for event in events:
             match event:
                 case Settle(reserved, used):
                     unreserved += max(0, reserved - used)
                     last_settled = event
+                case Return():
+                    granted -= unreserved
+                    unreserved = 0
                 case Reserve(tokens, budget):
                     missing = max(0, tokens - unreserved)
                     fits = granted + missing <= budget
                     if fits:
                         granted += missing
                         unreserved += missing - tokens
+                    if fits and missing:
+                        last_raised = event
                     verdicts.append(fits)
         if last_settled is not None:
-            prepaid = _tokens_to_prepay(granted - unreserved, last_settled)
+            prepaid = _tokens_to_prepay(
+                granted - unreserved,
+                last_settled.reserved,
+                last_settled.budget,
+            )
             granted += prepaid - unreserved
             unreserved = prepaid
+        elif last_raised is not None and last_raised.prepays:
+            prepaid = _tokens_to_prepay(
+                granted, last_raised.tokens, last_raised.budget
+            )
+            granted += prepaid
+            unreserved += prepaid
+        return LedgerPlan(
+            LedgerRow(granted, self.row.active_s, self._next_marks()),
+            unreserved - self.available,
+            tuple(verdicts),
+            granted != self.row.granted,
+        )
+
+    def _next_marks(self) -> dict[str, int]:
         marks = dict(list(self.row.marks.items())[-WRITERS_KEPT:])
         marks.pop(self.writer, None)
-        marks[self.writer] = self.number + 1
-        changed = granted != self.row.granted
-        row = LedgerRow(granted, self.row.active_s, marks)
-        return LedgerPlan(row, unreserved, tuple(verdicts), changed)
+        self.number += 1
+        marks[self.writer] = self.number
+        return marks
+
+    def keep(self, settled: Settle) -> None:
+        """Keep a call's unused tokens without a write of the row."""
+        self.available += max(0, settled.reserved - settled.used)
+
+    def record_unwritten(self, plan: LedgerPlan) -> None:
+        """Apply a plan that needs no write."""
+        self.available += plan.available_change
 
     def record_written(self, plan: LedgerPlan, version: int) -> None:
         """Apply a plan whose row was written to the store."""
         self.row = plan.row
         self.version = version
         self.is_loaded = True
-        self.available = plan.available
-        self.number += 1
+        self.available += plan.available_change
 
     def has_written(self, plan: LedgerPlan) -> bool:
         """Return whether the row that was read includes a plan's write."""
@@ -150,10 +190,10 @@
         return self.row.marks.get(self.writer) == number
 
 
-def _tokens_to_prepay(granted: int, settled: Settle) -> int:
-    """Return the tokens to keep for the turn after a settled one."""
-    needed = (1 + TURNS_LEFT_TO_PREPAY) * settled.reserved
-    return settled.reserved if granted + needed <= settled.budget else 0
+def _tokens_to_prepay(granted: int, tokens: int, budget: int) -> int:
+    """Return the tokens to grant ahead for a program's next call."""
+    needed = (1 + CALLS_LEFT_TO_PREPAY) * tokens
+    return tokens if granted + needed <= budget else 0
 
 
 def decode_row(data: bytes | None) -> LedgerRow:
--- a/jackdawfield/gateway/servers/choice.py
+++ b/jackdawfield/gateway/servers/choice.py
@@ -198,6 +198,12 @@
             candidates, key=lambda state: self._cost(state, criteria, now_s)
         )
 
+    def is_usable(self, state: ServerState) -> bool:
+        """Return whether a server still takes new requests."""
+        if self.by_id.get(state.entry.server_id) is not state:
+            return False
+        return not state.entry.is_draining and state.missing_since_s is None
+
     def others_respond(self, state: ServerState, now_s: float) -> bool:
         """Return whether a service's other servers respond in time."""
         waits_s = [
--- /dev/null
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -0,0 +1,339 @@
+"""Exchange one request and its response with a backend server."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+from dataclasses import field
+import logging
+import time
+
+from result import Err
+
+from jackdawfield.gateway.calls import Call
+from jackdawfield.gateway.calls import ForwardedHeaders
+from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.connection import Connection
+from jackdawfield.gateway.http.connection import OutgoingRequest
+from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.model import CallKind
+from jackdawfield.gateway.servers.choice import HANG_S
+from jackdawfield.gateway.servers.choice import record_failure
+from jackdawfield.gateway.servers.choice import record_full
+from jackdawfield.gateway.servers.choice import record_success
+from jackdawfield.gateway.servers.choice import Servers
+from jackdawfield.gateway.servers.choice import ServerState
+from jackdawfield.logs import log_event
+
+LOG = logging.getLogger(__name__)
+CONNECT_TIMEOUT_S = 0.4
+# Limit for reading the rest of a refusal, so that its connection is reused.
+REFUSAL_TIMEOUT_S = 0.1
+STATUS_MISDIRECTED = 421
+STATUS_FULL = 503
+STATUS_SERVER_ERROR = 500
+# First digit of the statuses of successful responses.
+SUCCESS_CLASS = 2
+# With less time left until its deadline, a call is not sent to a server.
+MIN_TIME_LEFT_S = 0.02
+# Responses to idempotent calls are buffered up to this size before they are
+# forwarded, so that an incomplete one can be retried.
+RETRY_BUFFER_BYTES = 262144
+
+
+@dataclass(frozen=True, slots=True)
+class HeaderFormat:
+    """Holds the header names that exchanges use and the header encoder.
+
+    A server that did not execute a request sets the not-run header. A
+    successful response without the server stamp is discarded, as it does not
+    come from a backend server.
+    """
+
+    request_id: str
+    not_run: str
+    server_stamp: str
+    encode: Callable[[ForwardedHeaders], list[tuple[str, str]]]
+
+
+@dataclass(slots=True)
+class ResponseStream:
+    """Holds a call whose response has begun and reads the response's body."""
+
+    server: ServerState
+    connection: Connection
+    head: ResponseHead
+    pieces: list[bytes] = field(default_factory=list)
+    end: BodyEnd | None = None
+    sent_at_s: float = 0.0
+    # Time until the first piece of the body, None before it arrived.
+    first_piece_s: float | None = None
+
+    async def next_part(self) -> bytes | BodyEnd:
+        """Return the next piece of the body, after the last one its end."""
+        part = await self._next_part()
+        if self.first_piece_s is None:
+            self.record_first_piece()
+        return part
+
+    async def forward_body(
+        self, write: Callable[[bytes], Awaitable[bool]]
+    ) -> BodyEnd | None:
+        """Write the body piece by piece; return None once a write fails."""
+        while True:
+            match await self.next_part():
+                case bytes(piece):
+                    if not await write(piece):
+                        return None
+                case BodyEnd() as end:
+                    return end
+
+    def record_first_piece(self) -> None:
+        """Record how long the first piece of the body took."""
+        now_s = time.monotonic()
+        self.first_piece_s = now_s - self.sent_at_s
+        self.server.awaiting_since_s_by_connection.pop(
+            id(self.connection), None
+        )
+        self.server.record_wait(self.first_piece_s, now_s)
+
+    async def _next_part(self) -> bytes | BodyEnd:
+        if self.pieces:
+            return self.pieces.pop(0)
+        if self.end is not None:
+            return self.end
+        part = await self.connection.next_part()
+        assert not isinstance(part, ResponseHead)
+        return part
+
+
+@dataclass(frozen=True, slots=True)
+class Unreached:
+    """Reports that nothing of the request was sent."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class NotRun:
+    """Reports that the server stated that it did not run the request."""
+
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseLost:
+    """Reports a request that may have run, without a usable response."""
+
+    reason: str
+
+
+ExchangeOutcome = ResponseStream | Unreached | NotRun | ResponseLost
+
+
+@dataclass(frozen=True, slots=True)
+class Attempt:
+    """Holds one request of a call to one server."""
+
+    call: Call
+    server: ServerState
+    body: bytes
+    timeout_s: float
+    last_event_id: bytes | None
+
+
+class ServerExchange:
+    """Sends requests to backend servers and awaits the responses' start."""
+
+    def __init__(
+        self,
+        servers: Servers,
+        pool: ConnectionPool,
+        header_format: HeaderFormat,
+        report_failure: Callable[[ServerState], None],
+    ) -> None:
+        self._servers = servers
+        self._pool = pool
+        self._header_format = header_format
+        self._report_failure = report_failure
+
+    async def start(self, attempt: Attempt) -> ExchangeOutcome:
+        """Send a request once and return its outcome."""
+        call, server = attempt.call, attempt.server
+        entry = server.entry
+        acquired = await self._pool.acquire(
+            entry.host, entry.port, CONNECT_TIMEOUT_S
+        )
+        now_s = time.monotonic()
+        if isinstance(acquired, Err):
+            self._record_failure(server, now_s, acquired.err_value.reason)
+            return Unreached(acquired.err_value.reason)
+        connection = acquired.ok_value
+        left_s = call.deadline_s - now_s
+        if left_s < MIN_TIME_LEFT_S:
+            connection.abort('too late to send')
+            return Unreached('too late to send')
+        if isinstance(connection.send(self._request(attempt, left_s)), Err):
+            return Unreached(connection.lost_reason)
+        outcome: ExchangeOutcome | None = None
+        hang_timer = self._watch_for_hang(server)
+        if call.route.kind is CallKind.STREAM:
+            server.awaiting_since_s_by_connection[id(connection)] = now_s
+        try:
+            outcome = await self._await_response(attempt, connection, now_s)
+        finally:
+            hang_timer.cancel()
+            # ResponseStream records the first piece once a response has begun.
+            if not isinstance(outcome, ResponseStream):
+                server.awaiting_since_s_by_connection.pop(id(connection), None)
+        return outcome
+
+    def _request(self, attempt: Attempt, left_s: float) -> OutgoingRequest:
+        call = attempt.call
+        encoded = self._header_format.encode(
+            ForwardedHeaders(
+                attempt.server.entry.server_id,
+                call.organisation_id,
+                left_s,
+                call.headers.end_to_end_headers,
+                attempt.last_event_id,
+            )
+        )
+        return OutgoingRequest(
+            call.method,
+            call.target,
+            tuple(encoded),
+            attempt.body,
+            self._header_format.request_id,
+            call.request_id,
+        )
+
+    def _watch_for_hang(self, server: ServerState) -> asyncio.TimerHandle:
+        """Schedule a report in case this server alone does not respond."""
+
+        def report_if_hanging() -> None:
+            if self._servers.others_respond(server, time.monotonic()):
+                self._report_failure(server)
+
+        return asyncio.get_running_loop().call_later(HANG_S, report_if_hanging)
+
+    async def _await_response(
+        self, attempt: Attempt, connection: Connection, sent_at_s: float
+    ) -> ExchangeOutcome:
+        server = attempt.server
+        try:
+            async with asyncio.timeout(attempt.timeout_s):
+                response = await self._read_response_start(
+                    attempt, connection, sent_at_s
+                )
+        except TimeoutError:
+            connection.abort('no answer in time')
+            self._record_failure(server, time.monotonic(), 'no answer in time')
+            return ResponseLost('no answer in time')
+        except asyncio.CancelledError:
+            connection.abort('caller left')
+            raise
+        if response is None:
+            self._record_failure(server, time.monotonic(), 'answer lost')
+            connection.abort('answer lost')
+            return ResponseLost(connection.lost_reason or 'answer lost')
+        if self._is_not_run(response.head):
+            await self._handle_refusal(server, connection, response.head)
+            return NotRun(f'server answered {response.head.status}, not run')
+        return response
+
+    async def _read_response_start(
+        self, attempt: Attempt, connection: Connection, sent_at_s: float
+    ) -> ResponseStream | None:
+        """Read the response's start; return None if it is lost or invalid."""
+        head = await connection.next_part()
+        if not isinstance(head, ResponseHead):
+            return None
+        response = ResponseStream(
+            attempt.server, connection, head, sent_at_s=sent_at_s
+        )
+        if self._is_not_run(head):
+            return response
+        succeeded = head.status // 100 == SUCCESS_CLASS
+        if succeeded and head.get(self._header_format.server_stamp) is None:
+            return None
+        if attempt.call.route.kind.repeatable:
+            await _buffer_body(response)
+        return None if response.end is BodyEnd.CUT else response
+
+    def _is_not_run(self, head: ResponseHead) -> bool:
+        if head.status == STATUS_MISDIRECTED:
+            return True
+        return head.get(self._header_format.not_run) is not None
+
+    async def _handle_refusal(
+        self, server: ServerState, connection: Connection, head: ResponseHead
+    ) -> None:
+        entry = server.entry
+        if head.status == STATUS_FULL:
+            record_full(server, time.monotonic())
+        else:
+            self._record_failure(
+                server, time.monotonic(), f'refused with {head.status}'
+            )
+        try:
+            async with asyncio.timeout(REFUSAL_TIMEOUT_S):
+                while isinstance(await connection.next_part(), bytes):
+                    pass
+        except TimeoutError:
+            connection.abort('refusal without end')
+            return
+        self._pool.release(entry.host, entry.port, connection)
+
+    def release(self, response: ResponseStream, end: BodyEnd | None) -> None:
+        """Return a response's connection to the pool, or close it.
+
+        The end is None if the caller disconnected.
+        """
+        server = response.server
+        server.awaiting_since_s_by_connection.pop(
+            id(response.connection), None
+        )
+        if end is None:
+            response.connection.abort('caller left')
+            return
+        if end is BodyEnd.CUT:
+            response.connection.abort('answer cut')
+            self._record_failure(server, time.monotonic(), 'answer cut')
+            return
+        if response.head.status >= STATUS_SERVER_ERROR:
+            reason = f'answered {response.head.status}'
+            self._record_failure(server, time.monotonic(), reason)
+        else:
+            record_success(server)
+        entry = server.entry
+        self._pool.release(entry.host, entry.port, response.connection)
+
+    def _record_failure(
+        self, server: ServerState, now_s: float, reason: str
+    ) -> None:
+        self._report_failure(server)
+        if record_failure(server, now_s):
+            log_event(
+                LOG,
+                'server_avoided',
+                server=server.entry.server_id,
+                failures=server.failures,
+                reason=reason,
+            )
+
+
+async def _buffer_body(response: ResponseStream) -> None:
+    """Buffer a body until its end or the size limit."""
+    pieces: list[bytes] = []
+    size = 0
+    while size < RETRY_BUFFER_BYTES:
+        match await response.connection.next_part():
+            case bytes(piece):
+                pieces.append(piece)
+                size += len(piece)
+            case BodyEnd() as end:
+                response.end = end
+                break
+    response.pieces = pieces
--- a/jackdawfield/gateway/servers/slot_queue.py
+++ b/jackdawfield/gateway/servers/slot_queue.py
@@ -99,6 +99,10 @@
         if server is not None:
             self.release(server)
 
+    def take(self, server: ServerState) -> None:
+        """Take a slot at once, also beyond the limit of concurrent calls."""
+        server.in_flight += 1
+
     def release(self, server: ServerState) -> None:
         """Release a slot and assign it to the next queued call."""
         server.in_flight -= 1
--- a/jackdawfield/platform/__main__.py
+++ b/jackdawfield/platform/__main__.py
@@ -8,7 +8,7 @@
 
 from jackdawfield.gateway.daemon import Adapter
 from jackdawfield.gateway.daemon import run
-from jackdawfield.gateway.servers.dispatch import HeaderFormat
+from jackdawfield.gateway.servers.exchange import HeaderFormat
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.logs import configure_logs
 from jackdawfield.platform.configuration import decode_configuration
--- a/jackdawfield/platform/configuration.py
+++ b/jackdawfield/platform/configuration.py
@@ -54,6 +54,8 @@
     retain_context: bool = False
     retention_s: float = 0
     public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0
 
 
 class _Engine(msgspec.Struct, rename='camel'):
@@ -159,6 +161,8 @@
         keeps_turns=wire.retain_context,
         retention_s=wire.retention_s,
         is_open=wire.public,
+        is_resumable=wire.resumable,
+        event_gap_s=wire.gap_aim_ms / MS_PER_S,
     )
 
 
--- a/jackdawfield/platform/headers.py
+++ b/jackdawfield/platform/headers.py
@@ -25,6 +25,7 @@
 PREVIOUS_TURN = PREFIX + 'previous-turn'
 NOT_RUN = PREFIX + 'not-executed'
 SERVER_STAMP = PREFIX + 'server-stamp'
+LAST_EVENT = 'last-event-id'
 
 # Set on requests to backend servers by the gateway only; a caller's headers of
 # these names are not forwarded.
@@ -38,6 +39,7 @@
         PREFIX + 'hold',
         PREFIX + 'pin-ms',
         PREFIX + 'kv-backup',
+        LAST_EVENT,
         'kv-from',
         'kv-fetch',
     )
@@ -71,6 +73,7 @@
     )
     previous = values_by_name.get(PREVIOUS_TURN)
     program = values_by_name.get(PROGRAM)
+    last_event = values_by_name.get(LAST_EVENT)
     return CallHeaders(
         request_id=values_by_name.get(REQUEST_ID, ''),
         host=values_by_name.get('host', '').partition(':')[0].lower(),
@@ -84,6 +87,7 @@
         max_tokens=max_tokens,
         previous_turn=TurnId(previous) if previous else None,
         end_to_end_headers=forwardable_headers(pairs),
+        last_event_id=last_event.encode('latin-1') if last_event else None,
     )
 
 
@@ -116,4 +120,7 @@
     headers.append((DEADLINE, str(left_ms)))
     if forwarded.organisation_id is not None:
         headers.append((ORGANISATION, forwarded.organisation_id))
+    if forwarded.last_event_id is not None:
+        last_event = forwarded.last_event_id.decode('latin-1')
+        headers.append((LAST_EVENT, last_event))
     return headers
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -16,10 +16,12 @@
 from jackdawfield.gateway.http.connection import Connection
 from jackdawfield.gateway.http.listener import Reply
 from jackdawfield.gateway.model import CallKind
+from jackdawfield.gateway.programs.accounts import ProgramAccounts
+from jackdawfield.gateway.programs.accounts import Verdict
 from jackdawfield.gateway.programs.turn_store import TurnStore
-from jackdawfield.gateway.programs.turn_store import Verdict
 from jackdawfield.gateway.rates.admission import Admission
 from jackdawfield.gateway.servers.dispatch import Dispatcher
+from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.storage.measured import MeasuredStore
 from jackdawfield.gateway.storage.rows import RowConflict
 
@@ -59,13 +61,13 @@
         if self._request is not None and not self._has_ended:
             self._parse()
 
-    request = Dispatcher._request
+    request = ServerExchange._request
 
-    def without_echo(self: Dispatcher, *args: Any) -> object:
+    def without_echo(self: ServerExchange, *args: Any) -> object:
         return dataclasses.replace(request(self, *args), echo_header='')
 
     _patch(Connection, 'data_received', data_received)
-    _patch(Dispatcher, '_request', without_echo)
+    _patch(ServerExchange, '_request', without_echo)
 
 
 def drop_pieces() -> None:
@@ -99,12 +101,8 @@
     async def reserve(*_: Any) -> Verdict:
         return Verdict.FITS
 
-    async def settle(*_: Any) -> None:
-        return None
-
-    _patch(TurnStore, 'reserve', reserve)
-    _patch(TurnStore, 'settle', settle)
-    _patch(TurnStore, 'is_likely_to_fit', lambda *_: True)
+    _patch(ProgramAccounts, 'reserve', reserve)
+    _patch(ProgramAccounts, 'is_likely_to_fit', lambda *_: True)
 
 
 def ignore_rates() -> None:
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -75,6 +75,17 @@
                 'retentionS': 60.0,
                 **common,
             },
+            {
+                'name': 'resumable',
+                'prefix': '/resumable/',
+                'kind': 'streaming',
+                'service': 'model',
+                'retentionS': 60.0,
+                'resumable': True,
+                'gapAimMs': 150,
+                'targetLatencyMs': 300,
+                **common,
+            },
             {
                 'name': 'tool',
                 'prefix': '/tool/',
--- a/tests/gateway/http/test_connection.py
+++ b/tests/gateway/http/test_connection.py
@@ -111,6 +111,36 @@
         self.assertEqual(outcome, (200, b'ok', BodyEnd.WHOLE))
         self.assertEqual(len(server.requests), 2)
 
+    async def test_unnamed_late_response_is_not_the_next_ones(self) -> None:
+        async def script(received: ReceivedRequest) -> None:
+            if received.header('x-id') == 'a':
+                received.writer.write(received.answer(b'first'))
+                return
+            late = b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst'
+            received.writer.write(late + received.answer(b'second'))
+
+        server = await self.serve(script)
+        self.assertEqual(
+            await self.exchange(server, 'a'), (200, b'first', BodyEnd.WHOLE)
+        )
+        status, body, end = await self.exchange(server, 'b')
+        self.assertEqual((status, body, end), (0, b'', BodyEnd.CUT))
+
+    async def test_skipped_responses_are_limited(self) -> None:
+        interim = b'HTTP/1.1 102 Processing\r\n\r\n'
+        for head, limit in ((interim, 8), (answer('z', b''), 8)):
+            for count, expected in ((limit, 200), (limit + 1, 0)):
+
+                async def script(
+                    received: ReceivedRequest,
+                    sent: bytes = head * count,
+                ) -> None:
+                    received.writer.write(sent + received.answer(b'ok'))
+
+                server = await self.serve(script)
+                status, _, _ = await self.exchange(server, 'a')
+                self.assertEqual(status, expected)
+
     async def test_response_cut_within_its_body_is_not_whole(self) -> None:
         async def script(received: ReceivedRequest) -> None:
             received.writer.write(received.answer(b'whole')[:-2])
--- a/tests/gateway/programs/test_turn_store.py
+++ b/tests/gateway/programs/test_turn_store.py
@@ -4,14 +4,17 @@
 from unittest import mock
 
 from jackdawfield.gateway.model import TurnId
+from jackdawfield.gateway.programs.accounts import ProgramAccounts
+from jackdawfield.gateway.programs.accounts import Verdict
 from jackdawfield.gateway.programs.chains import Chain
 from jackdawfield.gateway.programs.chains import ChainReader
 from jackdawfield.gateway.programs.chains import TurnNotFound
 from jackdawfield.gateway.programs.chains import TurnUnavailable
+from jackdawfield.gateway.programs.expiry import RowExpiry
+from jackdawfield.gateway.programs.ledger import Reserve
 from jackdawfield.gateway.programs.ledger import Settle
 from jackdawfield.gateway.programs.turn_cache import TurnCache
 from jackdawfield.gateway.programs.turn_store import TurnStore
-from jackdawfield.gateway.programs.turn_store import Verdict
 from jackdawfield.model import OrganisationId
 from jackdawfield.standins.row_store import MemoryRowStore
 from jackdawfield.standins.row_store import StoreFault
@@ -31,10 +34,22 @@
 class TurnStoreTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.rows = MemoryRowStore()
-        self.store = self.instance('a')
+        self.accounts = ProgramAccounts(self.rows, 'a')
+        self.expiry = RowExpiry(self.rows)
+        self.store = TurnStore(
+            self.rows,
+            self.accounts,
+            self.expiry,
+            ROW_BYTES,
+            TurnCache(CACHE_BYTES),
+        )
 
-    def instance(self, writer: str) -> TurnStore:
-        return TurnStore(self.rows, writer, ROW_BYTES, TurnCache(CACHE_BYTES))
+    async def reserve(
+        self, accounts: ProgramAccounts, budget: int, wait_s: float = 2.0
+    ) -> Verdict:
+        return await accounts.reserve(
+            PROGRAM, Reserve(MOST, budget), time.monotonic() + wait_s
+        )
 
     def reader(self) -> ChainReader:
         """Return a reader with an empty cache, as of another instance."""
@@ -98,41 +113,41 @@
 
     async def test_tokens_are_granted_once_after_a_lost_answer(self) -> None:
         self.rows.injected_faults.append(StoreFault.ANSWER_LOST)
-        verdict = await self.store.reserve(PROGRAM, MOST, 1000, deadline_s())
+        verdict = await self.reserve(self.accounts, 1000)
         self.assertIs(verdict, Verdict.FITS)
-        self.assertEqual(self.store.granted_tokens(PROGRAM), MOST)
+        self.assertEqual(self.accounts.granted_tokens(PROGRAM), MOST)
 
     async def test_spent_budget_is_refused_at_every_instance(self) -> None:
-        await self.store.reserve(PROGRAM, MOST, 150, deadline_s())
-        other = self.instance('b')
-        verdict = await other.reserve(PROGRAM, MOST, 150, deadline_s())
+        await self.reserve(self.accounts, 150)
+        other = ProgramAccounts(self.rows, 'b')
+        verdict = await self.reserve(other, 150)
         self.assertIs(verdict, Verdict.SPENT)
 
     async def test_row_is_reloaded_before_a_refusal(self) -> None:
-        await self.store.reserve(PROGRAM, MOST, 150, deadline_s())
-        other = self.instance('b')
-        await other.reserve(PROGRAM, MOST, 150, deadline_s())
-        await self.store.settle(PROGRAM, Settle(MOST, 10, 150), deadline_s())
-        verdict = await other.reserve(PROGRAM, MOST, 150, deadline_s())
+        await self.reserve(self.accounts, 150)
+        other = ProgramAccounts(self.rows, 'b')
+        await self.reserve(other, 150)
+        await self.accounts.submit(
+            PROGRAM, Settle(MOST, 10, 150), (), deadline_s()
+        )
+        verdict = await self.reserve(other, 150)
         self.assertIs(verdict, Verdict.FITS)
 
     async def test_turn_and_settlement_take_one_write(self) -> None:
-        await self.store.reserve(PROGRAM, MOST, 1000, deadline_s())
+        await self.reserve(self.accounts, 1000)
         before = len(self.rows.transactions)
         kept = record('1', None, b'')
         event = Settle(MOST, 40, 1000)
         self.assertTrue(
             await self.store.commit(PROGRAM, kept, event, deadline_s())
         )
-        verdict = await self.store.reserve(PROGRAM, MOST, 1000, deadline_s())
+        verdict = await self.reserve(self.accounts, 1000)
         self.assertIs(verdict, Verdict.FITS)
         self.assertEqual(len(self.rows.transactions), before + 1)
 
     async def test_rows_are_removed_once_the_program_expired(self) -> None:
         event = Settle(0, 0, 1000)
-        with mock.patch(
-            'jackdawfield.gateway.programs.turn_store.time.time'
-        ) as now:
+        with mock.patch('time.time') as now:
             now.return_value = 1000.0
             for number, turn in enumerate(('1', '2')):
                 now.return_value = 1000.0 + 50 * number
@@ -143,30 +158,26 @@
                 await self.store.commit(PROGRAM, kept, event, deadline_s())
             # The first turn is an ancestor of the second.
             now.return_value = 1080.0
-            await self.store.remove_expired()
+            await self.expiry.remove_expired()
             self.assertEqual(len(self.rows.rows_by_key), 5)
             now.return_value = 1130.0
-            await self.store.remove_expired()
+            await self.expiry.remove_expired()
             self.assertEqual(self.rows.rows_by_key, {})
 
     async def test_removal_is_retried_after_an_outage(self) -> None:
         kept = dataclasses.replace(record('1', None, b''), kept_until_s=0.0)
         committed_s = time.time()
         await self.store.commit(PROGRAM, kept, None, deadline_s())
-        with mock.patch(
-            'jackdawfield.gateway.programs.turn_store.time.time'
-        ) as now:
+        with mock.patch('time.time') as now:
             now.return_value = committed_s + 60
             self.rows.injected_faults.append(StoreFault.UNAVAILABLE)
-            await self.store.remove_expired()
+            await self.expiry.remove_expired()
             self.assertEqual(len(self.rows.rows_by_key), 2)
             now.return_value += 60
-            await self.store.remove_expired()
+            await self.expiry.remove_expired()
             self.assertEqual(self.rows.rows_by_key, {})
 
     async def test_reservation_is_unknown_during_an_outage(self) -> None:
         self.rows.injected_faults.extend([StoreFault.UNAVAILABLE] * 100)
-        verdict = await self.store.reserve(
-            PROGRAM, MOST, 1000, time.monotonic() + 0.2
-        )
+        verdict = await self.reserve(self.accounts, 1000, 0.2)
         self.assertIs(verdict, Verdict.UNKNOWN)
--- a/tests/gateway/servers/test_dispatch.py
+++ b/tests/gateway/servers/test_dispatch.py
@@ -18,8 +18,9 @@
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.dispatch import Dispatcher
-from jackdawfield.gateway.servers.dispatch import HeaderFormat
-from jackdawfield.gateway.servers.dispatch import ResponseStream
+from jackdawfield.gateway.servers.dispatch import SentCall
+from jackdawfield.gateway.servers.exchange import HeaderFormat
+from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
@@ -125,7 +126,7 @@
 class DispatchTest(unittest.IsolatedAsyncioTestCase):
     async def dispatch(
         self, call: Call, scripts: Iterable[Script]
-    ) -> ResponseStream | Refusal | Failure:
+    ) -> SentCall | Refusal | Failure:
         servers = Servers(DOMAIN, {DOMAIN: RegionId('region')})
         self.pool = ConnectionPool()
         self.addCleanup(self.pool.close)
@@ -149,9 +150,10 @@
             servers.by_id[entry.server_id].in_flight = number
         self.reported: list[ServerState] = []
         slot_queue = SlotQueue(servers, GatewayMetrics('i'))
-        self.dispatcher = Dispatcher(
-            slot_queue, self.pool, HEADER_FORMAT, self.reported.append
+        exchange = ServerExchange(
+            servers, self.pool, HEADER_FORMAT, self.reported.append
         )
+        self.dispatcher = Dispatcher(slot_queue, exchange)
         return await self.dispatcher.start(call, SERVICE, b'body', None)
 
     @property
@@ -175,7 +177,7 @@
             with self.subTest(script=script.__name__):
                 call = make_call(CallKind.AT_MOST_ONCE)
                 outcome = await self.dispatch(call, [script, complete])
-                self.assertIsInstance(outcome, ResponseStream)
+                self.assertIsInstance(outcome, SentCall)
                 self.assertEqual(self.request_counts, [1, 1])
 
     async def test_refuses_a_call_that_no_server_ran(self) -> None:
@@ -191,9 +193,11 @@
             with self.subTest(script=script.__name__):
                 call = make_call(CallKind.IDEMPOTENT)
                 outcome = await self.dispatch(call, [script, complete])
-                assert isinstance(outcome, ResponseStream)
-                self.assertEqual(await outcome.next_part(), b'ok')
-                self.assertIs(await outcome.next_part(), BodyEnd.WHOLE)
+                assert isinstance(outcome, SentCall)
+                self.assertEqual(await outcome.response.next_part(), b'ok')
+                self.assertIs(
+                    await outcome.response.next_part(), BodyEnd.WHOLE
+                )
                 self.assertEqual(self.request_counts, [1, 1])
 
     async def test_attempts_stay_within_the_limit(self) -> None:
@@ -211,15 +215,15 @@
         self.pool.close()
         await asyncio.sleep(0.05)
         outcome = await self.dispatcher.start(call, SERVICE, b'', None)
-        self.assertIsInstance(outcome, ResponseStream)
+        self.assertIsInstance(outcome, SentCall)
 
     async def test_failures_are_reported(self) -> None:
         for script in (close_connection, unsigned, failing):
             with self.subTest(script=script.__name__):
                 call = make_call(CallKind.AT_MOST_ONCE)
                 outcome = await self.dispatch(call, [script])
-                if isinstance(outcome, ResponseStream):
-                    self.dispatcher.release(outcome, BodyEnd.WHOLE)
+                if isinstance(outcome, SentCall):
+                    self.dispatcher.release(outcome.response, BodyEnd.WHOLE)
                 ids = [state.entry.server_id for state in self.reported]
                 self.assertEqual(ids, ['s0'])
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -3,7 +3,8 @@
 import json
 import unittest
 
-from jackdawfield.drivers.backends import EventParser
+from jackdawfield.drivers.backends import BackendError
+from jackdawfield.drivers.backends import EngineStreamParser
 from jackdawfield.drivers.backends import Token
 from jackdawfield.drivers.backends import Usage
 
@@ -17,12 +18,12 @@
     return f'{text}data: [DONE]\n\n'.encode()
 
 
-class EventParserTest(unittest.TestCase):
+class EngineStreamParserTest(unittest.TestCase):
     def test_events_do_not_depend_on_chunk_boundaries(self) -> None:
         expected = [Token('wörd '), Token('wörd '), Usage(3, 2, 0)]
         data = encode_stream()
         for cut in range(len(data)):
-            parser = EventParser()
+            parser = EngineStreamParser()
             events = parser.feed(data[:cut]) + parser.feed(data[cut:])
             self.assertEqual(expected, events, cut)
             self.assertTrue(parser.is_done)
@@ -30,6 +31,16 @@
     def test_truncated_stream_is_not_done(self) -> None:
         data = encode_stream()
         for cut in range(len(data)):
-            parser = EventParser()
+            parser = EngineStreamParser()
             parser.feed(data[:cut])
             self.assertFalse(parser.is_done, cut)
+
+    def test_malformed_stream_ends_with_one_error(self) -> None:
+        good = encode_stream().partition(b'\n\n')[0] + b'\n\n'
+        for bad in (b'data: {\n\n', b'x' * 1_000_000):
+            parser = EngineStreamParser()
+            events = parser.feed(good + bad)
+            self.assertEqual(events[0], Token('wörd '))
+            self.assertIsInstance(events[1], BackendError)
+            self.assertEqual(parser.feed(good), [])
+            self.assertFalse(parser.is_done)
