Answer connections that wait at a planned stop, and bound what callers send

Cause: closing the listening socket resets the connections that the kernel has established and the loop has not accepted: at a planned stop under load their requests ended without an answer (shown by a test that fails on the code before). A body over the configured limit was kept in memory up to 64 MB before it was refused, and an answer of the store had no limit.

Change: the listener accepts what waits before it closes its socket, and gives these connections 0.1 s to be read; a body is refused with 413 once it exceeds the limit, announced or not; answers of the store end at 4 MiB.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -68,6 +68,8 @@
 # The load balancer checks the health once a second and removes an instance
 # after two failed checks; new connections arrive until then.
 LISTEN_AFTER_STOP_S = 3.0
+# Time for a request to be read on a connection that was just accepted.
+LAST_REQUEST_S = 0.1
 # End of the grace period, reserved for closing connections.
 STOP_MARGIN_S = 0.8
 
@@ -309,6 +311,7 @@
         self.stream_calls.configuration = configuration
         self.slot_queue.configuration = configuration
         self.rate_owner.configure(configuration)
+        self.caller_listener.max_body_bytes = configuration.body_limit_bytes
         log_event(LOG, 'configuration_applied', version=configuration.version)
 
     def _decode_servers(
@@ -389,6 +392,8 @@
         await self.seat_holder.leave()
         await asyncio.sleep(LISTEN_AFTER_STOP_S)
         self.caller_listener.stop_listening()
+        # The last connections that were accepted carry a request already.
+        await asyncio.sleep(LAST_REQUEST_S)
         self.caller_listener.close_idle()
         while (
             self.caller_listener.in_flight and time.monotonic() < drain_until_s
--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
+import socket
 import time
 
 from tornado.http1connection import HTTP1Connection
@@ -16,18 +17,27 @@
 from tornado.httputil import RequestStartLine
 from tornado.httputil import responses
 from tornado.httputil import ResponseStartLine
+from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
+from tornado.netutil import add_accept_handler
+from tornado.netutil import bind_sockets
 
 from jackdawfield.gateway.calls import CONNECTION_HEADERS
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Stage
 from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.logs import log_event
 
 LOG = logging.getLogger(__name__)
-# Enforced by Tornado while a body arrives. It is above any limit that the
-# configuration sets, which CallHandler checks once the body is complete.
+# Limit of a body until the configuration sets one.
+DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+# Tornado closes a connection whose body is larger or arrives for longer. The
+# listener keeps and accepts less.
 MAX_BODY_BYTES = 64 * 1024 * 1024
+BODY_TIMEOUT_S = 30.0
+STATUS_TOO_LARGE = 413
+ACCEPT_BACKLOG = 1024
 # 256 KiB for the request line and all headers.
 MAX_HEADER_BYTES = 262144
 # Tornado closes a connection that waits longer than this for a request. It
@@ -176,6 +186,9 @@
         self._request_line: RequestStartLine | None = None
         self._raw_headers: list[tuple[str, str]] = []
         self._arrived_at_s = 0.0
+        self._body_bytes = 0
+        self._is_refused = False
+        self._is_in_flight = False
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -190,13 +203,40 @@
         self._raw_headers = list(headers.get_all())
         self._arrived_at_s = time.monotonic()
         self._listener.in_flight += 1
+        self._is_in_flight = True
+        length = headers.get('Content-Length', '')
+        if length.isdecimal() and int(length) > self._listener.max_body_bytes:
+            self._refuse_body()
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a piece of the body."""
+        """Store a piece of the body, or refuse a body that is too large."""
+        if self._is_refused:
+            return
+        self._body_bytes += len(chunk)
+        if self._body_bytes > self._listener.max_body_bytes:
+            self._refuse_body()
+            return
         self._pieces.append(chunk)
 
+    def _refuse_body(self) -> None:
+        """Answer before the whole body was read, and close the connection."""
+        self._is_refused = True
+        self._pieces.clear()
+        self._connection.no_keep_alive = True
+        Reply(self._connection).send(STATUS_TOO_LARGE, 'body too large')
+        self._end()
+        log_event(LOG, 'body_refused', logging.WARNING, read=self._body_bytes)
+
+    def _end(self) -> None:
+        """Count the request as no longer in flight, once."""
+        if self._is_in_flight:
+            self._is_in_flight = False
+            self._listener.in_flight -= 1
+
     def finish(self) -> None:
         """Start the handler; Tornado calls this once a request is complete."""
+        if self._is_refused:
+            return
         # Tornado turns TCP_NODELAY off after each response.
         self._connection.stream.set_nodelay(True)
         self._task = asyncio.create_task(self._run())
@@ -209,8 +249,8 @@
         that closes later cancels the task, which then ends the request.
         """
         self._listener.idle_exchanges.discard(self)
-        if self._request_line is not None and self._task is None:
-            self._listener.in_flight -= 1
+        if self._task is None:
+            self._end()
 
     def close(self) -> None:
         """Close an idle connection."""
@@ -242,7 +282,7 @@
             else:
                 reply.send(500, 'internal error')
         finally:
-            self._listener.in_flight -= 1
+            self._end()
             if not reply.has_ended:
                 reply.abort()
 
@@ -253,6 +293,9 @@
     def __init__(self, handler: Handler) -> None:
         self.handler = handler
         self.in_flight = 0
+        self.max_body_bytes = DEFAULT_BODY_BYTES
+        self._sockets: list[socket.socket] = []
+        self._stop_accepting: list[Callable[[], None]] = []
         # Exchanges of idle connections, which wait for a request's head.
         self.idle_exchanges: set[_Exchange] = set()
         self._server = HTTPServer(
@@ -260,6 +303,7 @@
             max_body_size=MAX_BODY_BYTES,
             max_header_size=MAX_HEADER_BYTES,
             idle_connection_timeout=IDLE_LIMIT_S,
+            body_timeout=BODY_TIMEOUT_S,
         )
 
     def start_request(
@@ -273,15 +317,43 @@
 
     def listen(self, host: str, port: int) -> None:
         """Listen on an address."""
-        self._server.listen(port, host, backlog=1024)
+        for sock in bind_sockets(port, host, backlog=ACCEPT_BACKLOG):
+            self._sockets.append(sock)
+            self._stop_accepting.append(
+                add_accept_handler(sock, self._serve_connection)
+            )
+
+    def _serve_connection(
+        self, connection: socket.socket, address: tuple[str, int]
+    ) -> None:
+        self._server.handle_stream(IOStream(connection), address)
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its current or next response."""
         self._server.conn_params.no_keep_alive = True
 
     def stop_listening(self) -> None:
-        """Stop accepting new connections."""
-        self._server.stop()
+        """Stop accepting, after the connections that were established.
+
+        Closing the socket would reset those that wait to be accepted.
+        """
+        for stop_accepting in self._stop_accepting:
+            stop_accepting()
+        for sock in self._sockets:
+            self._accept_waiting(sock)
+            sock.close()
+        self._stop_accepting.clear()
+        self._sockets.clear()
+
+    def _accept_waiting(self, sock: socket.socket) -> None:
+        while True:
+            try:
+                connection, address = sock.accept()
+            except OSError as error:
+                if not isinstance(error, BlockingIOError):
+                    log_event(LOG, 'accept_failed', reason=error)
+                return
+            self._serve_connection(connection, address)
 
     def close_idle(self) -> None:
         """Close the idle connections, so that no request arrives on them."""
@@ -290,4 +362,5 @@
 
     async def close(self) -> None:
         """Close every connection, also those with requests in flight."""
+        self._server.stop()
         await self._server.close_all_connections()
--- a/jackdawfield/gateway/storage/path.py
+++ b/jackdawfield/gateway/storage/path.py
@@ -30,6 +30,8 @@
 DIRECT_AVOID_S = 1.0
 MAX_RELAYS = 2
 RELAY_MARGIN_S = 0.2
+# Above what the store sends: 1 MB of rows, encoded as base64 in JSON.
+MAX_REPLY_BYTES = 4 * 1024 * 1024
 # Statuses of the store for a call that it refused without any effect.
 REFUSED_STATUSES = (429, 503)
 
@@ -187,16 +189,20 @@
 
 
 async def read_reply(connection: Connection) -> StoreReply | None:
-    """Read a complete response; return None if it was cut."""
+    """Read a complete response; return None if it was cut or too large."""
     head = await connection.next_part()
     if not isinstance(head, ResponseHead):
         return None
     pieces = []
-    while True:
+    size = 0
+    while size <= MAX_REPLY_BYTES:
         match await connection.next_part():
             case bytes(piece):
                 pieces.append(piece)
+                size += len(piece)
             case BodyEnd.WHOLE:
                 return StoreReply(head.status, b''.join(pieces))
             case _:
                 return None
+    connection.abort('answer too large')
+    return None
