--- a/soak/backend.py
+++ b/soak/backend.py
@@ -12,6 +12,7 @@
 from jackdawfield.standins.base import FreePortServer
 from soak.record import CallClass
 from soak.record import Run
+from soak.record import STREAM_CLASSES
 from soak.scenario import HEADER_PREFIX
 from soak.scenario import plain_body
 from soak.scenario import turn_events
@@ -78,8 +79,8 @@
             short_digest(self.request.body),
         )
         self.backend.runs.append(run)
-        if run.call_class is CallClass.TURN:
-            await self._stream_turn(run)
+        if run.call_class in STREAM_CLASSES:
+            await self._stream_events(run)
         else:
             await asyncio.sleep(PLAIN_DURATION_S)
             if self._is_active(Misbehaviour.TRUNCATING):
@@ -93,11 +94,15 @@
                 return
             self._send_extra_response()
 
-    async def _stream_turn(self, run: Run) -> None:
+    async def _stream_events(self, run: Run) -> None:
         self.set_header('Content-Type', 'text/event-stream')
+        last_id = self.request.headers.get('Last-Event-Id')
+        first = int(last_id) + 1 if last_id else 0
         for index, event in enumerate(turn_events(run.request_id)):
-            if index and self._is_active(Misbehaviour.TRUNCATING):
-                self._close_connection()
+            if index < first:
+                continue
+            if index > first and self._is_active(Misbehaviour.TRUNCATING):
+                await self._cut_event(index, event)
                 return
             await asyncio.sleep(EVENT_INTERVAL_S)
             self.write(f'id: {index}\ndata: {event}\n\n')
@@ -107,6 +112,16 @@
             except tornado.iostream.StreamClosedError:
                 return
 
+    async def _cut_event(self, index: int, event: str) -> None:
+        """Send the first half of an event and close the connection."""
+        whole = f'id: {index}\ndata: {event}\n\n'
+        self.write(whole[: len(whole) // 2])
+        try:
+            await self.flush()
+        except tornado.iostream.StreamClosedError:
+            return
+        self._close_connection()
+
     @property
     def _io_stream(self) -> tornado.iostream.IOStream:
         connection = self.request.connection
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -21,6 +21,7 @@
 from soak.record import Outcome
 from soak.record import Record
 from soak.record import RETRIED_STATUSES
+from soak.record import STREAM_CLASSES
 from soak.scenario import APPLY_LIMIT_S
 from soak.scenario import HEADER_PREFIX
 from soak.scenario import HOST_NAME
@@ -50,6 +51,8 @@
 LOOPING_TURN_COUNT = 14
 TURN_COUNT_RANGE = (2, 5)
 LIMITED_SHARE = 0.5
+# Share of programs whose streams are not retained.
+REPLY_SHARE = 0.4
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,12 +139,14 @@
         turn_count = rng.randint(*TURN_COUNT_RANGE)
         if rng.random() < LOOPING_SHARE:
             turn_count = LOOPING_TURN_COUNT
+        is_retained = rng.random() >= REPLY_SHARE
+        call_class = CallClass.TURN if is_retained else CallClass.REPLY
         conversation = b''
         previous_request_id = ''
         for _ in range(turn_count):
             turn_input = f'{program} says {self._next_id("")}.'.encode()
             ask = Ask(
-                CallClass.TURN,
+                call_class,
                 organisation,
                 key,
                 program,
@@ -153,8 +158,9 @@
             outcome = await self._call_with_retries(ask)
             if outcome is None or not outcome.whole or outcome.status != 200:
                 return
-            conversation += turn_input + turn_text(outcome.request_id)
-            previous_request_id = outcome.request_id
+            if is_retained:
+                conversation += turn_input + turn_text(outcome.request_id)
+                previous_request_id = outcome.request_id
             await asyncio.sleep(MAX_THINK_S * rng.random())
             await self._call_tool(organisation, key, program)
 
@@ -212,8 +218,8 @@
             self._pool.release(instance.host, CALLER_PORT, connection)
         else:
             connection.abort('no whole answer')
-        is_turn = ask.call_class is CallClass.TURN
-        expected_body = (stream_body if is_turn else plain_body)(request_id)
+        is_stream = ask.call_class in STREAM_CLASSES
+        expected_body = (stream_body if is_stream else plain_body)(request_id)
         outcome = Outcome(
             request_id,
             ask.call_class,
@@ -243,7 +249,7 @@
     ]
     if ask.program:
         headers.append((HEADER_PREFIX + 'Program-Id', ask.program))
-    if ask.call_class is CallClass.TURN:
+    if ask.call_class in STREAM_CLASSES:
         headers.append(
             (HEADER_PREFIX + 'Token-Usage', f'50,{MAX_TOKENS_PER_TURN}')
         )
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,6 +13,7 @@
 from soak.record import NOT_EXECUTED_STATUSES
 from soak.record import Outcome
 from soak.record import Record
+from soak.record import STREAM_CLASSES
 from soak.record import Violation
 from soak.scenario import APPLY_LIMIT_S
 from soak.scenario import BURST_CALLS
@@ -129,7 +130,7 @@
     given = _sum_tokens_by_program(
         (outcome.program, outcome.body.count(b'data:'))
         for outcome in record.outcomes
-        if outcome.call_class is CallClass.TURN
+        if outcome.call_class in STREAM_CLASSES
     )
     ran = _sum_tokens_by_program(
         (run.program, run.events)
--- a/soak/record.py
+++ b/soak/record.py
@@ -17,10 +17,15 @@
     """Defines the call classes, one for each route."""
 
     TURN = 'turn'
+    # A stream that is not retained and that may be resumed.
+    REPLY = 'reply'
     ORDER = 'order'
     LOOKUP = 'lookup'
 
 
+STREAM_CLASSES = (CallClass.TURN, CallClass.REPLY)
+
+
 @dataclass(slots=True)
 class Run:
     """Holds one execution of a call at a backend server."""
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -62,6 +62,15 @@
                 'maxAttempts': 2,
                 **common,
             },
+            {
+                'name': 'reply',
+                'prefix': '/reply/',
+                'kind': 'streaming',
+                'resumable': True,
+                'retentionS': TURN_RETENTION_S,
+                'maxAttempts': 2,
+                **common,
+            },
             {
                 'name': 'order',
                 'prefix': '/order/',
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -24,6 +24,7 @@
 from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.storage.measured import MeasuredStore
 from jackdawfield.gateway.storage.rows import RowConflict
+from jackdawfield.gateway.streams.progress import StreamProgress
 
 # One in this many body chunks is dropped.
 DROP_INTERVAL_CHUNKS = 9
@@ -85,6 +86,17 @@
     _patch(Reply, 'write', changed)
 
 
+def repeat_events() -> None:
+    """Resume a broken stream from its start."""
+    resume = Dispatcher.resume
+
+    async def changed(self: Dispatcher, sent: Any, *args: Any) -> object:
+        return await resume(self, sent, None, False)
+
+    _patch(Dispatcher, 'resume', changed)
+    _patch(StreamProgress, '_is_repeated', lambda *_: False)
+
+
 def keep_turns_in_memory() -> None:
     """Keep turns only in the memory of the instance that served them."""
 
@@ -168,6 +180,7 @@
     'refuse-lost-calls': refuse_lost_calls,
     'take-any-answer': take_any_answer,
     'drop-pieces': drop_pieces,
+    'repeat-events': repeat_events,
     'keep-turns-in-memory': keep_turns_in_memory,
     'ignore-budgets': ignore_budgets,
     'ignore-rates': ignore_rates,
