Serve programs' streams during an outage of the store, within one call's tokens

Instances that started during an outage had no configuration until its end.

Change: a program may exceed its budget by the tokens of one call; the member that its key hashes to lends these once over the whole fleet, if it has been the only owner for 10 s. What was handed over is recorded once the store is back. Tables are taken from other instances at a start without the store.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -36,6 +36,8 @@
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
 from jackdawfield.gateway.programs.chains import ChainReader
 from jackdawfield.gateway.programs.expiry import RowExpiry
+from jackdawfield.gateway.programs.overdraft import OverdraftLender
+from jackdawfield.gateway.programs.overdraft import Overdrafts
 from jackdawfield.gateway.programs.stream_calls import StreamCalls
 from jackdawfield.gateway.programs.turn_cache import TurnCache
 from jackdawfield.gateway.programs.turn_store import TurnStore
@@ -178,11 +180,18 @@
         self.admission = Admission(
             self.members, self.detector, self.links, self.rate_owner
         )
+        self.overdraft_lender = OverdraftLender(self.rate_owner.ownership)
         self.stream_calls = StreamCalls(
             self.dispatcher,
             chains,
             turns,
             self.accounts,
+            Overdrafts(
+                self.members,
+                self.links,
+                self.rate_owner.ownership,
+                self.overdraft_lender,
+            ),
             self.expiry,
             self.admission,
             self.metrics,
@@ -250,6 +259,7 @@
         self.rate_owner.register(self.peers)
         self.failure_reports.register(self.peers)
         self.table_sharing.register(self.peers)
+        self.overdraft_lender.register(self.peers)
         self.unused_tokens.register(self.peers, self.accounts)
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
         self.caller_listener.listen(settings.host, settings.caller_port)
@@ -269,7 +279,9 @@
         )
 
     async def _follow_members(self) -> None:
-        await self.seat_holder.reclaim()
+        # An own seat is taken first, since its rates may be granted at once.
+        if not await self.seat_holder.try_reclaim():
+            self._tasks.spawn(self.seat_holder.reclaim())
         await self._followers[-1].run()
 
     async def _remove_expired(self) -> None:
--- a/jackdawfield/gateway/fleet/ownership.py
+++ b/jackdawfield/gateway/fleet/ownership.py
@@ -265,6 +265,21 @@
             return False
         return self.is_fresh(now_s)
 
+    def is_sole_owner(
+        self, key: OrganisationId, settled_s: float, now_s: float
+    ) -> bool:
+        """Return whether this instance alone owns a key, by every view.
+
+        The key need not be that of a rate. The members have not changed for
+        settled_s, which must exceed TAKEOVER_WAIT_S.
+        """
+        if self._own_id is None or self.owner_of(key) != self._own_id:
+            return False
+        changed_s = self._serving_changed_at_s
+        if changed_s is None or now_s - changed_s < settled_s:
+            return False
+        return self.is_fresh(now_s)
+
     def active_since_s(self, organisation_id: OrganisationId) -> float:
         """Return when an ownership became or becomes active.
 
--- a/jackdawfield/gateway/fleet/seat_holder.py
+++ b/jackdawfield/gateway/fleet/seat_holder.py
@@ -86,10 +86,11 @@
 
         The table is read until that is settled, or the instance leaves.
         """
-        while not self.is_leaving and not await self._try_reclaim():
+        while not self.is_leaving and not await self.try_reclaim():
             await asyncio.sleep(RECLAIM_RETRY_S)
 
-    async def _try_reclaim(self) -> bool:
+    async def try_reclaim(self) -> bool:
+        """Try once to take the earlier seat; return whether it is settled."""
         read = await self._store.read(MEMBERS_TABLE, '')
         if isinstance(read, Err):
             return False
--- a/jackdawfield/gateway/fleet/table_sharing.py
+++ b/jackdawfield/gateway/fleet/table_sharing.py
@@ -47,6 +47,11 @@
 MAX_SHARED_AGE_S = 2.0
 # A holder that gave no usable answer is avoided for this long.
 AVOID_S = 2.0
+# Rows up to this age serve an instance that starts during an outage of the
+# store, and the time in which another instance has to answer it.
+MAX_START_AGE_S = 60.0
+START_TIMEOUT_S = 0.5
+MAX_ASKED_AT_START = 4
 # A follower that has not asked for this long is forgotten.
 FOLLOWER_KEPT_S = 5.0
 
@@ -83,7 +88,7 @@
         follower = self._followers_by_table.get(message.table)
         if follower is None or not follower.log.is_loaded:
             return TableNotFollowed('not read yet')
-        if follower.age_s() > MAX_SHARED_AGE_S:
+        if follower.age_s() > MAX_SHARED_AGE_S and not message.any_age:
             return TableNotFollowed('not read for a while')
         log = follower.log
         if message.after_version == WHOLE_TABLE:
@@ -123,12 +128,15 @@
         # Whether other instances follow tables through this one.
         self._is_followed = is_followed
         self._avoided_until_s_by_seat: dict[SeatId, float] = {}
+        # The tables that were read from the store or a holder.
+        self._read_tables: set[str] = set()
 
     async def read_table(self, table: str) -> Result[RowsRead, StoreError]:
         """Return all rows of a table."""
         found = await self._ask_holder(table, WHOLE_TABLE)
         match found:
             case TableRows() as shared:
+                self._read_tables.add(table)
                 rows = _decode_rows(table, shared.rows)
                 return Ok(
                     RowsRead(
@@ -138,7 +146,44 @@
                         shared.age_s,
                     )
                 )
-        return await self._store.read(table, '')
+        read = await self._store.read(table, '')
+        if isinstance(read, Err) and table not in self._read_tables:
+            known = await self._ask_any(table)
+            if known is not None:
+                return Ok(known)
+        if isinstance(read, Ok):
+            self._read_tables.add(table)
+        return read
+
+    async def _ask_any(self, table: str) -> RowsRead | None:
+        """Return a table as another instance knows it, None if none does.
+
+        An instance that starts during an outage has no rows of its own.
+        """
+        message = FollowTable(
+            table, WHOLE_TABLE, 0.0, self._members.own_address, True
+        )
+        addresses = self._members.relay_addresses()
+        for address in addresses[:MAX_ASKED_AT_START]:
+            found = await self._links.request(
+                address, message, START_TIMEOUT_S
+            )
+            match found:
+                case Ok(TableRows() as shared):
+                    pass
+                case _:
+                    continue
+            if shared.age_s <= MAX_START_AGE_S:
+                log_event(
+                    LOG,
+                    'table_from_peer',
+                    table=table,
+                    peer=address,
+                    age_s=round(shared.age_s, 2),
+                )
+                rows = _decode_rows(table, shared.rows)
+                return RowsRead(rows, shared.version, True, shared.age_s)
+        return None
 
     async def await_changes(
         self, table: str, after_version: int
--- a/jackdawfield/gateway/programs/ledger.py
+++ b/jackdawfield/gateway/programs/ledger.py
@@ -55,12 +55,19 @@
     budget: int
 
 
+@dataclass(frozen=True, slots=True)
+class Spend:
+    """Records tokens that were handed over without a reservation."""
+
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class Return:
     """Returns the tokens that this instance holds for no call."""
 
 
-LedgerEvent = Reserve | Settle | Return
+LedgerEvent = Reserve | Settle | Spend | Return
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,6 +136,8 @@
                 case Settle(reserved, used):
                     unreserved += max(0, reserved - used)
                     last_settled = event
+                case Spend(tokens):
+                    granted += tokens
                 case Return():
                     granted -= unreserved
                     unreserved = 0
--- a/jackdawfield/gateway/programs/spending.py
+++ b/jackdawfield/gateway/programs/spending.py
@@ -1,6 +1,7 @@
 """Spend a program's token budget on one call."""
 
 import asyncio
+import logging
 import time
 
 from jackdawfield.background import BackgroundTasks
@@ -10,15 +11,24 @@
 from jackdawfield.gateway.programs.accounts import Verdict
 from jackdawfield.gateway.programs.ledger import Reserve
 from jackdawfield.gateway.programs.ledger import Settle
+from jackdawfield.gateway.programs.ledger import Spend
+from jackdawfield.gateway.programs.overdraft import Overdrafts
 from jackdawfield.gateway.programs.turns import ProgramKey
+from jackdawfield.logs import log_event
 
+LOG = logging.getLogger(__name__)
 # Retry-After of a refusal while the store does not answer.
 STORE_RETRY_S = 0.4
 # Limit for writing back the unused tokens of a turn that failed.
 SETTLE_TIMEOUT_S = 10.0
+# Limit for recording tokens that were borrowed in an outage of the store.
+RECORD_TIMEOUT_S = 60.0
 # A reservation ends this long before the call's deadline, so that the call is
 # still refused as not run.
 REFUSAL_MARGIN_S = 0.05
+# A reservation that is not written within this time is not waited for if the
+# call's tokens can be borrowed. The store answers within a tenth of it.
+BORROW_AFTER_S = 0.3
 
 
 class Spending:
@@ -30,21 +40,24 @@
     def __init__(
         self,
         accounts: ProgramAccounts,
+        overdrafts: Overdrafts,
         tasks: BackgroundTasks,
         program: ProgramKey,
         call: Call,
         tokens_per_event: int,
     ) -> None:
         self._accounts = accounts
+        self._overdrafts = overdrafts
         self._tasks = tasks
         self._program = program
         self._call = call
         self._tokens_per_event = tokens_per_event
         self._reservation: asyncio.Task[Verdict] | None = None
+        self._borrowed_tokens = 0
         self._is_settled = False
-        # Events that were handed to the caller, or may have been.
-        self.events_used = 0
-        self.has_handed_over = False
+        self._has_handed_over = False
+        # Events with data that were handed to the caller, or may have been.
+        self._events_used = 0
 
     async def begin(self) -> Refusal | None:
         """Start to reserve; refuse a call that the budget does not hold.
@@ -71,23 +84,57 @@
         )
         if is_likely:
             return None
-        match await asyncio.shield(self._reservation):
+        match await self._reserve_or_borrow():
             case Verdict.SPENT:
                 return Refusal(402, 'token budget spent')
             case Verdict.UNKNOWN:
                 return Refusal(503, 'budget not readable now', STORE_RETRY_S)
         return None
 
+    async def _reserve_or_borrow(self) -> Verdict:
+        """Return the reservation's verdict, FITS if tokens were borrowed."""
+        assert self._reservation is not None
+        done, _ = await asyncio.wait(
+            {self._reservation}, timeout=BORROW_AFTER_S
+        )
+        if done or self._call.route.keeps_turns:
+            # A turn is written before its end, so the store is awaited.
+            return await asyncio.shield(self._reservation)
+        self._borrowed_tokens = await self._borrow()
+        if self._borrowed_tokens >= self._tokens_per_event > 0:
+            return Verdict.FITS
+        return await asyncio.shield(self._reservation)
+
+    async def _borrow(self) -> int:
+        """Return the tokens that were lent for this call."""
+        headers = self._call.headers
+        most = headers.max_tokens
+        known = self._accounts.granted_tokens(self._program)
+        if known > (headers.budget_tokens or 0):
+            return 0
+        return await self._overdrafts.borrow(self._program, most)
+
     async def wait_until_reserved(self) -> bool:
         """Wait for the reservation; return whether events may be passed."""
-        if self._reservation is None:
+        if self._reservation is None or self._borrowed_tokens:
             return True
-        return await asyncio.shield(self._reservation) is Verdict.FITS
+        return await self._reserve_or_borrow() is Verdict.FITS
 
-    def hand_over(self, event_count: int) -> None:
-        """Record events before they are written to the caller."""
-        self.events_used += event_count
-        self.has_handed_over = True
+    async def hand_over(self, event_count: int) -> bool:
+        """Record events before they are written to the caller.
+
+        Return False if they must not be written, since the tokens that were
+        borrowed are used up and none are reserved in time.
+        """
+        tokens = (self._events_used + event_count) * self._tokens_per_event
+        if self._borrowed_tokens and tokens > self._borrowed_tokens:
+            assert self._reservation is not None
+            verdict = await asyncio.shield(self._reservation)
+            if verdict is not Verdict.FITS:
+                return False
+        self._events_used += event_count
+        self._has_handed_over = True
+        return True
 
     def settle(self) -> Settle | None:
         """Return the settlement, once; the caller writes or keeps it."""
@@ -99,11 +146,11 @@
         return Settle(reserved, min(self._tokens_used(), reserved), budget)
 
     def _tokens_used(self) -> int:
-        if not self.has_handed_over:
+        if not self._has_handed_over:
             return 0
         if not self._tokens_per_event:
             return self._call.headers.max_tokens
-        return self.events_used * self._tokens_per_event
+        return self._events_used * self._tokens_per_event
 
     def end(self) -> None:
         """Settle in the background what has not been settled yet."""
@@ -113,8 +160,31 @@
 
     async def _settle_later(self, settled: Settle) -> None:
         assert self._reservation is not None
-        if await self._reservation is not Verdict.FITS:
-            return
+        used = min(settled.used, self._borrowed_tokens)
+        self._overdrafts.give_back(self._program, self._borrowed_tokens - used)
+        if await self._reservation is Verdict.FITS:
+            await self._settle_reserved(settled)
+            self._overdrafts.give_back(self._program, used)
+        elif used:
+            await self._record_borrowed(used)
+
+    async def _record_borrowed(self, used_tokens: int) -> None:
+        """Record tokens beyond the budget; they are not lent again."""
+        verdict = await self._accounts.submit(
+            self._program,
+            Spend(used_tokens),
+            (),
+            time.monotonic() + RECORD_TIMEOUT_S,
+        )
+        log_event(
+            LOG,
+            'borrowed_tokens_recorded',
+            program=self._program.text,
+            tokens=used_tokens,
+            recorded=verdict is Verdict.FITS,
+        )
+
+    async def _settle_reserved(self, settled: Settle) -> None:
         if not self._call.route.keeps_turns:
             self._accounts.keep_unused(self._program, settled)
             return
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -21,6 +21,7 @@
 from jackdawfield.gateway.programs.chains import TurnNotFound
 from jackdawfield.gateway.programs.chains import TurnUnavailable
 from jackdawfield.gateway.programs.expiry import RowExpiry
+from jackdawfield.gateway.programs.overdraft import Overdrafts
 from jackdawfield.gateway.programs.retention import ExpiringRows
 from jackdawfield.gateway.programs.spending import Spending
 from jackdawfield.gateway.programs.spending import STORE_RETRY_S
@@ -55,15 +56,16 @@
         # The data of the events of a turn, a line feed after each.
         self.answered = bytearray()
 
-    def record_events(self, events: tuple[StreamEvent, ...]) -> None:
-        """Record events before they are passed to the caller."""
+    async def record_events(self, events: tuple[StreamEvent, ...]) -> bool:
+        """Record events; return whether they may be passed to the caller."""
         with_data = [event for event in events if event.data is not None]
-        self.spending.hand_over(len(with_data))
-        if not self.call.route.keeps_turns:
-            return
-        for event in with_data:
-            self.answered += event.data or b''
-            self.answered += b'\n'
+        if not await self.spending.hand_over(len(with_data)):
+            return False
+        if self.call.route.keeps_turns:
+            for event in with_data:
+                self.answered += event.data or b''
+                self.answered += b'\n'
+        return True
 
     @property
     def parent(self) -> TurnRecord | None:
@@ -80,6 +82,7 @@
         chains: ChainReader,
         turns: TurnStore,
         accounts: ProgramAccounts,
+        overdrafts: Overdrafts,
         expiry: RowExpiry,
         admission: Admission,
         metrics: GatewayMetrics,
@@ -90,6 +93,7 @@
         self._chains = chains
         self._turns = turns
         self._accounts = accounts
+        self._overdrafts = overdrafts
         self._expiry = expiry
         self._tasks = BackgroundTasks()
         self.configuration: FleetConfiguration | None = None
@@ -136,6 +140,7 @@
             self._expiry.add(ExpiringRows(program, (), call.route.retention_s))
         spending = Spending(
             self._accounts,
+            self._overdrafts,
             self._tasks,
             program,
             call,
@@ -210,7 +215,15 @@
         reply.set_head(sent.response.head)
 
         async def write(data: bytes, events: tuple[StreamEvent, ...]) -> bool:
-            stream.record_events(events)
+            if not await stream.record_events(events):
+                log_event(
+                    LOG,
+                    'tokens_not_reserved',
+                    logging.WARNING,
+                    request=stream.call.request_id,
+                    program=stream.program.text,
+                )
+                return False
             return await reply.write(data)
 
         limits = stream_limits(stream.call, self._tokens_per_event(service))
--- a/jackdawfield/messages/fleet_budgets.py
+++ b/jackdawfield/messages/fleet_budgets.py
@@ -22,3 +22,38 @@
     """Answers a ReturnTokens: whether the program's row was lowered."""
 
     any: bool
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class AskOverdraft:
+    """Asks a member for tokens to hand over before they are recorded.
+
+    `most_tokens` is what the member lends at most to the program.
+    """
+
+    program: str
+    most_tokens: int
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class OverdraftGranted:
+    """Grants tokens that the asker records, and then gives back."""
+
+    tokens: int
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class GiveBackOverdraft:
+    """Gives back tokens that were not handed over, or are recorded by now."""
+
+    program: str
+    tokens: int
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class OverdraftGivenBack:
+    """Confirms a GiveBackOverdraft."""
--- a/jackdawfield/messages/fleet_tables.py
+++ b/jackdawfield/messages/fleet_tables.py
@@ -21,6 +21,8 @@
     after_version: int
     wait_s: float
     address: str
+    # Rows that are read no more are wanted too, as the store is unavailable.
+    any_age: bool = False
 
 
 @message
