Confirm the members by whole reads, and take over from a lost owner sooner

Each batch of requests meanwhile tried the lost owner four times, so that others waited behind it to their deadlines. Tokens of streams were never lent in the outage, since all members had been restarted 4 s before.

Change: holders of seats read the table of members every 0.6 s in place of waiting for changes; a view is valid for 1.5 s and taken over after 1.8 s. A member is suspected after 0.5 s, and both probes run at once. An owner that was not reached before is asked once. Members lend from 2 s after their start, to programs whose budget is not known to be spent.

--- a/jackdawfield/gateway/fleet/failure_detector.py
+++ b/jackdawfield/gateway/fleet/failure_detector.py
@@ -29,10 +29,10 @@
 LOG = logging.getLogger(__name__)
 WRITE_TIMEOUT_S = 1.0
 # A member is probed after it has not answered for this long.
-SUSPECT_AFTER_S = 0.8
+SUSPECT_AFTER_S = 0.5
 # Instances that suspect the same member probe it one after another, so that
 # most of them find it suspended already.
-PROBE_SPREAD_S = 0.3
+PROBE_SPREAD_S = 0.15
 PROBE_TIMEOUT_S = 0.4
 # Number of other members probed before one is suspended. If fewer than half of
 # them answer, this instance is probably isolated itself and suspends nobody.
@@ -139,8 +139,10 @@
         if row is None or version is None or not row.is_serving:
             self.record_answer(seat_id)
             return
-        is_proven_dead = await self._refuses_connections(row)
-        if not is_proven_dead and await self.ping(seat_id) is not None:
+        is_proven_dead, pong = await asyncio.gather(
+            self._refuses_connections(row), self.ping(seat_id)
+        )
+        if pong is not None:
             self.record_answer(seat_id)
             return
         may_be_isolated = silent_s < SUSPEND_ALONE_AFTER_S
--- a/jackdawfield/gateway/fleet/ownership.py
+++ b/jackdawfield/gateway/fleet/ownership.py
@@ -24,14 +24,13 @@
 from jackdawfield.messages.fleet_rates import RolesDigest
 from jackdawfield.model import OrganisationId
 
-# A view that was not confirmed for this long makes no ownership active.
-VIEW_VALID_S = 2.2
-# A reader of this table may get a change this much later than readers of
-# other tables while the store discards its history.
-CHANGE_FEED_LAG_S = 1.2
+# A view that was not confirmed for this long makes no ownership active. Only
+# whole reads confirm it: a wait for changes may miss some for a second while
+# the store discards its history.
+VIEW_VALID_S = 1.5
 CLOCK_MARGIN_S = 0.3
+TAKEOVER_WAIT_S = VIEW_VALID_S + CLOCK_MARGIN_S
 ROLES_DIGEST_BYTES = 8
-TAKEOVER_WAIT_S = VIEW_VALID_S + CHANGE_FEED_LAG_S + CLOCK_MARGIN_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -265,20 +264,15 @@
             return False
         return self.is_fresh(now_s)
 
-    def is_sole_owner(
-        self, key: OrganisationId, settled_s: float, now_s: float
-    ) -> bool:
+    def is_sole_owner(self, key: OrganisationId, now_s: float) -> bool:
         """Return whether this instance alone owns a key, by every view.
 
-        The key need not be that of a rate. The members have not changed for
-        settled_s, which must exceed TAKEOVER_WAIT_S.
+        The key need not be that of a rate.
         """
         if self._own_id is None or self.owner_of(key) != self._own_id:
             return False
-        changed_s = self._serving_changed_at_s
-        if changed_s is None or now_s - changed_s < settled_s:
-            return False
-        return self.is_fresh(now_s)
+        is_settled = self._is_unanimous or self.is_stable(now_s)
+        return is_settled and self.is_fresh(now_s)
 
     def active_since_s(self, organisation_id: OrganisationId) -> float:
         """Return when an ownership became or becomes active.
--- a/jackdawfield/gateway/fleet/table_sharing.py
+++ b/jackdawfield/gateway/fleet/table_sharing.py
@@ -7,6 +7,7 @@
 while, reads the store on its own.
 """
 
+import asyncio
 from collections.abc import Callable
 import logging
 
@@ -38,9 +39,10 @@
 # Limit of one long poll. The answer comes earlier if there are changes; the
 # limit bounds how long a dead connection stays undetected.
 POLL_WAIT_S = 2.0
-# Shorter polls of tables on which others depend: each answer confirms the
-# table, to those who follow it here or by the views of the members.
+# Shorter polls of tables that others follow here: each answer confirms them.
 SHARED_POLL_WAIT_S = 0.8
+# Interval at which holders of seats read the members.
+MEMBERS_INTERVAL_S = 0.6
 FOLLOW_WAIT_S = 1.2
 FOLLOW_MARGIN_S = 0.5
 # Rows of a holder that has not read the store for longer are not used.
@@ -133,6 +135,7 @@
 
     async def read_table(self, table: str) -> Result[RowsRead, StoreError]:
         """Return all rows of a table."""
+        asked_at_s = boot_time_s()
         found = await self._ask_holder(table, WHOLE_TABLE)
         match found:
             case TableRows() as shared:
@@ -143,7 +146,7 @@
                         rows,
                         shared.version,
                         shared.after_outage,
-                        shared.age_s,
+                        asked_at_s - shared.age_s,
                     )
                 )
         read = await self._store.read(table, '')
@@ -165,6 +168,7 @@
         )
         addresses = self._members.relay_addresses()
         for address in addresses[:MAX_ASKED_AT_START]:
+            asked_at_s = boot_time_s()
             found = await self._links.request(
                 address, message, START_TIMEOUT_S
             )
@@ -182,13 +186,15 @@
                     age_s=round(shared.age_s, 2),
                 )
                 rows = _decode_rows(table, shared.rows)
-                return RowsRead(rows, shared.version, True, shared.age_s)
+                read_at_s = asked_at_s - shared.age_s
+                return RowsRead(rows, shared.version, True, read_at_s)
         return None
 
     async def await_changes(
         self, table: str, after_version: int
     ) -> Result[RowsChanged, StoreError]:
         """Return the rows changed after a version, or none after a while."""
+        asked_at_s = boot_time_s()
         found = await self._ask_holder(table, after_version)
         match found:
             case TableRows() as shared:
@@ -198,18 +204,34 @@
                         rows,
                         shared.version,
                         shared.after_outage,
-                        shared.age_s,
+                        asked_at_s - shared.age_s,
                     )
                 )
             case TableNotFollowed(history_gone=True):
                 return Err(StoreError('changes not known', history_gone=True))
-        # Holders of seats confirm their view by each read of the members.
-        is_shared = self._members.own_seat is not None and (
-            table == MEMBERS_TABLE or self._is_followed()
-        )
+        is_holder = self._members.own_seat is not None
+        if is_holder and table == MEMBERS_TABLE:
+            return await self._read_members_again(after_version)
+        is_shared = is_holder and self._is_followed()
         wait_s = SHARED_POLL_WAIT_S if is_shared else POLL_WAIT_S
         return await self._store.changes(table, after_version, wait_s)
 
+    async def _read_members_again(
+        self, after_version: int
+    ) -> Result[RowsChanged, StoreError]:
+        """Read the members after an interval, which confirms the view."""
+        await asyncio.sleep(MEMBERS_INTERVAL_S)
+        read_at_s = boot_time_s()
+        read = await self._store.read(MEMBERS_TABLE, '')
+        if isinstance(read, Err):
+            return read
+        found = read.ok_value
+        # Rows of members are never removed.
+        changed = tuple(
+            row for row in found.rows if row.version > after_version
+        )
+        return Ok(RowsChanged(changed, found.version, read_at_s=read_at_s))
+
     async def _ask_holder(
         self, table: str, after_version: int
     ) -> TableRows | TableNotFollowed | None:
--- a/jackdawfield/gateway/programs/overdraft.py
+++ b/jackdawfield/gateway/programs/overdraft.py
@@ -24,10 +24,9 @@
 from jackdawfield.model import OrganisationId
 
 ASK_TIMEOUT_S = 0.2
-# A member lends nothing sooner after its start, or after the members changed:
-# its earlier incarnation or another member may have lent the same tokens.
-MIN_UPTIME_S = 15.0
-MIN_SETTLED_S = 10.0
+# A member that started so lately lends nothing: its earlier incarnation may
+# have lent the same tokens in this outage.
+MIN_UPTIME_S = 2.0
 # Lent tokens are remembered for this many programs, the oldest forgotten.
 PROGRAMS_KEPT = 20_000
 
@@ -59,7 +58,7 @@
         if time.monotonic() - self._started_at_s < MIN_UPTIME_S:
             return 0
         if not self._ownership.is_sole_owner(
-            OrganisationId(program), MIN_SETTLED_S, boot_time_s()
+            OrganisationId(program), boot_time_s()
         ):
             return 0
         lent = self._lent_by_program.pop(program, 0)
--- a/jackdawfield/gateway/programs/spending.py
+++ b/jackdawfield/gateway/programs/spending.py
@@ -110,7 +110,8 @@
         headers = self._call.headers
         most = headers.max_tokens
         known = self._accounts.granted_tokens(self._program)
-        if known > (headers.budget_tokens or 0):
+        if known + most > (headers.budget_tokens or 0):
+            # The budget is spent, as far as this instance knows.
             return 0
         return await self._overdrafts.borrow(self._program, most)
 
--- a/jackdawfield/gateway/rates/admission.py
+++ b/jackdawfield/gateway/rates/admission.py
@@ -47,6 +47,8 @@
         self.waiters: list[_Waiter] = []
         self.task: asyncio.Task[None] | None = None
         self.owner_unreachable_until_s = 0.0
+        # Whether the owner answered the last time that it was asked.
+        self.is_owner_reached = True
 
 
 class Admission:
@@ -148,7 +150,9 @@
         )
         granted = None
         if now_s >= account.owner_unreachable_until_s:
-            granted = await self._ask_with_retries(ask)
+            granted = await self._ask_with_retries(
+                ask, account.is_owner_reached
+            )
         now_s = boot_time_s()
         contract = self._rate_owner.contracts_by_organisation.get(
             organisation_id
@@ -156,6 +160,7 @@
         if contract is None:
             resolve(waiters, None)
             return
+        account.is_owner_reached = granted is not None and granted.active
         if granted is None or not granted.active:
             if now_s >= account.owner_unreachable_until_s:
                 account.owner_unreachable_until_s = now_s + OWNER_RETRY_S
@@ -230,9 +235,14 @@
                 account.local_tokens.continuing_refused_until_s = until_s
             resolve([waiter], Refusal(429, 'over the rate', retry_s))
 
-    async def _ask_with_retries(self, ask: AskTokens) -> TokensGranted | None:
-        """Ask the owner, with retries while the ownership is moving."""
-        for retry_delay_s in ASK_RETRY_DELAYS_S:
+    async def _ask_with_retries(
+        self, ask: AskTokens, was_reached: bool
+    ) -> TokensGranted | None:
+        """Ask the owner, with retries while the ownership is moving.
+
+        One that was not reached before is asked once.
+        """
+        for retry_delay_s in ASK_RETRY_DELAYS_S if was_reached else ():
             granted = await self._ask_owner(ask)
             if granted is not None and granted.active:
                 return granted
--- a/jackdawfield/gateway/storage/follower.py
+++ b/jackdawfield/gateway/storage/follower.py
@@ -103,7 +103,7 @@
         self._apply_snapshot(
             read.rows, self.is_recovering or read.after_outage
         )
-        self._record_confirmation(asked_at_s - read.age_s)
+        self._record_confirmation(read.read_at_s or asked_at_s)
         return True
 
     async def _read_changes(self, after_version: int) -> bool:
@@ -122,13 +122,13 @@
             self._apply_changes(
                 changed.rows, self.is_recovering or changed.after_outage
             )
-        self._record_confirmation(asked_at_s - changed.age_s)
+        self._record_confirmation(changed.read_at_s or asked_at_s)
         return True
 
-    def _record_confirmation(self, asked_at_s: float) -> None:
-        self._confirmed_at_s = asked_at_s
+    def _record_confirmation(self, read_at_s: float) -> None:
+        self._confirmed_at_s = read_at_s
         if self._on_confirmed is not None:
-            self._on_confirmed(asked_at_s)
+            self._on_confirmed(read_at_s)
 
     def _log_failure(self, reason: str) -> None:
         log_event(LOG, 'table_unread', table=self.table, reason=reason)
--- a/jackdawfield/gateway/storage/rows.py
+++ b/jackdawfield/gateway/storage/rows.py
@@ -65,8 +65,8 @@
     rows: tuple[StoredRow, ...]
     version: int
     after_outage: bool = False
-    # Time since the rows were read from the store.
-    age_s: float = 0.0
+    # When the read of the store was sent, if not when it was asked for.
+    read_at_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,8 +80,8 @@
     rows: tuple[StoredRow, ...]
     version: int
     after_outage: bool = False
-    # Time since the rows were read from the store.
-    age_s: float = 0.0
+    # When the read of the store was sent, if not when it was asked for.
+    read_at_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
