Drop the reports of a seat's earlier holder

Cause: seed 5125 of the exploration: a member's report of its view was kept when another instance took its seat, and counted for that one; a takeover then had a majority that it did not have. Change: reports name the incarnation, and go with it. The seed stays.

--- a/jackdawfield/gateway/fleet/failure_detector.py
+++ b/jackdawfield/gateway/fleet/failure_detector.py
@@ -50,6 +50,7 @@
     """
 
     asked_at_s: float
+    incarnation: str
     view: MemberView | None
     is_holder: bool
 
@@ -102,9 +103,9 @@
             case Ok(Pong(incarnation, version, roles)):
                 is_holder = incarnation == row.incarnation
                 view = MemberView(version, roles)
-                return PolledView(asked_at_s, view, is_holder)
+                return PolledView(asked_at_s, incarnation, view, is_holder)
         if await self._refuses_connections(row):
-            return PolledView(asked_at_s, None, False)
+            return PolledView(asked_at_s, '', None, False)
         return None
 
     def record_answer(self, seat_id: SeatId) -> None:
--- a/jackdawfield/gateway/fleet/ownership.py
+++ b/jackdawfield/gateway/fleet/ownership.py
@@ -160,13 +160,14 @@
     def record_view_report(
         self,
         member_id: SeatId,
+        incarnation: str,
         asked_at_s: float,
         version: int,
         now_s: float,
     ) -> None:
         """Record the version of a member's view when it was polled."""
         row = self._members_by_id.get(member_id)
-        if row is None or row.left:
+        if row is None or row.left or row.incarnation != incarnation:
             return
         self._view_reports_by_id[member_id] = (asked_at_s, version)
         self._schedule_pending(now_s)
@@ -339,6 +340,7 @@
         ):
             self.inherited = False
         previous_serving = self._serving_ids()
+        previous_members = self._members_by_id
         roles = roles_digest(members_by_id)
         # Other changes of rows, such as `established`, move no ownership.
         if roles != self._roles:
@@ -355,10 +357,7 @@
         self.version = max(self.version, version)
         # Lost ownerships are handed over if the previous view was fresh.
         lost = self._recompute_owners(dict(members_by_id), own_id, now_s)
-        for member_id in list(self._view_reports_by_id):
-            row = members_by_id.get(member_id)
-            if row is None or row.left:
-                del self._view_reports_by_id[member_id]
+        self._drop_reports_of_others(previous_members)
         if (
             self._serving_changed_at_s is None
             or previous_serving != self._serving_ids()
@@ -367,6 +366,21 @@
         self._schedule_pending(now_s)
         return lost
 
+    def _drop_reports_of_others(
+        self, previous_members: Mapping[SeatId, MemberRow]
+    ) -> None:
+        """Drop the reports of those who hold their seats no more."""
+        for member_id in list(self._view_reports_by_id):
+            row = self._members_by_id.get(member_id)
+            previous = previous_members.get(member_id)
+            if (
+                row is None
+                or row.left
+                or previous is None
+                or row.incarnation != previous.incarnation
+            ):
+                del self._view_reports_by_id[member_id]
+
     def _recompute_owners(
         self,
         members_by_id: dict[SeatId, MemberRow],
--- a/jackdawfield/gateway/rates/owner.py
+++ b/jackdawfield/gateway/rates/owner.py
@@ -186,7 +186,11 @@
             if polled.is_holder and polled.view is not None:
                 self._detector.record_answer(seat_id)
                 self.ownership.record_view_report(
-                    seat_id, polled.asked_at_s, polled.view.version, now_s
+                    seat_id,
+                    polled.incarnation,
+                    polled.asked_at_s,
+                    polled.view.version,
+                    now_s,
                 )
         self.ownership.record_round(
             {seat: polled.view for seat, polled in views_by_seat.items()},
--- a/tests/gateway/fleet/test_ownership.py
+++ b/tests/gateway/fleet/test_ownership.py
@@ -32,8 +32,9 @@
 NAMES = [InstanceId(f'i{n}') for n in range(7)]
 # Seeds that once gave two owners: an instance that had missed views in which
 # another was the owner went on (2024); an ownership became active at once
-# beside a hand-over by a newer view (1476, 1551, 1854) or an older one (3636).
-REGRESSION_SEEDS = (1476, 1551, 1854, 2024, 3636)
+# beside a hand-over by a newer view (1476, 1551, 1854) or an older one (3636);
+# a report of a seat's earlier holder counted for its new one (5125).
+REGRESSION_SEEDS = (1476, 1551, 1854, 2024, 3636, 5125)
 STEP_S = 0.1
 POLL_S = 0.6
 VIEW_POLL_S = 0.5
@@ -201,7 +202,7 @@
             asked_at_s = self.now_s - 0.2 * self.rng.random()
             version = other.ownership.version
             node.ownership.record_view_report(
-                seat, asked_at_s, version, self.now_s
+                seat, row.incarnation, asked_at_s, version, self.now_s
             )
         node.ownership.record_round(views, self.now_s)
 
@@ -374,6 +375,7 @@
 OWNED = ORGANISATIONS[0]
 OWN_SEAT = choose_owner(OWNED, SEATS[:3])
 OTHER_SEAT = next(seat for seat in SEATS if seat != OWN_SEAT)
+OTHER_HOLDER = f'{OTHER_SEAT}.1'
 
 
 class OwnershipTest(unittest.TestCase):
@@ -411,9 +413,13 @@
         late_s = 10.0 + TAKEOVER_WAIT_S
         ownership.confirm_view(late_s)
         self.assertFalse(ownership.may_grant(OWNED, late_s + 0.1))
-        ownership.record_view_report(OTHER_SEAT, late_s, 4, late_s)
+        ownership.record_view_report(
+            OTHER_SEAT, OTHER_HOLDER, late_s, 4, late_s
+        )
         self.assertFalse(ownership.may_grant(OWNED, late_s + 9.0))
-        ownership.record_view_report(OTHER_SEAT, late_s, 5, late_s)
+        ownership.record_view_report(
+            OTHER_SEAT, OTHER_HOLDER, late_s, 5, late_s
+        )
         self.assertFalse(ownership.may_grant(OWNED, late_s + 0.1))
         later_s = late_s + TAKEOVER_WAIT_S
         ownership.confirm_view(later_s)
@@ -452,7 +458,7 @@
         ownership.confirm_view(10.0)
         self.assertTrue(ownership.may_grant(OWNED, 10.1))
         self.assertFalse(ownership.may_grant(OWNED, 13.0))
-        ownership.record_view_report(OTHER_SEAT, 12.9, 2, 13.0)
+        ownership.record_view_report(OTHER_SEAT, OTHER_HOLDER, 12.9, 2, 13.0)
         self.assertFalse(ownership.may_grant(OWNED, 13.0))
-        ownership.record_view_report(OTHER_SEAT, 12.9, 1, 13.0)
+        ownership.record_view_report(OTHER_SEAT, OTHER_HOLDER, 12.9, 1, 13.0)
         self.assertTrue(ownership.may_grant(OWNED, 13.0))
--- a/tests/gateway/rates/test_owner.py
+++ b/tests/gateway/rates/test_owner.py
@@ -120,7 +120,7 @@
         self.now_s += TAKEOVER_WAIT_S + 1
         ownership = self.owner.ownership
         ownership.confirm_view(self.now_s)
-        ownership.record_view_report(OTHER, self.now_s, 3, self.now_s)
+        ownership.record_view_report(OTHER, OTHER, self.now_s, 3, self.now_s)
         ownership._active_from_s_by_organisation[ORG] = self.now_s - 1
         self.assertLessEqual(self.grant(40), CONTRACT.rate_per_s)
 
