Go on with the own seat after a restart during an outage of the store

Change: with the rows as other instances know them, the seat of the earlier incarnation, which has ended, is held until it can be written. A majority that confirms the view makes its ownerships active, as for any other holder.

--- a/jackdawfield/gateway/fleet/members.py
+++ b/jackdawfield/gateway/fleet/members.py
@@ -31,6 +31,9 @@
         self.versions_by_seat: dict[SeatId, int] = {}
         # The newest version of any row of the table.
         self.version = 0
+        # The store was unavailable at the start: the seat of this instance's
+        # earlier incarnation, which has ended, is held without a new row.
+        self.adopts_earlier = False
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -40,13 +43,18 @@
 
     @property
     def own_seats(self) -> list[SeatId]:
-        """Return the seats that this incarnation holds, normally one."""
+        """Return the seats that this instance holds, normally one."""
         return sorted(
             seat_id
             for seat_id, row in self.rows_by_seat.items()
-            if row.incarnation == self.incarnation and not row.left
+            if self._is_own(row) and not row.left
         )
 
+    def _is_own(self, row: MemberRow) -> bool:
+        if row.incarnation == self.incarnation:
+            return True
+        return self.adopts_earlier and row.instance_id == self.own_id
+
     @property
     def own_seat(self) -> SeatId | None:
         """Return the seat that this instance votes with, None without one."""
@@ -59,7 +67,7 @@
         return {
             seat_id: row
             for seat_id, row in self.rows_by_seat.items()
-            if row.incarnation != self.incarnation and row.is_serving
+            if row.is_serving and not self._is_own(row)
         }
 
     def vacant_seats(self) -> list[SeatId]:
--- a/jackdawfield/gateway/fleet/seat_holder.py
+++ b/jackdawfield/gateway/fleet/seat_holder.py
@@ -85,7 +85,9 @@
         """Take the seat of this instance's earlier incarnation, if any.
 
         The table is read until that is settled, or the instance leaves.
+        Meanwhile the seat is held as other instances know it.
         """
+        self._members.adopts_earlier = True
         while not self.is_leaving and not await self.try_reclaim():
             await asyncio.sleep(RECLAIM_RETRY_S)
 
@@ -125,6 +127,10 @@
         own_seat = self._members.own_seat
         if own_seat is not None:
             row = self._members.rows_by_seat[own_seat]
+            if row.incarnation != self._members.incarnation:
+                self.inherited = row.established and no_takeover_pending(
+                    self._members.rows_by_seat.values()
+                )
             if not row.is_serving:
                 self._start_write(self._rejoin(own_seat))
             elif len(self._members.own_seats) > 1:
--- a/tests/gateway/fleet/test_seat_holder.py
+++ b/tests/gateway/fleet/test_seat_holder.py
@@ -183,6 +183,37 @@
         await waiting.settle()
         self.assertEqual(waiting.members.own_seat, seat)
 
+    async def test_restart_in_an_outage_goes_on_with_its_seat(self) -> None:
+        first = await self.established('a')
+        seat = first.members.own_seat
+        known = (await self.store.read(MEMBERS_TABLE, '')).unwrap().rows
+        self.store.injected_faults.extend([StoreFault.UNAVAILABLE] * 2)
+        restarted = self.instance('a', '2')
+        self.assertFalse(await restarted.holder.try_reclaim())
+        reclaiming = asyncio.create_task(restarted.holder.reclaim())
+        await asyncio.sleep(0.01)
+        # Another instance has told it the rows.
+        restarted.members.apply_snapshot(known, True)
+        self.assertEqual(restarted.members.own_seat, seat)
+        self.assertTrue(restarted.holder.inherited)
+        self.assertEqual(restarted.members.other_rows_by_seat, {})
+        await reclaiming
+        await restarted.read()
+        self.assertEqual(restarted.members.own_seat, seat)
+        assert seat is not None
+        self.assertEqual(self.rows()[seat].incarnation, 'a.2')
+
+    async def test_restart_in_an_outage_takes_no_seat_of_others(self) -> None:
+        first = await self.established('a')
+        seat = first.members.own_seat
+        await first.holder.leave()
+        await self.joined('b')
+        known = (await self.store.read(MEMBERS_TABLE, '')).unwrap().rows
+        restarted = self.instance('a', '2')
+        restarted.members.adopts_earlier = True
+        restarted.members.apply_snapshot(known, True)
+        self.assertNotEqual(restarted.members.own_seat, seat)
+
     async def test_live_instance_is_not_suspended(self) -> None:
         live = await self.established('a')
         server = PeerServer()
