--- a/tests/gateway/servers/test_dispatch.py
+++ b/tests/gateway/servers/test_dispatch.py
@@ -1,5 +1,6 @@
 import asyncio
 from collections.abc import Iterable
+from dataclasses import replace
 import time
 import unittest
 
@@ -200,6 +201,21 @@
                 )
                 self.assertEqual(self.request_counts, [1, 1])
 
+    async def test_lost_stream_is_not_refused_for_want_of_a_slot(self) -> None:
+        call = make_call(CallKind.STREAM)
+        route = replace(call.route, is_resumable=True)
+        call = replace(call, route=route)
+
+        async def fill_and_close(received: ReceivedRequest) -> None:
+            for state in self.dispatcher._slot_queue.servers.by_id.values():
+                state.in_flight = state.entry.slots
+            received.writer.close()
+
+        outcome = await self.dispatch(call, [fill_and_close, complete])
+        assert isinstance(outcome, Failure)
+        self.assertEqual(outcome.status, 502)
+        self.assertEqual(self.request_counts, [1, 0])
+
     async def test_attempts_stay_within_the_limit(self) -> None:
         call = make_call(CallKind.IDEMPOTENT, attempts=2)
         outcome = await self.dispatch(
