Activate an ownership early only if older views have surely expired; split long functions

The test of links answered with a view that no longer fits its message (1 failed of 543).

Change: a proven death alone no longer activates an ownership: that each other holder has the same view or has ended does. Members poll each other until it is so.

--- a/bench/_fleet.py
+++ b/bench/_fleet.py
@@ -363,26 +363,41 @@
                     lambda: proceed(total_tokens),
                 )
             case ServiceStep(service_s):
-                if self.is_store_down:
-                    self.counts.not_run += 1
-                    self._end_run(run, failed=False)
-                    return
-                self._submit_call(
-                    run, context_id, 'orders', 0, 20, service_s, proceed
-                )
+                self._run_service(run, context_id, service_s, proceed)
             case AgentsStep(agents):
-                remaining = [len(agents)]
-
-                def on_agent_done() -> None:
-                    remaining[0] -= 1
-                    if not remaining[0]:
-                        proceed()
-
-                for number, agent in enumerate(agents):
-                    name = f'{context_id}.{index}.{number}'
-                    self._run_step(
-                        run, name, agent, 0, SYSTEM_TOKENS, on_agent_done
-                    )
+                self._run_agents(run, f'{context_id}.{index}', agents, proceed)
+
+    def _run_service(
+        self,
+        run: ProgramRun,
+        context_id: str,
+        service_s: float,
+        proceed: Callable[[], None],
+    ) -> None:
+        if self.is_store_down:
+            self.counts.not_run += 1
+            self._end_run(run, failed=False)
+            return
+        self._submit_call(run, context_id, 'orders', 0, 20, service_s, proceed)
+
+    def _run_agents(
+        self,
+        run: ProgramRun,
+        prefix: str,
+        agents: tuple[tuple[Step, ...], ...],
+        proceed: Callable[[], None],
+    ) -> None:
+        """Run sub-agents in parallel, and proceed once all have ended."""
+        remaining = [len(agents)]
+
+        def on_agent_done() -> None:
+            remaining[0] -= 1
+            if not remaining[0]:
+                proceed()
+
+        for number, agent in enumerate(agents):
+            name = f'{prefix}.{number}'
+            self._run_step(run, name, agent, 0, SYSTEM_TOKENS, on_agent_done)
 
     def _submit_call(
         self,
--- a/bench/run_rates_scale.py
+++ b/bench/run_rates_scale.py
@@ -1,5 +1,6 @@
 """Measure the share holders at the design size, in virtual time."""
 
+from dataclasses import dataclass
 from functools import partial
 from itertools import cycle
 from random import Random
@@ -90,8 +91,25 @@
     )
 
 
-def run() -> list[str]:
-    """Print the figures and return the missed bounds."""
+@dataclass(frozen=True, slots=True)
+class ScaleFigures:
+    """Holds the figures of a run at the size to design for."""
+
+    site_name: str
+    instances: int
+    requests_per_s: float
+    max_excess: float
+    wrongful_refusals: int
+    requests_inside: int
+    messages_per_s: float
+    max_bytes_per_s: float
+    warm_up_writes_per_s: float
+    writes_per_s: float
+    reads_per_s: float
+
+
+def measure() -> ScaleFigures:
+    """Run the fleet and return its figures."""
     site = create_site()
     contracts_by_id = create_contracts()
     arrivals = draw_arrivals(site, contracts_by_id, seed=6)
@@ -114,34 +132,57 @@
     max_bytes_per_s = max(counts.bytes_by_instance.values()) / measured_s
     fleet.run_until(RUN_S + 1)
     admitted = {int(d.request_id) for d in fleet.decisions if d.admitted}
-    wrongful = sum(
-        is_inside and number not in admitted
-        for number, is_inside in enumerate(inside)
-    )
-    max_excess = find_worst_excess(fleet, contracts_by_id)
     instances = len(fleet.nodes_by_id)
-    print(f'\nrates at {site.name}: {instances} instances, 8 domains')
-    print(f'requests a second            {len(arrivals) / RUN_S:10.0f}')
-    print(f'over the contract            {max_excess:10.1f}')
-    print(f'refused wrongfully           {wrongful:10d} of {sum(inside)}')
-    messages_per_s = counts.messages / measured_s / instances
-    print(f'messages/s an instance       {messages_per_s:10.1f}')
-    print(f'bytes/s of the busiest       {max_bytes_per_s:10.0f}')
+    return ScaleFigures(
+        site_name=site.name,
+        instances=instances,
+        requests_per_s=len(arrivals) / RUN_S,
+        max_excess=find_worst_excess(fleet, contracts_by_id),
+        wrongful_refusals=sum(
+            is_inside and number not in admitted
+            for number, is_inside in enumerate(inside)
+        ),
+        requests_inside=sum(inside),
+        messages_per_s=counts.messages / measured_s / instances,
+        max_bytes_per_s=max_bytes_per_s,
+        warm_up_writes_per_s=warm_up_writes / WARM_UP_S,
+        writes_per_s=counts.table_writes / measured_s,
+        reads_per_s=counts.table_reads / measured_s,
+    )
+
+
+def print_figures(figures: ScaleFigures) -> None:
+    """Print the figures, one a line."""
     print(
-        f'table writes/s, first {WARM_UP_S:.0f} s  '
-        f'{warm_up_writes / WARM_UP_S:10.0f}'
+        f'\nrates at {figures.site_name}: {figures.instances} instances,'
+        ' 8 domains'
     )
+    print(f'requests a second            {figures.requests_per_s:10.0f}')
+    print(f'over the contract            {figures.max_excess:10.1f}')
     print(
-        f'table writes/s after         '
-        f'{counts.table_writes / measured_s:10.0f}'
+        f'refused wrongfully           {figures.wrongful_refusals:10d}'
+        f' of {figures.requests_inside}'
     )
+    print(f'messages/s an instance       {figures.messages_per_s:10.1f}')
+    print(f'bytes/s of the busiest       {figures.max_bytes_per_s:10.0f}')
     print(
-        f'table reads/s after          {counts.table_reads / measured_s:10.0f}'
+        f'table writes/s, first {WARM_UP_S:.0f} s  '
+        f'{figures.warm_up_writes_per_s:10.0f}'
     )
+    print(f'table writes/s after         {figures.writes_per_s:10.0f}')
+    print(f'table reads/s after          {figures.reads_per_s:10.0f}')
+
+
+def run() -> list[str]:
+    """Print the figures and return the missed bounds."""
+    figures = measure()
+    print_figures(figures)
     missed = []
-    if max_excess > TOLERANCE:
-        missed.append(f'rates at scale: {max_excess:.1f} over the contract')
-    if max_bytes_per_s > CONTROL_BYTES_PER_S:
+    if figures.max_excess > TOLERANCE:
+        missed.append(
+            f'rates at scale: {figures.max_excess:.1f} over the contract'
+        )
+    if figures.max_bytes_per_s > CONTROL_BYTES_PER_S:
         missed.append('rates at scale: more than 9 KB/s at an instance')
     return missed
 
--- a/jackdawfield/drivers/pools.py
+++ b/jackdawfield/drivers/pools.py
@@ -8,21 +8,18 @@
 
 import asyncio
 from collections.abc import AsyncGenerator
-from collections.abc import Awaitable
 from collections.abc import Callable
 from contextlib import aclosing
-from dataclasses import dataclass
 from dataclasses import replace
+import itertools
 import logging
 import time
-from typing import Any
 import zlib
 
 from result import Err
 from result import Ok
 from result import Result
 
-from jackdawfield.decisions.placement import rendezvous_score
 from jackdawfield.decisions.pool_settings import PREFILL_WEIGHT
 from jackdawfield.decisions.retries import Failure
 from jackdawfield.decisions.retries import GiveUp
@@ -34,7 +31,15 @@
 from jackdawfield.drivers.peers import PeerFault
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
-from jackdawfield.drivers.stewards import steward_key
+from jackdawfield.drivers.slot_uses import AttemptRun
+from jackdawfield.drivers.slot_uses import make_release
+from jackdawfield.drivers.slot_uses import next_event
+from jackdawfield.drivers.slot_uses import NOT_STARTED
+from jackdawfield.drivers.slot_uses import put_recent
+from jackdawfield.drivers.slot_uses import refusal_failure
+from jackdawfield.drivers.slot_uses import SlotUse
+from jackdawfield.drivers.steward_messages import STEWARD_TIMEOUT_S
+from jackdawfield.drivers.steward_messages import StewardMessenger
 from jackdawfield.drivers.stewards import StewardsDriver
 from jackdawfield.logs import log_event
 from jackdawfield.messages.calls import CallChunk
@@ -56,7 +61,6 @@
 from jackdawfield.messages.pools import SlotStarted
 from jackdawfield.messages.pools import UnknownSlots
 from jackdawfield.model import DomainId
-from jackdawfield.model import Execution
 from jackdawfield.model import InstanceId
 from jackdawfield.model import ProgramId
 from jackdawfield.model import RegionId
@@ -64,43 +68,16 @@
 
 LOG = logging.getLogger(__name__)
 RETRY_AFTER_S = 1.0
-STEWARD_TIMEOUT_S = 2.0
 RENEWAL_INTERVAL_S = 1.0
-EJECTION_S = 5.0
 REQUEST_RETRY_S = 0.1
-MAX_RECENT_ENTRIES = 20_000
 FAULTS_BY_CODE = {
     'server_unreachable': ServerFault.UNREACHABLE,
     'server_failed': ServerFault.ERROR,
 }
 
-NOT_STARTED = CallFailed(
-    502, 'server_failed', 'server does not start the call', Execution.UNKNOWN
-)
-
 Attempt = Callable[[Slot], AsyncGenerator[CallEvent, None]]
 
 
-@dataclass
-class SlotUse:
-    """Holds a home's request for a slot, and the slot once granted.
-
-    `waiting_since_s` is when the call first requested a slot, in monotonic
-    seconds. The task is the request to the steward or the wait for the first
-    event of the granted call. It is cancelled if the steward is ejected or
-    the slot is revoked.
-    """
-
-    request: SlotRequest
-    domain_id: DomainId
-    waiting_since_s: float
-    steward_id: InstanceId | None = None
-    slot: Slot | None = None
-    started: bool = False
-    is_revoked: bool = False
-    task: asyncio.Task[Any] | None = None
-
-
 class PoolsDriver:
     """Acquires and releases slots for this home's calls at stewards."""
 
@@ -115,14 +92,19 @@
         self._domain_id = DomainId(settings.domain_id)
         self._region_id = RegionId(settings.region_id)
         self._contracts = contracts
-        self._links = links
         self._stewards = stewards
+        self._messenger = StewardMessenger(
+            self._own_id,
+            self._domain_id,
+            contracts,
+            links,
+            stewards,
+            self._cancel_requests,
+        )
         self._slot_uses_by_id: dict[str, SlotUse] = {}
-        self._ejected_until_s_by_id: dict[InstanceId, float] = {}
         # The keys are programs and pools.
         self._domains_by_context: dict[tuple[ProgramId, str], DomainId] = {}
         self._attained_tokens_by_root: dict[ProgramId, float] = {}
-        self._message_tasks: set[asyncio.Task[Any]] = set()
         seed = zlib.crc32(settings.instance_id.encode())
         self._retry_budget = RetryBudget(RetrySettings(), seed)
         self._renewal_task: asyncio.Task[None] | None = None
@@ -153,9 +135,7 @@
         """
         started_s = time.monotonic()
         deadline_s = started_s + request.deadline_s
-        attempt_number = 0
-        while True:
-            attempt_number += 1
+        for attempt_number in itertools.count(1):
             now_s = time.monotonic()
             request = replace(
                 request,
@@ -167,35 +147,27 @@
                 yield refusal_failure(acquired.err_value)
                 return
             slot = acquired.ok_value
-            buffered: list[CallEvent] = []
-            failed: CallFailed | None = None
-            has_yielded = False
+            run = AttemptRun(may_restart)
             async with aclosing(
                 self._run_attempt(request, slot, attempt)
             ) as events:
                 async for event in events:
-                    if isinstance(event, CallFailed):
-                        failed = event
-                    elif may_restart:
-                        buffered.append(event)
-                    else:
-                        has_yielded = True
+                    if run.passes(event):
                         yield event
-            if failed is None:
-                for event in buffered:
+            if run.failed is None:
+                for event in run.buffered:
                     yield event
                 return
-            may_repeat = request.repeatable and not has_yielded
             failure = Failure(
                 request.request_id,
                 attempt_number,
-                failed.execution,
-                may_repeat,
+                run.failed.execution,
+                request.repeatable and not run.has_yielded,
                 deadline_s,
             )
-            wait_s = self._retry_wait_s(failed, failure, has_yielded)
+            wait_s = self._retry_wait_s(run.failed, failure, run.has_yielded)
             if wait_s is None:
-                yield failed
+                yield run.failed
                 return
             log_event(LOG, 'call_retried', server=slot.server_id)
             avoided = (*request.avoided, slot.server_id)
@@ -305,8 +277,8 @@
         ]
         for context in contexts:
             domain_id = self._domains_by_context.pop(context)
-            steward_id = self._find_steward(domain_id, context[1])
-            self._send_in_background(
+            steward_id = self._messenger.find_steward(domain_id, context[1])
+            self._messenger.send_in_background(
                 steward_id, ContextGone(context[1], program_id)
             )
 
@@ -378,12 +350,16 @@
         self, slot_use: SlotUse
     ) -> Slot | SlotRefused | SlotSpilled | PeerError:
         pool = slot_use.request.pool
-        slot_use.steward_id = self._find_steward(slot_use.domain_id, pool)
+        slot_use.steward_id = self._messenger.find_steward(
+            slot_use.domain_id, pool
+        )
         if slot_use.steward_id is None:
             slot_use.domain_id = self._domain_id
             return PeerError(PeerFault.NOT_SENT, 'no steward')
         limit_s = slot_use.request.deadline_s + STEWARD_TIMEOUT_S
-        sending = self._send(slot_use.steward_id, slot_use.request, limit_s)
+        sending = self._messenger.send(
+            slot_use.steward_id, slot_use.request, limit_s
+        )
         slot_use.task = asyncio.ensure_future(sending)
         try:
             await asyncio.wait((slot_use.task,))
@@ -396,82 +372,17 @@
             return result.err_value
         return result.ok_value
 
-    def _find_steward(
-        self, domain_id: DomainId, pool: str
-    ) -> InstanceId | None:
-        now_s = time.monotonic()
-        key = steward_key(domain_id, pool)
-        candidates = [
-            member.instance_id
-            for member in self._contracts.members_by_id.values()
-            if member.domain_id == domain_id
-            and not member.leaving
-            and self._ejected_until_s_by_id.get(member.instance_id, 0.0)
-            <= now_s
-        ]
-        steward_id = max(
-            candidates, key=lambda i: rendezvous_score(key, i), default=None
-        )
-        if steward_id is None and domain_id == self._domain_id:
-            return self._own_id
-        return steward_id
-
     def _notify_steward(self, slot_use: SlotUse, message: object) -> None:
-        self._send_in_background(slot_use.steward_id, message)
-
-    def _send_in_background(
-        self, steward_id: InstanceId | None, message: object
-    ) -> None:
-        sending = self._send(steward_id, message, STEWARD_TIMEOUT_S)
-        task = asyncio.create_task(sending)
-        self._message_tasks.add(task)
-        task.add_done_callback(self._message_tasks.discard)
-
-    async def _send(
-        self, steward_id: InstanceId | None, message: Any, timeout_s: float
-    ) -> Result[Any, PeerError]:
-        if steward_id == self._own_id:
-            return Ok(await self._handle_locally(message))
-        member = self._contracts.members_by_id.get(steward_id or self._own_id)
-        if member is None:
-            return Err(PeerError(PeerFault.NOT_SENT, 'steward is gone'))
-        result = await self._links.request(
-            member.peer_address, message, timeout_s
-        )
-        if isinstance(result, Err):
-            self._eject_steward(member.instance_id, result.err_value)
-        return result
+        self._messenger.send_in_background(slot_use.steward_id, message)
 
-    def _eject_steward(
-        self, instance_id: InstanceId, error: PeerError
-    ) -> None:
-        self._ejected_until_s_by_id[instance_id] = (
-            time.monotonic() + EJECTION_S
-        )
-        log_event(
-            LOG, 'steward_shunned', steward=instance_id, reason=error.reason
-        )
+    def _cancel_requests(self, instance_id: InstanceId) -> None:
+        """Cancel the requests that wait for a steward."""
         for slot_use in self._slot_uses_by_id.values():
             if slot_use.steward_id != instance_id or slot_use.slot is not None:
                 continue
             if slot_use.task is not None:
                 slot_use.task.cancel()
 
-    def _handle_locally(self, message: Any) -> Awaitable[object]:
-        match message:
-            case SlotRequest():
-                return self._stewards.handle_request(message)
-            case SlotStarted():
-                return self._stewards.handle_start(message)
-            case SlotReleased():
-                return self._stewards.handle_release(message)
-            case HomeRenewal():
-                return self._stewards.handle_renewal(message)
-            case SlotsAdopted():
-                return self._stewards.handle_adoption(message)
-            case _:
-                return self._stewards.handle_context_end(message)
-
     async def _renew_periodically(self) -> None:
         while True:
             await asyncio.sleep(RENEWAL_INTERVAL_S)
@@ -495,14 +406,16 @@
     async def _renew_pool(
         self, domain_id: DomainId, pool: str, slot_uses: list[SlotUse]
     ) -> None:
-        steward_id = self._find_steward(domain_id, pool)
+        steward_id = self._messenger.find_steward(domain_id, pool)
         if steward_id is None:
             return
         request_ids = tuple(
             slot_use.request.request_id for slot_use in slot_uses
         )
         renewal = HomeRenewal(self._own_id, pool, request_ids)
-        result = await self._send(steward_id, renewal, STEWARD_TIMEOUT_S)
+        result = await self._messenger.send(
+            steward_id, renewal, STEWARD_TIMEOUT_S
+        )
         match result:
             case Ok(UnknownSlots(unknown)):
                 unknown_ids = frozenset(unknown)
@@ -522,50 +435,4 @@
             )
         if slots:
             adopted = SlotsAdopted(pool, tuple(slots))
-            await self._send(steward_id, adopted, STEWARD_TIMEOUT_S)
-
-
-async def next_event(
-    events: AsyncGenerator[CallEvent, None],
-) -> CallEvent | None:
-    """Return the next event, None at the end of the events."""
-    async for event in events:
-        return event
-    return None
-
-
-def put_recent(
-    values_by_key: dict[Any, Any], key: object, value: object
-) -> None:
-    """Store a value; beyond MAX_RECENT_ENTRIES, remove the oldest one."""
-    values_by_key.pop(key, None)
-    values_by_key[key] = value
-    if len(values_by_key) > MAX_RECENT_ENTRIES:
-        del values_by_key[next(iter(values_by_key))]
-
-
-def make_release(
-    released: SlotReleased, event: CallFinished, request: SlotRequest
-) -> SlotReleased:
-    """Return a release with the usage of a complete answer.
-
-    Counts that the server left out are replaced by estimates.
-    """
-    return replace(
-        released,
-        ok=True,
-        prompt_tokens=event.prompt_tokens or request.prompt_tokens,
-        cached_tokens=event.cached_tokens,
-        completion_tokens=event.completion_tokens or request.expected_tokens,
-    )
-
-
-def refusal_failure(refusal: SlotRefused) -> CallFailed:
-    """Return the error of a call that was refused a slot."""
-    return CallFailed(
-        503,
-        'no_server',
-        refusal.reason,
-        Execution.NOT_RUN,
-        refusal.retry_after_s,
-    )
+            await self._messenger.send(steward_id, adopted, STEWARD_TIMEOUT_S)
--- a/jackdawfield/drivers/program_errors.py
+++ b/jackdawfield/drivers/program_errors.py
@@ -17,6 +17,15 @@
 
 RETRY_AFTER_S = 1.0
 
+HistoryError = (
+    ev.PositionMismatch
+    | ev.HistoryUnavailable
+    | ev.HistoryDamaged
+    | ev.Moved
+    | ev.EndNotDurable
+    | ev.TurnNotKept
+)
+
 
 def home_failure(error: ev.HomeError) -> CallFailed:
     """Return the caller's error for an error of the home."""
@@ -35,6 +44,15 @@
             return make_failure(400, 'bad_request', f'call {number}')
         case TooManyWaiting() | ev.CallRunning():
             return retryable_failure('call_waits', 'other calls are under way')
+        case TailInvalid() | TailGap() | TailOld():
+            return tail_failure(error)
+        case _:
+            return history_failure(error)
+
+
+def tail_failure(error: TailInvalid | TailGap | TailOld) -> CallFailed:
+    """Return the caller's error for a sealed tail that cannot be used."""
+    match error:
         case TailInvalid():
             return make_failure(
                 400, 'tail_invalid', 'tail is not of this program'
@@ -46,6 +64,11 @@
             return make_failure(
                 409, 'tail_old', 'history has left the tail behind'
             )
+
+
+def history_failure(error: HistoryError) -> CallFailed:
+    """Return the caller's error for a history that cannot be continued."""
+    match error:
         case ev.PositionMismatch():
             text = 'call does not follow the last turn'
             return make_failure(409, 'position_mismatch', text)
--- a/jackdawfield/drivers/server_calls.py
+++ b/jackdawfield/drivers/server_calls.py
@@ -93,17 +93,13 @@
         slot: Slot,
         limit: ChatLimit,
     ) -> AsyncGenerator[CallEvent, None]:
-        body = json.loads(request.body)
-        body['messages'] = [*history_messages(home), *body['messages']]
-        body['stream'] = True
-        body['max_tokens'] = limit.max_new_tokens
         deadline_s = time.monotonic() + request.deadline_s
         received_tokens = 0
         events = self._engines.chat(
             slot.address,
             request.program_id,
             request.request_id,
-            json.dumps(body).encode(),
+            _build_chat_body(home, request, limit),
             request.deadline_s,
         )
         for attempt in range(MAX_RESUMES + 1):
@@ -174,6 +170,17 @@
         yield CallFinished(answer.body)
 
 
+def _build_chat_body(
+    home: ProgramHome, request: CallRequest, limit: ChatLimit
+) -> bytes:
+    """Return a call's body, with the program's history before it."""
+    body = json.loads(request.body)
+    body['messages'] = [*history_messages(home), *body['messages']]
+    body['stream'] = True
+    body['max_tokens'] = limit.max_new_tokens
+    return json.dumps(body).encode()
+
+
 def is_effect_route(route: Route) -> bool:
     """Return whether the calls of a route may run at most once."""
     if route.kind is not RouteKind.SERVICE:
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -158,6 +158,23 @@
             self.failure_reports.report,
         )
         self.dispatcher = Dispatcher(self.slot_queue, exchange)
+        self.rate_owner = RateOwner(
+            settings.bounds,
+            self.members,
+            self.seat_holder,
+            self.detector,
+            self.links,
+        )
+        self.admission = Admission(
+            self.members, self.detector, self.links, self.rate_owner
+        )
+        self._build_programs()
+        self.call_handler = CallHandler(
+            self.dispatcher, self.stream_calls, self.admission, self.metrics
+        )
+
+    def _build_programs(self) -> None:
+        settings = self.settings
         cache = TurnCache(int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE))
         self.expiry = RowExpiry(self.store)
         self.unused_tokens = UnusedTokens(self.links)
@@ -170,16 +187,6 @@
             self.store, self.accounts, self.expiry, settings.row_bytes, cache
         )
         chains = ChainReader(self.store, cache)
-        self.rate_owner = RateOwner(
-            settings.bounds,
-            self.members,
-            self.seat_holder,
-            self.detector,
-            self.links,
-        )
-        self.admission = Admission(
-            self.members, self.detector, self.links, self.rate_owner
-        )
         self.overdraft_lender = OverdraftLender(self.rate_owner.ownership)
         self.stream_calls = StreamCalls(
             self.dispatcher,
@@ -196,9 +203,6 @@
             self.admission,
             self.metrics,
         )
-        self.call_handler = CallHandler(
-            self.dispatcher, self.stream_calls, self.admission, self.metrics
-        )
 
     def _add_gauges(self) -> None:
         add_gauge = self.metrics.add_gauge
--- a/jackdawfield/gateway/fleet/ownership.py
+++ b/jackdawfield/gateway/fleet/ownership.py
@@ -5,11 +5,11 @@
 hashing. A view is the table as one instance last read it. An ownership is
 active only while the owner's view is fresh: it was just read, or a majority
 of the seats confirm it, whose holders serve in it and report no newer version.
-A new ownership becomes active only once no majority can confirm an older view,
-since a majority of the seats have the new one or were left in it, and every
-older view has expired, unless the previous owner handed it over or is proven
-to have ended. It becomes active at once if each other holder has the same view
-or has ended. Views are the same if the members have the same roles in them.
+A new ownership becomes active at once if each other holder has the same view
+or has ended. Otherwise it becomes active once no majority can confirm an older
+view, since a majority of the seats have the new one or were left in it, and
+every older view has expired, unless the previous owner handed it over. Views
+are the same if the members have the same roles in them.
 """
 
 from collections.abc import Iterable
@@ -137,25 +137,25 @@
         """Return whether ownerships await a majority for this view."""
         return bool(self._pending_by_organisation)
 
-    @property
-    def is_held_by_majority(self) -> bool:
-        """Return whether no majority can confirm an older view."""
-        return self._majority_at_s is not None
-
     def older_views_expired(self, now_s: float) -> bool:
         """Return whether every ownership by an older view has expired."""
-        if self._pending_by_organisation or self._majority_at_s is None:
-            return False
-        if self._is_unanimous:
-            return self.is_fresh(now_s)
-        if now_s - self._majority_at_s <= VIEW_VALID_S + CLOCK_MARGIN_S:
+        if self._pending_by_organisation:
             return False
         if any(
             at_s > now_s
             for at_s in self._active_from_s_by_organisation.values()
         ):
             return False
-        return self.is_stable(now_s) and self.is_fresh(now_s)
+        return self._is_settled(now_s) and self.is_fresh(now_s)
+
+    def _is_settled(self, now_s: float) -> bool:
+        """Return whether no ownership by an older view can be active."""
+        if self._is_unanimous:
+            return True
+        if self._majority_at_s is None:
+            return False
+        held_s = now_s - self._majority_at_s
+        return held_s > VIEW_VALID_S + CLOCK_MARGIN_S and self.is_stable(now_s)
 
     def record_view_report(
         self,
@@ -216,7 +216,8 @@
 
     def _schedule_pending(self, now_s: float) -> None:
         """Schedule pending ownerships once the view has a majority."""
-        if self.is_held_by_majority and not self._pending_by_organisation:
+        has_majority = self._majority_at_s is not None
+        if has_majority and not self._pending_by_organisation:
             return
         if self._own_id is None:
             return
@@ -272,8 +273,7 @@
         """
         if self._own_id is None or self.owner_of(key) != self._own_id:
             return False
-        is_settled = self._is_unanimous or self.is_stable(now_s)
-        return is_settled and self.is_fresh(now_s)
+        return self._is_settled(now_s) and self.is_fresh(now_s)
 
     def active_since_s(self, organisation_id: OrganisationId) -> float:
         """Return when an ownership became or becomes active.
@@ -387,7 +387,6 @@
         own_id: SeatId | None,
         now_s: float,
     ) -> list[LostOwnership]:
-        previous_members = self._members_by_id
         previous_own = self._own_id
         self._members_by_id = members_by_id
         self._own_id = own_id
@@ -414,9 +413,8 @@
                     self.version
                 )
                 continue
-            if self._may_activate_at_once(
-                previous_owner, previous_members, is_known, now_s
-            ):
+            # One that had no owner before, as far as this instance knows.
+            if not is_known and (self.inherited or self._is_settled(now_s)):
                 self._active_from_s_by_organisation[organisation_id] = now_s
             else:
                 self._defer_activation(organisation_id, now_s)
@@ -457,30 +455,6 @@
         else:
             self._pending_by_organisation[organisation_id] = activates_at_s
 
-    def _may_activate_at_once(
-        self,
-        previous_owner: SeatId | None,
-        previous_members: dict[SeatId, MemberRow],
-        is_known: bool,
-        now_s: float,
-    ) -> bool:
-        if not is_known and (
-            self.inherited or self._is_unanimous or self.is_stable(now_s)
-        ):
-            return True
-        row = (
-            self._members_by_id.get(previous_owner)
-            if previous_owner is not None
-            else None
-        )
-        if (
-            row is None
-            or not row.proven_dead
-            or previous_owner not in previous_members
-        ):
-            return False
-        return self.is_stable(now_s)
-
     def is_stable(self, now_s: float) -> bool:
         """Return whether every view with other serving members has expired."""
         changed_s = self._serving_changed_at_s
--- a/jackdawfield/gateway/fleet/seat_holder.py
+++ b/jackdawfield/gateway/fleet/seat_holder.py
@@ -271,17 +271,6 @@
             and choose_owner(seat_id, serving) == own_seat
         ]
 
-    @property
-    def has_pending_writes(self) -> bool:
-        """Return whether this instance has yet to record expirations."""
-        own_seat = self._members.own_seat
-        if own_seat is None:
-            return False
-        row = self._members.rows_by_seat[own_seat]
-        if not row.is_serving:
-            return False
-        return not row.established or bool(self.seats_to_clear())
-
     def _try_start_write(self) -> bool:
         """Start the next write interval; False before the last one ended."""
         now_s = boot_time_s()
--- a/jackdawfield/gateway/rates/owner.py
+++ b/jackdawfield/gateway/rates/owner.py
@@ -157,10 +157,7 @@
             if own_seat is None:
                 continue
             is_recent = ownership.is_recently_read(boot_time_s() + VIEW_POLL_S)
-            awaits_expiry = (
-                self._holder.has_pending_writes and ownership.awaits_expiry
-            )
-            if is_recent and not ownership.has_pending and not awaits_expiry:
+            if is_recent and not ownership.awaits_expiry:
                 continue
             other_seats = [
                 seat_id
--- a/scripts/measure_slopes.py
+++ b/scripts/measure_slopes.py
@@ -335,110 +335,6 @@
     return measure_us(lambda n: with_next_turn(history, turns + 1))
 
 
-def measure_all_slopes() -> list[Slope]:
-    """Measure all slopes."""
-    organisations = (100, 500, 1_000, 1_900)
-    instances = (50, 100, 200, 410)
-    shares = (50, 100, 200, 400)
-    servers = (2, 4, 8, 14, 28)
-    requests = (50, 100, 200, 400)
-    programs = (50, 100, 170, 340)
-    turns = (4, 13, 26, 52)
-    return [
-        measure_slope(
-            'configuration: memory over organisations',
-            'bytes',
-            organisations,
-            lambda n: measure_bytes(lambda: build_configuration(n)),
-        ),
-        measure_slope(
-            'configuration: snapshot over organisations',
-            'bytes',
-            organisations,
-            lambda n: len(msgspec.json.encode(build_configuration(n))),
-        ),
-        measure_slope(
-            'configuration: one change over organisations',
-            'us',
-            organisations,
-            measure_change_us,
-        ),
-        measure_slope(
-            'roster and members: memory over instances',
-            'bytes',
-            instances,
-            lambda n: measure_bytes(
-                lambda: (build_roster(n), build_members(n))
-            ),
-        ),
-        measure_slope(
-            'lease: one renewal over instances',
-            'us',
-            instances,
-            measure_renewal_us,
-        ),
-        measure_slope(
-            'placement: one owner over instances',
-            'us',
-            instances,
-            measure_owner_us,
-        ),
-        measure_slope(
-            'rates: memory over shares held',
-            'bytes',
-            shares,
-            lambda n: measure_bytes(lambda: build_share_holder(n)),
-        ),
-        measure_slope(
-            'rates: one admission over shares held',
-            'us',
-            shares,
-            measure_admission_us,
-        ),
-        measure_slope(
-            'rates: one tick over shares held', 'us', shares, measure_tick_us
-        ),
-        measure_slope(
-            'steward: one grant and release over servers',
-            'us',
-            servers,
-            measure_grant_us,
-        ),
-        measure_slope(
-            'steward: memory over servers',
-            'bytes',
-            servers,
-            lambda n: measure_bytes(lambda: build_pool(n)),
-        ),
-        measure_slope(
-            'steward: memory over running, queued requests',
-            'bytes',
-            requests,
-            lambda n: measure_bytes(lambda: build_loaded_pool(n)),
-        ),
-        measure_slope(
-            'home: memory over programs, without history',
-            'bytes',
-            programs,
-            lambda n: measure_bytes(
-                lambda: [build_program(i) for i in range(n)]
-            ),
-        ),
-        measure_slope(
-            'home: memory over turns of one program',
-            'bytes',
-            turns,
-            lambda n: measure_bytes(lambda: build_history(n)),
-        ),
-        measure_slope(
-            'home: one turn over turns before it',
-            'us',
-            turns,
-            measure_append_us,
-        ),
-    ]
-
-
 def measure_change_us(count: int) -> float:
     """Return the time in us of applying one change."""
     configuration = build_configuration(count)
@@ -457,6 +353,124 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class Measurement:
+    """Holds one slope to measure, and the sizes to measure it at."""
+
+    name: str
+    unit: str
+    sizes: tuple[int, ...]
+    measure: Callable[[int], float]
+
+
+ORGANISATIONS = (100, 500, 1_000, 1_900)
+INSTANCES = (50, 100, 200, 410)
+SHARES = (50, 100, 200, 400)
+SERVERS = (2, 4, 8, 14, 28)
+REQUESTS = (50, 100, 200, 400)
+PROGRAMS = (50, 100, 170, 340)
+TURNS = (4, 13, 26, 52)
+
+
+MEASUREMENTS = (
+    Measurement(
+        'configuration: memory over organisations',
+        'bytes',
+        ORGANISATIONS,
+        lambda n: measure_bytes(lambda: build_configuration(n)),
+    ),
+    Measurement(
+        'configuration: snapshot over organisations',
+        'bytes',
+        ORGANISATIONS,
+        lambda n: len(msgspec.json.encode(build_configuration(n))),
+    ),
+    Measurement(
+        'configuration: one change over organisations',
+        'us',
+        ORGANISATIONS,
+        measure_change_us,
+    ),
+    Measurement(
+        'roster and members: memory over instances',
+        'bytes',
+        INSTANCES,
+        lambda n: measure_bytes(lambda: (build_roster(n), build_members(n))),
+    ),
+    Measurement(
+        'lease: one renewal over instances',
+        'us',
+        INSTANCES,
+        measure_renewal_us,
+    ),
+    Measurement(
+        'placement: one owner over instances',
+        'us',
+        INSTANCES,
+        measure_owner_us,
+    ),
+    Measurement(
+        'rates: memory over shares held',
+        'bytes',
+        SHARES,
+        lambda n: measure_bytes(lambda: build_share_holder(n)),
+    ),
+    Measurement(
+        'rates: one admission over shares held',
+        'us',
+        SHARES,
+        measure_admission_us,
+    ),
+    Measurement(
+        'rates: one tick over shares held', 'us', SHARES, measure_tick_us
+    ),
+    Measurement(
+        'steward: one grant and release over servers',
+        'us',
+        SERVERS,
+        measure_grant_us,
+    ),
+    Measurement(
+        'steward: memory over servers',
+        'bytes',
+        SERVERS,
+        lambda n: measure_bytes(lambda: build_pool(n)),
+    ),
+    Measurement(
+        'steward: memory over running, queued requests',
+        'bytes',
+        REQUESTS,
+        lambda n: measure_bytes(lambda: build_loaded_pool(n)),
+    ),
+    Measurement(
+        'home: memory over programs, without history',
+        'bytes',
+        PROGRAMS,
+        lambda n: measure_bytes(lambda: [build_program(i) for i in range(n)]),
+    ),
+    Measurement(
+        'home: memory over turns of one program',
+        'bytes',
+        TURNS,
+        lambda n: measure_bytes(lambda: build_history(n)),
+    ),
+    Measurement(
+        'home: one turn over turns before it',
+        'us',
+        TURNS,
+        measure_append_us,
+    ),
+)
+
+
+def measure_all_slopes() -> list[Slope]:
+    """Measure all slopes."""
+    return [
+        measure_slope(item.name, item.unit, item.sizes, item.measure)
+        for item in MEASUREMENTS
+    ]
+
+
 def main() -> int:
     """Print the table and return the process exit code."""
     print(f'{"slope":<46}{"unit":<7}{"base":>12}{"per item":>12}  sizes')
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -43,48 +43,31 @@
     return f'probe-{version}'
 
 
-def build_configuration(version: int, key_version: int) -> dict[str, Any]:
-    """Return a version of the configuration with a probe key."""
-    common = {
+def _build_route(
+    name: str, kind: str, **properties: object
+) -> dict[str, object]:
+    return {
+        'name': name,
         'host': HOST_NAME,
+        'prefix': f'/{name}/',
+        'kind': kind,
         'timeoutMs': int(ROUTE_TIMEOUT_S * 1000),
         'service': SERVICE,
+        'maxAttempts': 2,
+        **properties,
     }
+
+
+def build_configuration(version: int, key_version: int) -> dict[str, Any]:
+    """Return a version of the configuration with a probe key."""
+    kept = {'retentionS': TURN_RETENTION_S}
     return {
         'version': version,
         'routes': [
-            {
-                'name': 'turn',
-                'prefix': '/turn/',
-                'kind': 'streaming',
-                'retainContext': True,
-                'retentionS': TURN_RETENTION_S,
-                'maxAttempts': 2,
-                **common,
-            },
-            {
-                'name': 'reply',
-                'prefix': '/reply/',
-                'kind': 'streaming',
-                'resumable': True,
-                'retentionS': TURN_RETENTION_S,
-                'maxAttempts': 2,
-                **common,
-            },
-            {
-                'name': 'order',
-                'prefix': '/order/',
-                'kind': 'unsafe',
-                'maxAttempts': 2,
-                **common,
-            },
-            {
-                'name': 'lookup',
-                'prefix': '/lookup/',
-                'kind': 'safe',
-                'maxAttempts': 2,
-                **common,
-            },
+            _build_route('turn', 'streaming', retainContext=True, **kept),
+            _build_route('reply', 'streaming', resumable=True, **kept),
+            _build_route('order', 'unsafe'),
+            _build_route('lookup', 'safe'),
         ],
         'services': [
             {'name': SERVICE, 'engine': {'chunkTokens': TOKENS_PER_EVENT}}
--- a/tests/gateway/fleet/test_ownership.py
+++ b/tests/gateway/fleet/test_ownership.py
@@ -33,8 +33,9 @@
 # Seeds that once gave two owners: an instance that had missed views in which
 # another was the owner went on (2024); an ownership became active at once
 # beside a hand-over by a newer view (1476, 1551, 1854) or an older one (3636);
-# a report of a seat's earlier holder counted for its new one (5125).
-REGRESSION_SEEDS = (1476, 1551, 1854, 2024, 3636, 5125)
+# a report of a seat's earlier holder counted for its new one (5125); an owner
+# was proven dead that had not yet been active, beside a cut off one (6253).
+REGRESSION_SEEDS = (1476, 1551, 1854, 2024, 3636, 5125, 6253)
 STEP_S = 0.1
 POLL_S = 0.6
 VIEW_POLL_S = 0.5
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,6 +11,7 @@
 from jackdawfield.drivers.peers import TIMEOUTS_TO_REOPEN
 from jackdawfield.messages.fleet_rates import Ping
 from jackdawfield.messages.fleet_rates import Pong
+from jackdawfield.messages.fleet_rates import RolesDigest
 from tests.gateway.harness import free_port
 from tests.gateway.harness import HOST
 
@@ -54,7 +55,7 @@
 class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
     async def test_silent_link_is_reopened(self) -> None:
         async def answer(_: Ping) -> Pong:
-            return Pong('incarnation', 1)
+            return Pong('incarnation', 1, RolesDigest(b''))
 
         server = PeerServer()
         server.handle(Ping, answer)
