Keep half of the soak's callers with the unlimited organisation

Change: each caller stays with one organisation, so that the check always has calls to judge. The check is unchanged.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -50,7 +50,6 @@
 LOOPING_SHARE = 0.15
 LOOPING_TURN_COUNT = 14
 TURN_COUNT_RANGE = (2, 5)
-LIMITED_SHARE = 0.5
 # Share of programs whose streams are not retained.
 REPLY_SHARE = 0.4
 
@@ -86,10 +85,10 @@
         self._pool = ConnectionPool()
         self.is_stopping = False
 
-    async def run_programs(self) -> None:
-        """Run programs one after another."""
+    async def run_programs(self, is_limited: bool) -> None:
+        """Run programs of one organisation one after another."""
         while not self.is_stopping:
-            await self._run_program()
+            await self._run_program(is_limited)
 
     async def probe_keys(self, key_version: Callable[[], int]) -> None:
         """Call with the newest probe key and with the one it replaced."""
@@ -128,9 +127,8 @@
     def _next_id(self, prefix: str) -> str:
         return f'{prefix}{next(self._counter)}'
 
-    async def _run_program(self) -> None:
+    async def _run_program(self, is_limited: bool) -> None:
         rng = self._rng
-        is_limited = rng.random() < LIMITED_SHARE
         organisation = (
             LIMITED_ORGANISATION if is_limited else UNLIMITED_ORGANISATION
         )
--- a/soak/run.py
+++ b/soak/run.py
@@ -141,8 +141,9 @@
     def _start_load(
         self, load: LoadGenerator, injector: FaultInjector
     ) -> None:
-        for _ in range(CALLER_COUNT):
-            self._load_tasks.spawn(load.run_programs())
+        for number in range(CALLER_COUNT):
+            is_limited = number % 2 == 0
+            self._load_tasks.spawn(load.run_programs(is_limited))
         self._load_tasks.spawn(load.probe_keys(lambda: injector.key_version))
         self._sampling_tasks.spawn(self._sample_versions())
 
