Know that a budget is spent before a call runs, on routes without turns

Change: on routes without turns a call runs at once only if its tokens are granted to the instance already; any other waits for the write of the row. Result: the new test fails before (200 or 502 in place of 402) and passes.

--- a/jackdawfield/gateway/programs/accounts.py
+++ b/jackdawfield/gateway/programs/accounts.py
@@ -83,6 +83,15 @@
         self.pending: list[_PendingUpdate] = []
         self.task: asyncio.Task[None] | None = None
 
+    @property
+    def queued_tokens(self) -> int:
+        """Return the tokens of the reservations that are not written yet."""
+        return sum(
+            update.event.tokens
+            for update in self.pending
+            if isinstance(update.event, Reserve)
+        )
+
 
 async def collect_nothing(program: ProgramKey, writers: Iterable[str]) -> bool:
     """Stand for a fleet in which no other instance holds tokens."""
@@ -119,13 +128,14 @@
         account = self._account_of(program)
         if not account.ledger.is_loaded and not begins:
             return False
-        queued = sum(
-            update.event.tokens
-            for update in account.pending
-            if isinstance(update.event, Reserve)
-        )
+        queued = account.queued_tokens
         return account.ledger.is_likely_to_fit(tokens, queued, budget)
 
+    def is_granted(self, program: ProgramKey, tokens: int) -> bool:
+        """Return whether a reservation fits whatever other instances did."""
+        account = self._account_of(program)
+        return account.ledger.is_granted(tokens, account.queued_tokens)
+
     async def refresh(self, program: ProgramKey) -> None:
         """Reload a program's ledger; another instance may have raised it."""
         account = self._account_of(program)
--- a/jackdawfield/gateway/programs/ledger.py
+++ b/jackdawfield/gateway/programs/ledger.py
@@ -124,6 +124,10 @@
         in_use = self.row.granted - self.available
         return in_use + queued + margin + tokens <= budget
 
+    def is_granted(self, tokens: int, queued: int) -> bool:
+        """Return whether a reservation needs no write of the row."""
+        return self.available - queued >= tokens
+
     def plan(self, events: Iterable[LedgerEvent]) -> LedgerPlan:
         """Return the row and the verdicts that follow from some events."""
         granted = self.row.granted
--- a/jackdawfield/gateway/programs/spending.py
+++ b/jackdawfield/gateway/programs/spending.py
@@ -72,17 +72,14 @@
             return None
         tokens = headers.max_tokens
         keeps_turns = self._call.route.keeps_turns
-        begins = keeps_turns and headers.previous_turn is None
-        is_likely = self._accounts.is_likely_to_fit(
-            self._program, tokens, budget, begins
-        )
+        may_begin = self._may_begin(tokens, budget)
         event = Reserve(tokens, budget, prepays=not keeps_turns)
         self._reservation = asyncio.create_task(
             self._accounts.reserve(
                 self._program, event, self._call.deadline_s - REFUSAL_MARGIN_S
             )
         )
-        if is_likely:
+        if may_begin:
             return None
         match await self._reserve_or_borrow():
             case Verdict.SPENT:
@@ -91,6 +88,17 @@
                 return Refusal(503, 'budget not readable now', STORE_RETRY_S)
         return None
 
+    def _may_begin(self, tokens: int, budget: int) -> bool:
+        """Return whether the call may run while its tokens are reserved."""
+        headers = self._call.headers
+        if not self._call.route.keeps_turns:
+            return self._accounts.is_granted(self._program, tokens)
+        # The chain of a turn tells whether another instance served the last.
+        begins = headers.previous_turn is None
+        return self._accounts.is_likely_to_fit(
+            self._program, tokens, budget, begins
+        )
+
     async def _reserve_or_borrow(self) -> Verdict:
         """Return the reservation's verdict, FITS if tokens were borrowed."""
         assert self._reservation is not None
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -115,6 +115,7 @@
 
     _patch(ProgramAccounts, 'reserve', reserve)
     _patch(ProgramAccounts, 'is_likely_to_fit', lambda *_: True)
+    _patch(ProgramAccounts, 'is_granted', lambda *_: True)
 
 
 def ignore_rates() -> None:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -260,6 +260,24 @@
         self.assertEqual(statuses, [200, 200, 200, 402, 402, 402])
         self.assertEqual(len(self.server.requests), 3)
 
+    async def test_spent_budget_is_known_before_the_call_runs(self) -> None:
+        self.server.script = whole_stream
+        order = (0, 1, 1, 1, 0)
+        statuses = []
+        for number, gateway in enumerate(order):
+            answer = await self.fleet.call(
+                self.fleet.gateways[gateway],
+                f'r{number}',
+                '/resumable/x',
+                Program_Id='program',
+                Token_Usage=f'10,{MOST}',
+                Token_Budget=str(4 * MOST),
+            )
+            statuses.append(answer.status)
+        # The first instance has read the row when one call was served.
+        self.assertEqual(statuses, [200, 200, 200, 200, 402])
+        self.assertEqual(len(self.server.requests), 4)
+
     async def test_tokens_of_broken_attempts_count(self) -> None:
         async def always_half(received: ReceivedRequest) -> None:
             send_head(received)
