Log what closed a caller's connection and when its request was read

The logs could not tell a caller that left from a connection that the instance closed itself, nor when the first byte of a request was read. Each connection now keeps the time of its request's first byte and the reason of its close: caller_left has closed_by, a whole request on a closed connection has a line, and a planned stop counts the connections that it closes as idle and how many of them had sent a part of a request. No change of logic.

--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -86,6 +86,7 @@
             route=call.route.name,
             waiting_for=reply.stage.value,
             begun=reply.has_written,
+            closed_by=reply.closed_by.value if reply.closed_by else None,
             ms=round((time.monotonic() - call.arrived_at_s) * 1000),
         )
 
--- /dev/null
+++ b/jackdawfield/gateway/http/caller_stream.py
@@ -0,0 +1,45 @@
+"""Record what arrives on a caller's connection and what closed it."""
+
+from enum import Enum
+import time
+
+from tornado.iostream import IOStream
+
+
+class CloseReason(Enum):
+    """Names what closed a caller's connection."""
+
+    CALLER = 'caller'
+    IDLE_AT_STOP = 'idle at planned stop'
+    PROCESS_END = 'process end'
+
+
+class CallerStream(IOStream):
+    """Represents a caller's connection, on which requests follow each other.
+
+    `received_bytes` counts what was read since the present request began,
+    `first_read_at_s` is when the first of it was, by the monotonic clock.
+    """
+
+    received_bytes = 0
+    first_read_at_s: float | None = None
+    close_reason = CloseReason.CALLER
+
+    def begin_request(self) -> None:
+        """Count anew, for the next request on the connection."""
+        self.received_bytes = 0
+        self.first_read_at_s = None
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read from the socket and count what was read."""
+        count = super().read_from_fd(buf)
+        if count:
+            self.received_bytes += count
+            self.first_read_at_s = self.first_read_at_s or time.monotonic()
+        return count
+
+    def close_for(self, reason: CloseReason) -> None:
+        """Close the connection and record the reason."""
+        if not self.closed():
+            self.close_reason = reason
+            self.close()
--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -17,7 +17,6 @@
 from tornado.httputil import RequestStartLine
 from tornado.httputil import responses
 from tornado.httputil import ResponseStartLine
-from tornado.iostream import IOStream
 from tornado.iostream import StreamClosedError
 from tornado.netutil import add_accept_handler
 from tornado.netutil import bind_sockets
@@ -25,6 +24,8 @@
 from jackdawfield.gateway.calls import CONNECTION_HEADERS
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Stage
+from jackdawfield.gateway.http.caller_stream import CallerStream
+from jackdawfield.gateway.http.caller_stream import CloseReason
 from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import ResponseHead
 from jackdawfield.logs import log_event
@@ -78,6 +79,8 @@
 
     def __init__(self, connection: HTTP1Connection) -> None:
         self._connection = connection
+        assert isinstance(connection.stream, CallerStream)
+        self._stream = connection.stream
         # The head that was set and is not yet written.
         self._head: tuple[ResponseStartLine, HTTPHeaders] | None = None
         # What the call waits for, logged if its caller leaves or it times out.
@@ -86,6 +89,11 @@
         self.has_ended = False
         self.status = 0
 
+    @property
+    def closed_by(self) -> CloseReason | None:
+        """Return what closed the connection, None while it is open."""
+        return self._stream.close_reason if self._stream.closed() else None
+
     def send(
         self, status: int, text: str, retry_after_s: float | None = None
     ) -> None:
@@ -182,6 +190,9 @@
     ) -> None:
         self._listener = listener
         self._connection = connection
+        assert isinstance(connection.stream, CallerStream)
+        self._stream = connection.stream
+        self._stream.begin_request()
         self._pieces: list[bytes] = []
         self._request_line: RequestStartLine | None = None
         self._raw_headers: list[tuple[str, str]] = []
@@ -237,6 +248,8 @@
         """Start the handler; Tornado calls this once a request is complete."""
         if self._is_refused:
             return
+        if self._stream.closed():
+            self._log_unanswered()
         # Tornado turns TCP_NODELAY off after each response.
         self._connection.stream.set_nodelay(True)
         self._task = asyncio.create_task(self._run())
@@ -252,9 +265,29 @@
         if self._task is None:
             self._end()
 
-    def close(self) -> None:
+    def _log_unanswered(self) -> None:
+        """Log a whole request whose connection closed before its answer."""
+        now_s = time.monotonic()
+        first_read_at_s = self._stream.first_read_at_s or now_s
+        line = self._request_line
+        log_event(
+            LOG,
+            'request_on_closed_connection',
+            logging.WARNING,
+            target=line.path if line else '',
+            closed_by=self._stream.close_reason.value,
+            first_read_ms=round((now_s - first_read_at_s) * 1000),
+            head_parsed_ms=round((now_s - self._arrived_at_s) * 1000),
+        )
+
+    @property
+    def has_unanswered_bytes(self) -> bool:
+        """Return whether a part of a request was read."""
+        return self._stream.received_bytes > 0
+
+    def close(self, reason: CloseReason) -> None:
         """Close an idle connection."""
-        self._connection.stream.close()
+        self._stream.close_for(reason)
 
     def _cancel_handler(self) -> None:
         if self._task is not None:
@@ -326,7 +359,7 @@
     def _serve_connection(
         self, connection: socket.socket, address: tuple[str, int]
     ) -> None:
-        self._server.handle_stream(IOStream(connection), address)
+        self._server.handle_stream(CallerStream(connection), address)
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its current or next response."""
@@ -357,8 +390,18 @@
 
     def close_idle(self) -> None:
         """Close the idle connections, so that no request arrives on them."""
-        for exchange in list(self.idle_exchanges):
-            exchange.close()
+        exchanges = list(self.idle_exchanges)
+        log_event(
+            LOG,
+            'idle_connections_closed',
+            count=len(exchanges),
+            with_unanswered_bytes=sum(
+                exchange.has_unanswered_bytes for exchange in exchanges
+            ),
+            in_flight=self.in_flight,
+        )
+        for exchange in exchanges:
+            exchange.close(CloseReason.IDLE_AT_STOP)
 
     async def close(self) -> None:
         """Close every connection, also those with requests in flight."""
