--- a/tests/gateway/http/test_listener.py
+++ b/tests/gateway/http/test_listener.py
@@ -1,4 +1,4 @@
-"""Test the listener for callers: planned stops, and bodies without end."""
+"""Test the listener for callers: closed connections, bodies without end."""
 
 import asyncio
 import socket
@@ -14,6 +14,8 @@
 HEAD = b'POST /p HTTP/1.1\r\nHost: h\r\n'
 REQUEST = HEAD + b'Content-Length: 2\r\n\r\nok'
 LIMIT_BYTES = 100_000
+# More turns of the event loop than a request takes until its answer.
+MAX_TURNS = 12
 
 
 class ListenerTest(unittest.IsolatedAsyncioTestCase):
@@ -59,6 +61,60 @@
         with self.assertRaises(ConnectionRefusedError):
             await self.connect()
 
+    async def kept_connection(self) -> socket.socket:
+        """Return a connection that has carried a request and is idle."""
+        sock = socket.create_connection((HOST, self.port))
+        self.addCleanup(sock.close)
+        sock.sendall(REQUEST)
+        sock.setblocking(False)
+        await self.read_answer(sock)
+        # The listener waits for the next request a turn after its answer.
+        await asyncio.sleep(0.01)
+        return sock
+
+    async def read_answer(self, sock: socket.socket) -> bytes:
+        """Return what the caller has received once its answer is whole."""
+        received = b''
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(3.0):
+            while not received.endswith(b'done\n'):
+                try:
+                    piece = await loop.sock_recv(sock, 1000)
+                except ConnectionError:
+                    return received
+                if not piece:
+                    return received
+                received += piece
+        return received
+
+    # Guards against a request that is lost because its connection is closed
+    # as idle while the request's bytes are not read or not parsed yet.
+    async def test_request_that_arrived_before_an_idle_close_is_answered(
+        self,
+    ) -> None:
+        unanswered_after_turns = []
+        for turns in range(MAX_TURNS):
+            sock = await self.kept_connection()
+            sock.send(REQUEST)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            self.listener.close_idle()
+            answer = await self.read_answer(sock)
+            if not answer.startswith(b'HTTP/1.1 200'):
+                unanswered_after_turns.append(turns)
+        self.assertEqual(unanswered_after_turns, [])
+
+    # Guards against a request that runs for a caller that cannot receive its
+    # answer, since its connection was closed before the request was parsed.
+    async def test_request_on_a_closed_connection_is_not_handled(self) -> None:
+        sock = await self.kept_connection()
+        handled = len(self.bodies)
+        sock.send(REQUEST)
+        sock.close()
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.bodies), handled)
+        self.assertEqual(self.listener.in_flight, 0)
+
     async def test_announced_body_over_the_limit_is_refused_at_once(
         self,
     ) -> None:
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,10 +1,12 @@
 import asyncio
 import unittest
+from unittest.mock import patch
 
 from jackdawfield.gateway.daemon import LISTEN_AFTER_STOP_S
 from jackdawfield.gateway.fleet.ownership import TAKEOVER_WAIT_S
 from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import OutgoingRequest
+from jackdawfield.gateway.http.connection import ResponseHead
 from jackdawfield.gateway.storage.rows import RowKey
 from tests.gateway.harness import configuration
 from tests.gateway.harness import engine
@@ -222,6 +224,39 @@
         self.assertTrue((await asked).whole)
         await stopping
 
+    # Guards against a request that is passed on to a server and then closed
+    # unanswered, as its connection counted as idle when it was read.
+    async def test_draining_instance_answers_what_arrives_at_an_idle_close(
+        self,
+    ) -> None:
+        found = await self.fleet.pool.open(
+            HOST, self.first.settings.caller_port, 1.0
+        )
+        connection = found.unwrap()
+        headers = (
+            ('Host', 'h.example'),
+            ('X-Jackdawfield-Request-Id', 'r1'),
+            ('X-Jackdawfield-Credential', 'key'),
+        )
+        listener = self.first.caller_listener
+        close_idle = listener.close_idle
+        sent: list[OutgoingRequest] = []
+
+        def send_and_close_idle() -> None:
+            if not sent:
+                sent.append(OutgoingRequest('POST', '/tool/x', headers))
+                connection.send(sent[0]).unwrap()
+            close_idle()
+
+        with patch.object(listener, 'close_idle', send_and_close_idle):
+            stopping = asyncio.create_task(self.first.stop())
+            head = await connection.next_part()
+            assert isinstance(head, ResponseHead)
+            self.assertEqual(head.status, 200)
+            self.assertEqual(await connection.next_part(), b'ok')
+            self.assertIs(await connection.next_part(), BodyEnd.WHOLE)
+            await stopping
+
     async def test_log_of_a_disconnected_caller_has_the_stage(
         self,
     ) -> None:
