Close a connection as idle only if nothing of a request has arrived

What callers saw: during a planned stop a request on a kept connection was closed without an answer, 3.1 s after the signal, and was sent to a server all the same.

Cause: a connection counted as idle until its request's head was parsed, up to four turns of the event loop after its bytes were read, and while they lay in the socket. The close came in between; the parser went on over what it held and started the handler.

Why this works: the close looks at the reads of the present request, at whether the parser still waits for a head, and at the socket itself, in one step; what arrives later can no longer be read. What has arrived is answered, and the stop waits for it.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -412,9 +412,10 @@
         await asyncio.sleep(LAST_REQUEST_S)
         self.caller_listener.close_idle()
         while (
-            self.caller_listener.in_flight and time.monotonic() < drain_until_s
+            self.caller_listener.is_busy and time.monotonic() < drain_until_s
         ):
             await asyncio.sleep(CHECK_INTERVAL_S)
+            self.caller_listener.close_idle()
         log_event(LOG, 'stopped', in_flight=self.caller_listener.in_flight)
         await self.close()
 
--- a/jackdawfield/gateway/http/caller_stream.py
+++ b/jackdawfield/gateway/http/caller_stream.py
@@ -1,6 +1,7 @@
 """Record what arrives on a caller's connection and what closed it."""
 
 from enum import Enum
+import socket
 import time
 
 from tornado.iostream import IOStream
@@ -38,6 +39,24 @@
             self.first_read_at_s = self.first_read_at_s or time.monotonic()
         return count
 
+    @property
+    def awaits_request(self) -> bool:
+        """Return whether nothing of the next request has arrived.
+
+        Bytes in the socket count: once the connection is closed, what is
+        neither read nor in the socket can no longer be read.
+        """
+        if self.closed() or self.received_bytes:
+            return False
+        return self.reading() and not self._has_unread_bytes()
+
+    def _has_unread_bytes(self) -> bool:
+        try:
+            return bool(self.socket.recv(1, socket.MSG_PEEK))
+        except OSError:
+            # There are none, or the connection is broken.
+            return False
+
     def close_for(self, reason: CloseReason) -> None:
         """Close the connection and record the reason."""
         if not self.closed():
--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -281,9 +281,14 @@
         )
 
     @property
-    def has_unanswered_bytes(self) -> bool:
-        """Return whether a part of a request was read."""
-        return self._stream.received_bytes > 0
+    def is_idle(self) -> bool:
+        """Return whether nothing of the request has arrived."""
+        return self._stream.awaits_request
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection is open."""
+        return not self._stream.closed()
 
     def close(self, reason: CloseReason) -> None:
         """Close an idle connection."""
@@ -329,7 +334,7 @@
         self.max_body_bytes = DEFAULT_BODY_BYTES
         self._sockets: list[socket.socket] = []
         self._stop_accepting: list[Callable[[], None]] = []
-        # Exchanges of idle connections, which wait for a request's head.
+        # Exchanges whose request's head is not parsed yet.
         self.idle_exchanges: set[_Exchange] = set()
         self._server = HTTPServer(
             self,
@@ -389,19 +394,28 @@
             self._serve_connection(connection, address)
 
     def close_idle(self) -> None:
-        """Close the idle connections, so that no request arrives on them."""
-        exchanges = list(self.idle_exchanges)
-        log_event(
-            LOG,
-            'idle_connections_closed',
-            count=len(exchanges),
-            with_unanswered_bytes=sum(
-                exchange.has_unanswered_bytes for exchange in exchanges
-            ),
-            in_flight=self.in_flight,
-        )
-        for exchange in exchanges:
+        """Close the connections on which nothing of a request has arrived.
+
+        What has arrived is answered, also if it is not read or parsed yet.
+        """
+        idle = [e for e in self.idle_exchanges if e.is_idle]
+        for exchange in idle:
             exchange.close(CloseReason.IDLE_AT_STOP)
+        if idle:
+            log_event(
+                LOG,
+                'idle_connections_closed',
+                count=len(idle),
+                in_flight=self.in_flight,
+            )
+
+    @property
+    def is_busy(self) -> bool:
+        """Return whether requests are arriving or in flight."""
+        return self.in_flight > 0 or any(
+            exchange.is_open and not exchange.is_idle
+            for exchange in self.idle_exchanges
+        )
 
     async def close(self) -> None:
         """Close every connection, also those with requests in flight."""
