Do not handle a request whose connection has closed

What callers saw: nothing; servers ran requests whose callers were gone. A request whose connection was closed before its handler started was handled all the same, and no close could cancel it any more, since the close callback is set on open streams only.

The handler does not start on a closed connection; the line request_on_closed_connection says so. A handler that is cancelled before it starts no longer counts as in flight for good.

--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -248,11 +248,10 @@
         """Start the handler; Tornado calls this once a request is complete."""
         if self._is_refused:
             return
-        if self._stream.closed():
-            self._log_unanswered()
         # Tornado turns TCP_NODELAY off after each response.
         self._connection.stream.set_nodelay(True)
         self._task = asyncio.create_task(self._run())
+        self._task.add_done_callback(lambda _: self._end())
         self._connection.set_close_callback(self._cancel_handler)
 
     def on_connection_close(self) -> None:
@@ -299,6 +298,10 @@
             self._task.cancel()
 
     async def _run(self) -> None:
+        if self._stream.closed():
+            # Nobody can receive the answer, and no close ends the handler.
+            self._log_unanswered()
+            return
         reply = Reply(self._connection)
         line = self._request_line
         assert line is not None
@@ -320,7 +323,6 @@
             else:
                 reply.send(500, 'internal error')
         finally:
-            self._end()
             if not reply.has_ended:
                 reply.abort()
 
