Forget callers' connections once they have closed

The listener kept an object, with its stream and buffers, for each connection that a caller had closed while idle and for each that was closed after its last response: Tornado tells the delegate of neither.

The listener now serves Tornado's connections itself instead of through HTTPServer, which does not pass on_close on, and holds the present exchange by connection until on_close. The test made 40 connections and found 40 kept; now none.

--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -8,7 +8,8 @@
 import time
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
+from tornado.http1connection import HTTP1ConnectionParameters
+from tornado.http1connection import HTTP1ServerConnection
 from tornado.httputil import HTTPConnection
 from tornado.httputil import HTTPHeaders
 from tornado.httputil import HTTPMessageDelegate
@@ -208,7 +209,6 @@
         headers: HTTPHeaders,
     ) -> None:
         """Store the request's head and count the request as in flight."""
-        self._listener.idle_exchanges.discard(self)
         assert isinstance(start_line, RequestStartLine)
         self._request_line = start_line
         self._raw_headers = list(headers.get_all())
@@ -260,7 +260,6 @@
         Without a handler's task, a request in flight ends here. A connection
         that closes later cancels the task, which then ends the request.
         """
-        self._listener.idle_exchanges.discard(self)
         if self._task is None:
             self._end()
 
@@ -336,13 +335,14 @@
         self.max_body_bytes = DEFAULT_BODY_BYTES
         self._sockets: list[socket.socket] = []
         self._stop_accepting: list[Callable[[], None]] = []
-        # Exchanges whose request's head is not parsed yet.
-        self.idle_exchanges: set[_Exchange] = set()
-        self._server = HTTPServer(
-            self,
+        # The present or next exchange of each open connection.
+        self._exchanges_by_connection: dict[
+            HTTP1ServerConnection, _Exchange
+        ] = {}
+        self._params = HTTP1ConnectionParameters(
             max_body_size=MAX_BODY_BYTES,
             max_header_size=MAX_HEADER_BYTES,
-            idle_connection_timeout=IDLE_LIMIT_S,
+            header_timeout=IDLE_LIMIT_S,
             body_timeout=BODY_TIMEOUT_S,
         )
 
@@ -350,11 +350,17 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the delegate of a connection's next request."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
         assert isinstance(request_conn, HTTP1Connection)
         exchange = _Exchange(self, request_conn)
-        self.idle_exchanges.add(exchange)
+        self._exchanges_by_connection[server_conn] = exchange
         return exchange
 
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that has closed."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        del self._exchanges_by_connection[server_conn]
+
     def listen(self, host: str, port: int) -> None:
         """Listen on an address."""
         for sock in bind_sockets(port, host, backlog=ACCEPT_BACKLOG):
@@ -366,11 +372,14 @@
     def _serve_connection(
         self, connection: socket.socket, address: tuple[str, int]
     ) -> None:
-        self._server.handle_stream(CallerStream(connection), address)
+        stream = CallerStream(connection)
+        HTTP1ServerConnection(stream, self._params, address).start_serving(
+            self
+        )
 
     def disable_keep_alive(self) -> None:
         """Close each connection after its current or next response."""
-        self._server.conn_params.no_keep_alive = True
+        self._params.no_keep_alive = True
 
     def stop_listening(self) -> None:
         """Stop accepting, after the connections that were established.
@@ -400,7 +409,8 @@
 
         What has arrived is answered, also if it is not read or parsed yet.
         """
-        idle = [e for e in self.idle_exchanges if e.is_idle]
+        exchanges = self._exchanges_by_connection.values()
+        idle = [exchange for exchange in exchanges if exchange.is_idle]
         for exchange in idle:
             exchange.close(CloseReason.IDLE_AT_STOP)
         if idle:
@@ -411,15 +421,22 @@
                 in_flight=self.in_flight,
             )
 
+    @property
+    def open_connections(self) -> int:
+        """Return how many connections are open."""
+        return len(self._exchanges_by_connection)
+
     @property
     def is_busy(self) -> bool:
         """Return whether requests are arriving or in flight."""
         return self.in_flight > 0 or any(
             exchange.is_open and not exchange.is_idle
-            for exchange in self.idle_exchanges
+            for exchange in self._exchanges_by_connection.values()
         )
 
     async def close(self) -> None:
         """Close every connection, also those with requests in flight."""
-        self._server.stop()
-        await self._server.close_all_connections()
+        for exchange in self._exchanges_by_connection.values():
+            exchange.close(CloseReason.PROCESS_END)
+        for connection in list(self._exchanges_by_connection):
+            await connection.close()
--- a/tests/gateway/http/test_listener.py
+++ b/tests/gateway/http/test_listener.py
@@ -126,6 +126,20 @@
         self.assertEqual(set(closed_by), {None})
         self.assertEqual(self.listener.in_flight, 0)
 
+    # Guards against memory that grows with each connection that has closed.
+    async def test_closed_connections_are_forgotten(self) -> None:
+        for _ in range(20):
+            (await self.kept_connection()).close()
+        self.listener.disable_keep_alive()
+        for _ in range(20):
+            sock = socket.create_connection((HOST, self.port))
+            self.addCleanup(sock.close)
+            sock.sendall(REQUEST)
+            sock.setblocking(False)
+            await self.read_answer(sock)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.listener.open_connections, 0)
+
     async def test_announced_body_over_the_limit_is_refused_at_once(
         self,
     ) -> None:
