Answer the calls that the end of a grace period cuts off

What callers saw: at the end of a planned stop's grace period the connections of all calls under way were closed without an answer, also of those of which nothing had been sent to a server. The log said that the caller had left.

Their handlers are now cancelled while the connections are open: a call of which nothing was sent is refused with 503, which is true, one that may have run gets 502, and only an answer that has begun is cut. Waiting for a budget before and after sending are two stages now.

--- a/jackdawfield/gateway/calls.py
+++ b/jackdawfield/gateway/calls.py
@@ -34,6 +34,7 @@
     SERVER = 'server'
     CHAIN = 'chain'
     BUDGET = 'budget'
+    RESERVATION = 'reservation'
     ANSWER = 'answer'
     COMMIT = 'commit'
 
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -72,7 +72,9 @@
 LISTEN_AFTER_STOP_S = 3.0
 # Time for a request to be read on a connection that was just accepted.
 LAST_REQUEST_S = 0.1
-# End of the grace period, reserved for closing connections.
+# Time for the last answers to be written before their connections close.
+LAST_ANSWERS_S = 0.1
+# End of the grace period, reserved for the last answers and for closing.
 STOP_MARGIN_S = 0.8
 
 
@@ -417,6 +419,9 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.caller_listener.close_idle()
         log_event(LOG, 'stopped', in_flight=self.caller_listener.in_flight)
+        if self.caller_listener.in_flight:
+            self.caller_listener.cancel_requests()
+            await asyncio.sleep(LAST_ANSWERS_S)
         await self.close()
 
     async def close(self) -> None:
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -28,6 +28,10 @@
 LOG = logging.getLogger(__name__)
 # Retry-After of refusals before the first configuration was received.
 RETRY_UNCONFIGURED_S = 0.3
+# Retry-After of refusals at a planned stop; other instances serve at once.
+RETRY_AT_STOP_S = 0.05
+# Stages in which nothing of a call was sent to a backend server yet.
+UNSENT_STAGES = frozenset((Stage.RATE, Stage.CHAIN, Stage.BUDGET))
 # Metric label for the route of a request that was refused without a call.
 NO_ROUTE = 'none'
 
@@ -62,8 +66,10 @@
         except TimeoutError:
             self._answer_timeout(checked, reply)
         except asyncio.CancelledError:
-            self._record_caller_left(checked, reply)
-            raise
+            if reply.closed_by is not None:
+                self._record_caller_left(checked, reply)
+                raise
+            self._answer_stop(checked, reply)
         self._metrics.count_call(checked, reply.status)
         log_event(
             LOG,
@@ -112,6 +118,7 @@
         time_left_s = route.timeout_s
         if headers.time_left_s is not None:
             time_left_s = min(time_left_s, headers.time_left_s)
+        deadline_s = request.arrived_at_s + time_left_s
         return Call(
             request_id=headers.request_id,
             method=request.method,
@@ -121,7 +128,7 @@
             route=route,
             organisation_id=organisation_id,
             arrived_at_s=request.arrived_at_s,
-            deadline_s=request.arrived_at_s + time_left_s,
+            deadline_s=deadline_s,
         )
 
     async def _run(self, call: Call, reply: Reply) -> None:
@@ -206,6 +213,25 @@
             return
         reply.send(504, 'timeout')
 
+    def _answer_stop(self, call: Call, reply: Reply) -> None:
+        """Answer a call that a planned stop ends, as far as is possible."""
+        log_event(
+            LOG,
+            'call_ended_by_stop',
+            logging.WARNING,
+            request=call.request_id,
+            waiting_for=reply.stage.value,
+            begun=reply.has_written,
+        )
+        if reply.has_ended:
+            return
+        if reply.has_written:
+            reply.abort()
+        elif reply.stage in UNSENT_STAGES:
+            reply.send(503, 'instance stops', RETRY_AT_STOP_S)
+        else:
+            reply.send(502, 'instance stops')
+
 
 def loop_time(monotonic_s: float) -> float:
     """Convert a time of the monotonic clock to the event loop's clock."""
--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -252,7 +252,7 @@
         self._connection.stream.set_nodelay(True)
         self._task = asyncio.create_task(self._run())
         self._task.add_done_callback(lambda _: self._end())
-        self._connection.set_close_callback(self._cancel_handler)
+        self._connection.set_close_callback(self.cancel_handler)
 
     def on_connection_close(self) -> None:
         """Handle a connection that closed before its request was complete.
@@ -292,7 +292,8 @@
         """Close an idle connection."""
         self._stream.close_for(reason)
 
-    def _cancel_handler(self) -> None:
+    def cancel_handler(self) -> None:
+        """Cancel the handler of a request in flight."""
         if self._task is not None:
             self._task.cancel()
 
@@ -421,6 +422,11 @@
                 in_flight=self.in_flight,
             )
 
+    @property
+    def is_listening(self) -> bool:
+        """Return whether new connections are accepted."""
+        return bool(self._sockets)
+
     @property
     def open_connections(self) -> int:
         """Return how many connections are open."""
@@ -434,6 +440,14 @@
             for exchange in self._exchanges_by_connection.values()
         )
 
+    def cancel_requests(self) -> None:
+        """Cancel the handlers of the requests in flight.
+
+        Their connections are open, so that a handler can still respond.
+        """
+        for exchange in self._exchanges_by_connection.values():
+            exchange.cancel_handler()
+
     async def close(self) -> None:
         """Close every connection, also those with requests in flight."""
         for exchange in self._exchanges_by_connection.values():
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -194,7 +194,7 @@
             return sent
         is_relayed = False
         try:
-            reply.stage = Stage.BUDGET
+            reply.stage = Stage.RESERVATION
             if not await stream.spending.wait_until_reserved():
                 return Failure(502, 'budget not reserved in time')
             reply.stage = Stage.ANSWER
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -197,7 +197,11 @@
 
     async def wait_until(self, condition: Any) -> None:
         """Wait until a condition is true."""
-        async with asyncio.timeout(TIMEOUT_S):
+        await self.wait_until_within(condition, TIMEOUT_S)
+
+    async def wait_until_within(self, condition: Any, limit_s: float) -> None:
+        """Wait until a condition is true, at most for the limit."""
+        async with asyncio.timeout(limit_s):
             while not condition():
                 await asyncio.sleep(0.01)
 
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,8 +1,10 @@
 import asyncio
+from dataclasses import replace
 import unittest
 from unittest.mock import patch
 
 from jackdawfield.gateway.daemon import LISTEN_AFTER_STOP_S
+from jackdawfield.gateway.daemon import STOP_MARGIN_S
 from jackdawfield.gateway.fleet.ownership import TAKEOVER_WAIT_S
 from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import OutgoingRequest
@@ -257,6 +259,38 @@
             self.assertIs(await connection.next_part(), BodyEnd.WHOLE)
             await stopping
 
+    def set_grace(self, after_listening_s: float) -> None:
+        """End the grace period a time after listening ends at a stop."""
+        settings = self.first.settings
+        grace_s = LISTEN_AFTER_STOP_S + after_listening_s + STOP_MARGIN_S
+        bounds = replace(settings.bounds, grace_s=grace_s)
+        self.first.settings = replace(settings, bounds=bounds)
+
+    # Guards against callers whose connection closes without an answer when
+    # the grace period of a planned stop ends.
+    async def test_calls_that_the_grace_period_ends_are_answered(self) -> None:
+        self.set_grace(after_listening_s=0.4)
+
+        async def silent(_: ReceivedRequest) -> None:
+            await asyncio.sleep(10.0)
+
+        self.fleet.server.script = silent
+        self.fleet.store.is_refusing = True
+        stopping = asyncio.create_task(self.first.stop())
+        await asyncio.sleep(LISTEN_AFTER_STOP_S - 0.5)
+        sent = asyncio.create_task(
+            self.fleet.call(self.first, 'r1', '/tool/x')
+        )
+        unsent = asyncio.create_task(
+            self.fleet.turn(self.first, 't2', b'two.', previous='t1')
+        )
+        answers = await asyncio.gather(sent, unsent)
+        await stopping
+        self.assertEqual([a.status for a in answers], [502, 503])
+        self.assertTrue(all(a.whole for a in answers))
+        self.assertIn('retry-after', answers[1].headers)
+        self.assertEqual(len(self.received), 1)
+
     async def test_log_of_a_disconnected_caller_has_the_stage(
         self,
     ) -> None:
