Refuse late in a planned stop what may outlast the grace period

What callers saw: a request that was read after listening had ended was taken whatever its deadline, and cut off if it outlasted the grace period. From that moment a call whose deadline lies beyond the grace period is refused at once with 503 and a short Retry-After: nothing of it has run, and other instances serve it. The test got 200 or a cut before, now 200 within the grace period and 503 beyond it.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -409,6 +409,7 @@
         self.rate_owner.hand_over_all()
         await self.seat_holder.leave()
         await asyncio.sleep(LISTEN_AFTER_STOP_S)
+        self.call_handler.ends_at_s = drain_until_s
         self.caller_listener.stop_listening()
         # The last connections that were accepted carry a request already.
         await asyncio.sleep(LAST_REQUEST_S)
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -51,6 +51,8 @@
         self._stream_calls = stream_calls
         self._admission = admission
         self.configuration: FleetConfiguration | None = None
+        # End of the last calls, by the monotonic clock, None unless stopping.
+        self.ends_at_s: float | None = None
 
     async def serve(
         self, request: IncomingRequest, headers: CallHeaders, reply: Reply
@@ -119,6 +121,8 @@
         if headers.time_left_s is not None:
             time_left_s = min(time_left_s, headers.time_left_s)
         deadline_s = request.arrived_at_s + time_left_s
+        if self.ends_at_s is not None and deadline_s > self.ends_at_s:
+            return Refusal(503, 'instance stops', RETRY_AT_STOP_S)
         return Call(
             request_id=headers.request_id,
             method=request.method,
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -291,6 +291,42 @@
         self.assertIn('retry-after', answers[1].headers)
         self.assertEqual(len(self.received), 1)
 
+    # Guards against a request that is taken late in a planned stop and cut
+    # off when the grace period ends.
+    async def test_stopping_instance_refuses_what_it_may_not_finish(
+        self,
+    ) -> None:
+        self.set_grace(after_listening_s=1.0)
+        port = self.first.settings.caller_port
+        names_by_deadline_ms = {'500': 'r1', '2500': 'r2'}
+        connections = []
+        for _ in names_by_deadline_ms:
+            connections.append(await self.fleet.pool.open(HOST, port, 1.0))
+        listener = self.first.caller_listener
+        stopping = asyncio.create_task(self.first.stop())
+        await self.fleet.wait_until_within(
+            lambda: not listener.is_listening, LISTEN_AFTER_STOP_S + 1.0
+        )
+        statuses = []
+        for found, (deadline_ms, name) in zip(
+            connections, names_by_deadline_ms.items(), strict=True
+        ):
+            connection = found.unwrap()
+            headers = (
+                ('Host', 'h.example'),
+                ('X-Jackdawfield-Request-Id', name),
+                ('X-Jackdawfield-Credential', 'key'),
+                ('X-Jackdawfield-Deadline-Ms', deadline_ms),
+            )
+            request = OutgoingRequest('POST', '/tool/x', headers)
+            connection.send(request).unwrap()
+            head = await connection.next_part()
+            assert isinstance(head, ResponseHead)
+            statuses.append(head.status)
+        await stopping
+        self.assertEqual(statuses, [200, 503])
+        self.assertEqual(len(self.received), 1)
+
     async def test_log_of_a_disconnected_caller_has_the_stage(
         self,
     ) -> None:
