Let the successor of a stopping owner grant at once

Causes: a hand-over waited for the receiver's next read of the members' table, up to 0.6 s, in which the others asked an owner that grants no more. And it was discarded, with its tokens, if the receiver had a newer view in which the stopping instance was still the owner: that counted as another owner since.

Change: a hand-over and a refused ask name the stopping incarnation, which grants nothing and never will again. Who learns of it takes its successors as the owners, before its row says so, and its own ownership is no sign that a hand-over is stale. A discarded hand-over has a log line.

--- a/jackdawfield/gateway/fleet/ownership.py
+++ b/jackdawfield/gateway/fleet/ownership.py
@@ -38,11 +38,39 @@
     """Names an ownership that this instance lost or released.
 
     The new owner is the holder of another seat, by the view of a version.
+    `leaving` is this instance's incarnation if it stops, so that it is never
+    the owner again, and else empty.
     """
 
     organisation_id: OrganisationId
     new_owner: SeatId
     version: int
+    leaving: str = ''
+
+
+@dataclass(slots=True)
+class _OtherOwners:
+    """Holds the newest versions at which other instances were the owner.
+
+    `earlier_version` is that of owners other than the latest incarnation.
+    """
+
+    incarnation: str = ''
+    version: int = -1
+    earlier_version: int = -1
+
+    def record(self, incarnation: str, version: int) -> None:
+        """Record the owner by a view of a version."""
+        if incarnation != self.incarnation:
+            self.earlier_version = self.version
+            self.incarnation = incarnation
+        self.version = version
+
+    def newest_version(self, leaving: str) -> int:
+        """Return the newest version, without that of a leaving owner."""
+        if leaving and leaving == self.incarnation:
+            return self.earlier_version
+        return self.version
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,9 +106,10 @@
         self._owners_by_organisation: dict[OrganisationId, SeatId | None] = {}
         self._view_read_at_s = float('-inf')
         self.version = 0
-        # The newest version at which each organisation had another owner.
-        self._other_owner_version_by_organisation: dict[
-            OrganisationId, int
+        # Members that have released their ownerships and will own none again.
+        self._leaving_incarnations: set[str] = set()
+        self._other_owners_by_organisation: dict[
+            OrganisationId, _OtherOwners
         ] = {}
         # The newest version at which a member's incarnation or state changed.
         self._role_change_version = 0
@@ -255,6 +284,7 @@
             instance_id
             for instance_id, row in self._members_by_id.items()
             if row.is_serving
+            and row.incarnation not in self._leaving_incarnations
         ]
 
     def may_grant(self, organisation_id: OrganisationId, now_s: float) -> bool:
@@ -282,13 +312,23 @@
         """
         return self._active_from_s_by_organisation[organisation_id]
 
-    def is_stale(self, organisation_id: OrganisationId, version: int) -> bool:
-        """Return whether another became the owner after a version."""
-        last = self._other_owner_version_by_organisation.get(organisation_id)
-        return last is not None and version < last
+    def is_stale(
+        self, organisation_id: OrganisationId, version: int, leaving: str = ''
+    ) -> bool:
+        """Return whether another became the owner after a version.
+
+        A leaving owner stays it in views that are newer than the one by which
+        it handed over.
+        """
+        others = self._other_owners_by_organisation.get(organisation_id)
+        return others is not None and version < others.newest_version(leaving)
 
     def take_over(
-        self, organisation_id: OrganisationId, version: int, now_s: float
+        self,
+        organisation_id: OrganisationId,
+        version: int,
+        now_s: float,
+        leaving: str = '',
     ) -> bool:
         """Activate an ownership that was handed over by a view's version.
 
@@ -297,7 +337,7 @@
         """
         if self.owner_of(organisation_id) != self._own_id:
             return False
-        if self.is_stale(organisation_id, version):
+        if self.is_stale(organisation_id, version, leaving):
             return False
         self._active_from_s_by_organisation[organisation_id] = now_s
         self._pending_by_organisation.pop(organisation_id, None)
@@ -309,6 +349,8 @@
         Return those that were active and have a next owner.
         """
         others = [i for i in self._serving_ids() if i != self._own_id]
+        own_row = self._members_by_id.get(self._own_id or SeatId(''))
+        leaving = own_row.incarnation if own_row is not None else ''
         lost = []
         for organisation_id in list(self._active_from_s_by_organisation):
             was_active = self.may_grant(organisation_id, now_s)
@@ -316,10 +358,29 @@
             successor = choose_owner(str(organisation_id), others)
             if was_active and successor is not None:
                 lost.append(
-                    LostOwnership(organisation_id, successor, self.version)
+                    LostOwnership(
+                        organisation_id, successor, self.version, leaving
+                    )
                 )
         return lost
 
+    def mark_leaving(
+        self, incarnation: str, now_s: float
+    ) -> list[LostOwnership]:
+        """Record that a member has released its ownerships and stops.
+
+        Its successors are the owners from now on, before its row says so.
+        Return the ownerships that were lost.
+        """
+        rows = self._members_by_id.values()
+        if incarnation in self._leaving_incarnations or not any(
+            row.incarnation == incarnation for row in rows
+        ):
+            return []
+        self._leaving_incarnations.add(incarnation)
+        self._serving_changed_at_s = now_s
+        return self._recompute_owners(self._members_by_id, self._own_id, now_s)
+
     def set_organisations(
         self, organisation_ids: Iterable[OrganisationId], now_s: float
     ) -> list[LostOwnership]:
@@ -355,6 +416,9 @@
                     self._owners_by_organisation
                 )
         self.version = max(self.version, version)
+        self._leaving_incarnations &= {
+            row.incarnation for row in members_by_id.values()
+        }
         # Lost ownerships are handed over if the previous view was fresh.
         lost = self._recompute_owners(dict(members_by_id), own_id, now_s)
         self._drop_reports_of_others(previous_members)
@@ -409,9 +473,7 @@
             if was_own or not is_own:
                 lost += self._lose(organisation_id, next_owner, now_s)
             if not is_own:
-                self._other_owner_version_by_organisation[organisation_id] = (
-                    self.version
-                )
+                self._record_other_owner(organisation_id, next_owner)
                 continue
             # One that had no owner before, as far as this instance knows.
             if not is_known and (self.inherited or self._is_settled(now_s)):
@@ -421,6 +483,15 @@
         self._drop_removed_organisations()
         return lost
 
+    def _record_other_owner(
+        self, organisation_id: OrganisationId, owner: SeatId | None
+    ) -> None:
+        row = self._members_by_id[owner] if owner is not None else None
+        others = self._other_owners_by_organisation.setdefault(
+            organisation_id, _OtherOwners()
+        )
+        others.record(row.incarnation if row else '', self.version)
+
     def _lose(
         self,
         organisation_id: OrganisationId,
@@ -466,6 +537,4 @@
                 del self._owners_by_organisation[organisation_id]
                 self._active_from_s_by_organisation.pop(organisation_id, None)
                 self._pending_by_organisation.pop(organisation_id, None)
-                self._other_owner_version_by_organisation.pop(
-                    organisation_id, None
-                )
+                self._other_owners_by_organisation.pop(organisation_id, None)
--- a/jackdawfield/gateway/rates/admission.py
+++ b/jackdawfield/gateway/rates/admission.py
@@ -13,6 +13,7 @@
 from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.fleet.failure_detector import FailureDetector
 from jackdawfield.gateway.fleet.members import Members
+from jackdawfield.gateway.fleet.seats import SeatId
 from jackdawfield.gateway.rates.owner import RateOwner
 from jackdawfield.gateway.rates.tokens import LocalTokens
 from jackdawfield.logs import log_event
@@ -262,6 +263,8 @@
         match found:
             case Ok(TokensGranted() as granted):
                 self._detector.record_answer(owner_id)
+                if granted.leaving == row.incarnation:
+                    return await self._ask_successor(ask, owner_id, granted)
                 return granted
         self._detector.record_no_answer(owner_id, boot_time_s())
         log_event(
@@ -272,6 +275,16 @@
         )
         return None
 
+    async def _ask_successor(
+        self, ask: AskTokens, left_id: SeatId, granted: TokensGranted
+    ) -> TokensGranted | None:
+        """Ask the next owner in place of one that stops."""
+        self._rate_owner.mark_leaving(granted.leaving)
+        owner_id = self._rate_owner.ownership.owner_of(ask.organisation_id)
+        if owner_id == left_id:
+            return granted
+        return await self._ask_owner(ask)
+
 
 def begins_program(call: Call) -> bool:
     """Return whether a request starts a program or belongs to none."""
--- a/jackdawfield/gateway/rates/owner.py
+++ b/jackdawfield/gateway/rates/owner.py
@@ -209,7 +209,7 @@
         if contract is None:
             return TokensGranted(False)
         if self._holder.is_leaving:
-            return TokensGranted(False)
+            return TokensGranted(False, leaving=self._members.incarnation)
         if not self.ownership.may_grant(organisation_id, now_s):
             return TokensGranted(False)
         since_s = self.ownership.active_since_s(organisation_id)
@@ -277,6 +277,7 @@
                 self._members.own_id,
                 tokens,
                 lost_ownership.version,
+                lost_ownership.leaving,
             )
             self._tasks.spawn(
                 self._links.request(row.address, message, HAND_OVER_TIMEOUT_S)
@@ -287,9 +288,19 @@
         self._received_by_organisation[message.organisation_id] = (
             _ReceivedHandOver(message, now_s + HAND_OVER_VALID_S)
         )
-        self._apply_hand_over(message.organisation_id, now_s)
+        if message.leaving:
+            self.mark_leaving(message.leaving)
+        if message.organisation_id in self._received_by_organisation:
+            self._apply_hand_over(message.organisation_id, now_s)
         return HandedOver()
 
+    def mark_leaving(self, incarnation: str) -> None:
+        """Ask a stopping member's successors for tokens from now on."""
+        now_s = boot_time_s()
+        self._send_hand_overs(self.ownership.mark_leaving(incarnation, now_s))
+        for organisation_id in list(self._received_by_organisation):
+            self._apply_hand_over(organisation_id, now_s)
+
     def _apply_hand_over(
         self, organisation_id: OrganisationId, now_s: float
     ) -> None:
@@ -300,20 +311,30 @@
         """
         received = self._received_by_organisation[organisation_id]
         contract = self.contracts_by_organisation.get(organisation_id)
-        version = received.message.version
-        if (
-            now_s >= received.valid_until_s
-            or contract is None
-            or self.ownership.is_stale(organisation_id, version)
-        ):
+        version, leaving = received.message.version, received.message.leaving
+        is_stale = self.ownership.is_stale(organisation_id, version, leaving)
+        is_late = now_s >= received.valid_until_s
+        if is_late or contract is None or is_stale:
             del self._received_by_organisation[organisation_id]
+            log_event(
+                LOG,
+                'hand_over_discarded',
+                organisation=organisation_id,
+                sender=received.message.sender,
+                version=version,
+                own_version=self.ownership.version,
+                stale=is_stale,
+                late=is_late,
+            )
             return
         tokens = received.message.tokens
         if self.ownership.may_grant(organisation_id, now_s):
             # What was granted since this ownership began is taken off.
             owned = self._buckets_by_organisation.get(organisation_id)
             tokens += owned.bucket.tokens if owned is not None else 0.0
-        if not self.ownership.take_over(organisation_id, version, now_s):
+        if not self.ownership.take_over(
+            organisation_id, version, now_s, leaving
+        ):
             return
         del self._received_by_organisation[organisation_id]
         bucket = RateBucket(contract, tokens, now_s)
--- a/jackdawfield/messages/fleet_rates.py
+++ b/jackdawfield/messages/fleet_rates.py
@@ -41,6 +41,8 @@
     beginning_delays_s: tuple[float, ...] = ()
     spare: int = 0
     retry_after_s: float = 0.0
+    # The granter's incarnation if it stops: its successor is the owner.
+    leaving: str = ''
 
 
 @message
@@ -73,6 +75,8 @@
     tokens: float
     # Of the sender's view of the members, by which the receiver is the owner.
     version: int
+    # The sender's incarnation if it stops: it is never the owner again.
+    leaving: str = ''
 
 
 @message
--- a/tests/gateway/fleet/test_ownership.py
+++ b/tests/gateway/fleet/test_ownership.py
@@ -98,6 +98,9 @@
     # Pairs of a time and a node that others find silent then.
     suspicions: list[tuple[float, InstanceId]] = field(default_factory=list)
     active_in_outage: int = 0
+    # Whether nodes learn of planned stops before they read the table.
+    tells_of_leaving: bool = False
+    left_incarnations: list[str] = field(default_factory=list)
 
     def write(self, seat: SeatId, row: MemberRow) -> None:
         """Change the table."""
@@ -121,6 +124,7 @@
                 self.poll(node)
             self.poll_views(node)
         self.deliver_hand_overs()
+        self.tell_of_leaving()
         self.act_on_suspicions()
         self.count_owners()
 
@@ -264,10 +268,32 @@
             node = self.nodes[holder.instance_id]
             is_isolated = node.isolated_until_s > self.now_s
             if node.is_alive and not is_isolated:
+                self.mark_leaving(node, item.leaving)
                 node.ownership.take_over(
-                    item.organisation_id, item.version, self.now_s
+                    item.organisation_id,
+                    item.version,
+                    self.now_s,
+                    item.leaving,
                 )
 
+    def mark_leaving(self, node: Node, incarnation: str) -> None:
+        """Let a node know that another has released its ownerships."""
+        if not self.tells_of_leaving:
+            return
+        self.send_hand_overs(
+            node.ownership.mark_leaving(incarnation, self.now_s)
+        )
+
+    def tell_of_leaving(self) -> None:
+        """Let a random node know of one that has left, as if it had asked."""
+        if not self.tells_of_leaving:
+            return
+        node = self.rng.choice(list(self.nodes.values()))
+        is_reached = node.isolated_until_s <= self.now_s
+        if node.is_alive and is_reached and self.left_incarnations:
+            incarnation = self.rng.choice(self.left_incarnations)
+            self.mark_leaving(node, incarnation)
+
     def count_owners(self) -> None:
         """Count the instances that may grant the same organisation's rate."""
         for organisation_id in ORGANISATIONS:
@@ -307,6 +333,7 @@
                     self.send_hand_overs(
                         node.ownership.release_all(self.now_s)
                     )
+                    self.left_incarnations.append(node.incarnation)
                 node.is_alive = False
                 seat = seat_of(self.table, node)
                 if seat is not None and self.outage_until_s <= self.now_s:
@@ -353,8 +380,13 @@
     return None
 
 
-def run(seed: int, with_faults: bool, outage_s: float = 0.0) -> Fleet:
-    fleet = Fleet(random.Random(seed))
+def run(
+    seed: int,
+    with_faults: bool,
+    outage_s: float = 0.0,
+    tells_of_leaving: bool = False,
+) -> Fleet:
+    fleet = Fleet(random.Random(seed), tells_of_leaving=tells_of_leaving)
     for name in NAMES:
         fleet.start(name)
     for seat, name in zip(SEATS, NAMES, strict=False):
@@ -392,6 +424,34 @@
             with self.subTest(seed=seed):
                 self.assertLessEqual(run(seed, with_faults=True).max_owners, 1)
 
+    def test_successors_that_know_of_planned_stops_never_are_two(
+        self,
+    ) -> None:
+        for seed in (*range(150), *REGRESSION_SEEDS):
+            with self.subTest(seed=seed):
+                fleet = run(seed, with_faults=True, tells_of_leaving=True)
+                self.assertLessEqual(fleet.max_owners, 1)
+
+    # Guards against an organisation without an owner until the members' table
+    # is read again after its owner's planned stop.
+    def test_successor_acts_before_the_row_of_a_leaving_owner_changes(
+        self,
+    ) -> None:
+        members = three_members()
+        owner = choose_owner(OWNED, SEATS[:3])
+        successor = choose_owner(OWNED, [s for s in SEATS[:3] if s != owner])
+        ownership = Ownership(len(SEATS))
+        ownership.set_organisations([OWNED], 10.0)
+        ownership.set_members(members, successor, 1, 10.0)
+        ownership.confirm_view(10.0)
+        leaving = f'{owner}.1'
+        self.assertFalse(ownership.take_over(OWNED, 1, 10.1, leaving))
+        ownership.mark_leaving(leaving, 10.1)
+        self.assertEqual(ownership.owner_of(OWNED), successor)
+        self.assertFalse(ownership.may_grant(OWNED, 10.1))
+        self.assertTrue(ownership.take_over(OWNED, 1, 10.1, leaving))
+        self.assertTrue(ownership.may_grant(OWNED, 10.1))
+
     def test_restarted_instance_acts_at_once(self) -> None:
         ownership = Ownership(1)
         ownership.inherited = True
@@ -451,6 +511,32 @@
             most_s = 2 * TAKEOVER_WAIT_S + 2 * VIEW_POLL_S + POLL_S
             self.assertLess(fleet.now_s - restarted_s, most_s)
 
+    # Guards against an organisation without an owner for seconds when the
+    # next owner has a newer view than the one that hands over and stops.
+    def test_hand_over_by_an_older_view_of_a_leaving_owner(self) -> None:
+        members = three_members()
+        owner = choose_owner(OWNED, SEATS[:3])
+        assert owner is not None
+        others = [seat for seat in SEATS[:3] if seat != owner]
+        successor = choose_owner(OWNED, others)
+        assert successor is not None
+        third = next(seat for seat in others if seat != successor)
+        ownership = Ownership(len(SEATS))
+        ownership.set_organisations([OWNED], 10.0)
+        for version in (1, 2):
+            ownership.set_members(members, successor, version, 10.0)
+            ownership.confirm_view(10.0)
+            # The owner has not read that this one has left.
+            members = {**members, third: mark_left(members[third])}
+        members = {**members, owner: mark_left(members[owner])}
+        ownership.set_members(members, successor, 3, 10.1)
+        ownership.confirm_view(10.1)
+        self.assertFalse(ownership.may_grant(OWNED, 10.1))
+        self.assertFalse(ownership.take_over(OWNED, 1, 10.1))
+        leaving = f'{owner}.1'
+        self.assertTrue(ownership.take_over(OWNED, 1, 10.1, leaving))
+        self.assertTrue(ownership.may_grant(OWNED, 10.1))
+
     def test_stale_view_activates_no_ownership(self) -> None:
         ownership = Ownership(3)
         ownership.inherited = True
