Let a request that has just arrived answer when the grace period ends

What callers saw: at the end of a planned stop a whole request whose handler's task was created and had not run its first step was closed without an answer: a task that is cancelled before its first step runs nothing, not even its exception handler. Only handlers that have started are cancelled now; one that starts later refuses the call itself, or finds its connection closed.

--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -204,6 +204,7 @@
         self._body_bytes = 0
         self._is_refused = False
         self._is_in_flight = False
+        self._has_started = False
         self._task: asyncio.Task[None] | None = None
 
     def headers_received(
@@ -308,11 +309,15 @@
         self._stream.close_for(reason)
 
     def cancel_handler(self) -> None:
-        """Cancel the handler of a request in flight."""
-        if self._task is not None:
+        """Cancel the handler of a request in flight.
+
+        A task that is cancelled before its first step could not respond.
+        """
+        if self._task is not None and self._has_started:
             self._task.cancel()
 
     async def _run(self) -> None:
+        self._has_started = True
         if self._stream.closed():
             # Nobody can receive the answer, and no close ends the handler.
             self._log_unanswered()
--- a/tests/gateway/http/test_listener.py
+++ b/tests/gateway/http/test_listener.py
@@ -165,6 +165,25 @@
             self.assertEqual(await self.read_all(reader), b'')
         self.assertEqual(self.listener.open_connections, 0)
 
+    # Guards against a whole request that ends without an answer since its
+    # handler's task is cancelled before its first step.
+    async def test_request_that_is_cancelled_as_it_starts_is_answered(
+        self,
+    ) -> None:
+        unanswered_after_turns = []
+        for turns in range(MAX_TURNS):
+            sock = await self.kept_connection()
+            sock.send(REQUEST)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+            self.listener.cancel_requests()
+            await asyncio.sleep(0.05)
+            await self.listener.close()
+            answer = await self.read_answer(sock)
+            if not answer.startswith(b'HTTP/1.1 200'):
+                unanswered_after_turns.append(turns)
+        self.assertEqual(unanswered_after_turns, [])
+
     # Guards against memory that grows with each connection that has closed.
     async def test_closed_connections_are_forgotten(self) -> None:
         for _ in range(20):
