Count bytes that were read together with the request before

What callers saw: a connection was closed as idle although a part of its next request had been read, also while that request was in flight and the rest of its body was on the way. The count of received bytes began at 0 for each request, so that bytes that came in one segment with the request before were not counted.

The test begins the second request in the segment of the first, with 10 bytes, all but its body and all but its last byte: unanswered in all three before, answered now.

--- a/jackdawfield/gateway/http/caller_stream.py
+++ b/jackdawfield/gateway/http/caller_stream.py
@@ -20,8 +20,8 @@
 class CallerStream(IOStream):
     """Represents a caller's connection, on which requests follow each other.
 
-    `received_bytes` counts what was read since the present request began,
-    `first_read_at_s` is when the first of it was, by the monotonic clock.
+    `received_bytes` counts what was read of the present request and after
+    it, `first_read_at_s` is when it was first counted, by the monotonic clock.
     `idle_since_s` is when the wait for the request began.
     """
 
@@ -32,9 +32,12 @@
 
     def begin_request(self) -> None:
         """Count anew, for the next request on the connection."""
-        self.received_bytes = 0
-        self.first_read_at_s = None
+        # Read together with the request before it.
+        self.received_bytes = self._read_buffer_size
         self.idle_since_s = time.monotonic()
+        self.first_read_at_s = (
+            self.idle_since_s if self.received_bytes else None
+        )
 
     def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
         """Read from the socket and count what was read."""
--- a/tests/gateway/http/test_listener.py
+++ b/tests/gateway/http/test_listener.py
@@ -184,6 +184,26 @@
                 unanswered_after_turns.append(turns)
         self.assertEqual(unanswered_after_turns, [])
 
+    # Guards against a request that counts as not arrived, since its first
+    # bytes came in one segment with the request before it.
+    async def test_request_begun_with_the_one_before_it_is_not_idle(
+        self,
+    ) -> None:
+        unanswered_after_bytes = []
+        for count in (10, len(REQUEST) - 2, len(REQUEST) - 1):
+            sock = socket.create_connection((HOST, self.port))
+            self.addCleanup(sock.close)
+            sock.sendall(REQUEST + REQUEST[:count])
+            sock.setblocking(False)
+            await self.read_answer(sock)
+            await asyncio.sleep(0.01)
+            self.listener.close_idle()
+            sock.send(REQUEST[count:])
+            answer = await self.read_answer(sock)
+            if not answer.startswith(b'HTTP/1.1 200'):
+                unanswered_after_bytes.append(count)
+        self.assertEqual(unanswered_after_bytes, [])
+
     # Guards against memory that grows with each connection that has closed.
     async def test_closed_connections_are_forgotten(self) -> None:
         for _ in range(20):
