Answer what has arrived and is not parsed when the grace period ends

What callers saw: a whole request that was in the socket or read when the grace period ended was closed without an answer, if no request was in flight by then: only requests in flight got the time for their last answers. What is arriving gets it as well.

The test sends a request at the last close of idle connections: closed without an answer before, now 503, and nothing is sent to a server.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -420,7 +420,7 @@
             await asyncio.sleep(CHECK_INTERVAL_S)
             self.caller_listener.close_idle()
         log_event(LOG, 'stopped', in_flight=self.caller_listener.in_flight)
-        if self.caller_listener.in_flight:
+        if self.caller_listener.is_busy:
             self.caller_listener.cancel_requests()
             await asyncio.sleep(LAST_ANSWERS_S)
         await self.close()
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -291,6 +291,37 @@
         self.assertIn('retry-after', answers[1].headers)
         self.assertEqual(len(self.received), 1)
 
+    # Guards against a whole request that has arrived, and is not parsed yet,
+    # when the grace period of a planned stop ends.
+    async def test_request_that_arrives_as_the_grace_ends_is_answered(
+        self,
+    ) -> None:
+        self.set_grace(after_listening_s=0.0)
+        found = await self.fleet.pool.open(
+            HOST, self.first.settings.caller_port, 1.0
+        )
+        connection = found.unwrap()
+        headers = (
+            ('Host', 'h.example'),
+            ('X-Jackdawfield-Request-Id', 'r1'),
+            ('X-Jackdawfield-Credential', 'key'),
+        )
+        listener = self.first.caller_listener
+        close_idle = listener.close_idle
+
+        def send_and_close_idle() -> None:
+            request = OutgoingRequest('POST', '/tool/x', headers)
+            connection.send(request).unwrap()
+            close_idle()
+
+        with patch.object(listener, 'close_idle', send_and_close_idle):
+            stopping = asyncio.create_task(self.first.stop())
+            head = await connection.next_part()
+            await stopping
+        assert isinstance(head, ResponseHead)
+        self.assertEqual(head.status, 503)
+        self.assertEqual(len(self.received), 0)
+
     # Guards against a request that is taken late in a planned stop and cut
     # off when the grace period ends.
     async def test_stopping_instance_refuses_what_it_may_not_finish(
