Announce the close in each answer that begins after a stop has begun

What callers saw: an answer to a request whose head was read before the signal did not say that its connection closes, since the library decides this when it reads the head. The caller's next request could cross the close.

The test answers such a request after keep-alive was disabled: no Connection header before, now close.

--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -131,6 +131,8 @@
         if head is None:
             return self._connection.write(piece)
         line, headers = head
+        if self._connection.params.no_keep_alive:
+            headers['Connection'] = 'close'
         return self._connection.write_headers(line, headers, piece)
 
     async def write(self, piece: bytes) -> bool:
--- a/tests/gateway/http/test_listener.py
+++ b/tests/gateway/http/test_listener.py
@@ -204,6 +204,29 @@
                 unanswered_after_bytes.append(count)
         self.assertEqual(unanswered_after_bytes, [])
 
+    # Guards against callers that send on a connection that is about to be
+    # closed, as the answer to a request from before the stop did not say so.
+    async def test_answer_after_keep_alive_has_ended_announces_the_close(
+        self,
+    ) -> None:
+        may_answer = asyncio.Event()
+
+        async def handle(_: IncomingRequest, reply: Reply) -> None:
+            await may_answer.wait()
+            reply.send(200, 'done')
+
+        self.listener.handler = handle
+        sock = socket.create_connection((HOST, self.port))
+        self.addCleanup(sock.close)
+        sock.sendall(REQUEST)
+        sock.setblocking(False)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.listener.in_flight, 1)
+        self.listener.disable_keep_alive()
+        may_answer.set()
+        answer = await self.read_answer(sock)
+        self.assertIn(b'\r\nConnection: close\r\n', answer)
+
     # Guards against memory that grows with each connection that has closed.
     async def test_closed_connections_are_forgotten(self) -> None:
         for _ in range(20):
