--- a/tests/gateway/http/test_listener.py
+++ b/tests/gateway/http/test_listener.py
@@ -227,6 +227,74 @@
         answer = await self.read_answer(sock)
         self.assertIn(b'\r\nConnection: close\r\n', answer)
 
+    # Guards against callers of HTTP/1.0 that are promised that a connection
+    # is kept which closes.
+    async def test_closing_connection_of_http_1_0_is_not_called_kept(
+        self,
+    ) -> None:
+        reader, writer = await self.connect()
+        self.listener.disable_keep_alive()
+        writer.write(
+            b'GET /p HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n'
+        )
+        answer = await self.read_all(reader)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'))
+        self.assertNotIn(b'keep-alive', answer.lower())
+
+    # Guards against refusals of HEAD requests that end without an answer.
+    async def test_head_request_is_answered_without_a_body(self) -> None:
+        reader, writer = await self.connect()
+        writer.write(
+            b'HEAD /p HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n'
+        )
+        answer = await self.read_all(reader)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'))
+        self.assertTrue(answer.endswith(b'\r\n\r\n'))
+
+    # Guards against a request that is lost since the time limit of an idle
+    # connection ends in the turn in which the request is read.
+    async def test_request_that_arrives_at_the_idle_limit_is_answered(
+        self,
+    ) -> None:
+        with patch(f'{HttpListener.__module__}.IDLE_LIMIT_S', 1.0):
+            listener = HttpListener(self.handle)
+        port = free_port()
+        listener.listen(HOST, port)
+        self.addAsyncCleanup(listener.close)
+        sock = socket.create_connection((HOST, port))
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        await asyncio.sleep(0.05)
+        sock.send(REQUEST)
+        # The loop is late, so that the limit and the request come together.
+        time.sleep(1.0)
+        answer = await self.read_answer(sock)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'))
+
+    # Guards against connections that stay open after the listener's close.
+    async def test_close_ends_connections_that_were_just_accepted(
+        self,
+    ) -> None:
+        sock = socket.create_connection((HOST, self.port))
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        self.listener.stop_listening()
+        await self.listener.close()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.listener.open_connections, 0)
+
+    # Guards against logs that blame the caller for the instance's own close.
+    async def test_close_after_the_last_response_is_not_the_callers(
+        self,
+    ) -> None:
+        self.listener.disable_keep_alive()
+        reader, writer = await self.connect()
+        with self.assertLogs('jackdawfield', 'WARNING') as logs:
+            writer.write(REQUEST + REQUEST)
+            await self.read_all(reader)
+            await asyncio.sleep(0.05)
+        self.assertNotIn('closed_by=caller', logs.output[0])
+
     # Guards against memory that grows with each connection that has closed.
     async def test_closed_connections_are_forgotten(self) -> None:
         for _ in range(20):
