Explain a call that a planned stop ended by the stop

The command explained such a call by its last line: a stream that was cut off as answered with 200. The test saw 'answered with 200 after 900 ms' before, now the stop and what the call waited for.

--- a/jackdawfield/explain.py
+++ b/jackdawfield/explain.py
@@ -33,6 +33,8 @@
 CAUSES_BY_EVENT = {
     'caller_left': 'its caller left after {ms} ms, while it waited for the'
     ' {waiting_for}',
+    'call_ended_by_stop': 'a planned stop of its instance ended it, while it'
+    ' waited for the {waiting_for}',
     'call_timed_out': 'its deadline passed before it was answered, while it'
     ' waited for the {waiting_for}',
     'call_refused': 'refused with {status}, not run: {reason}',
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -46,6 +46,21 @@
         cause = explain_request('r2', self.texts).cause
         self.assertEqual(cause, 'refused with 429, not run: over the rate')
 
+    # Guards against a call that a planned stop cut off and that is explained
+    # as answered with 200.
+    def test_cause_of_a_call_that_a_stop_ended_is_the_stop(self) -> None:
+        start = 'at=2026-10-03T23:03:27.000Z instance=a '
+        cause = explain_request(
+            'r4',
+            (
+                start + 'event=call_ended_by_stop request=r4 '
+                'waiting_for=answer begun=True',
+                start + 'event=call_ended request=r4 status=200 ms=900',
+            ),
+        ).cause
+        self.assertIn('planned stop', cause)
+        self.assertIn('answer', cause)
+
     def test_cause_of_a_request_without_lines(self) -> None:
         self.assertIn('no line', explain_request('r3', self.texts).cause)
 
