Answer HEAD requests without a body

What callers saw: a refusal of a HEAD request closed its connection without an answer, since the library accepts no body there.

--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -81,8 +81,12 @@
     has ended once it was finished or aborted.
     """
 
-    def __init__(self, connection: HTTP1Connection) -> None:
+    def __init__(
+        self, connection: HTTP1Connection, has_body: bool = True
+    ) -> None:
         self._connection = connection
+        # Whether a response to the request's method has a body.
+        self._has_body = has_body
         assert isinstance(connection.stream, CallerStream)
         self._stream = connection.stream
         # The head that was set and is not yet written.
@@ -110,7 +114,7 @@
             headers['Retry-After'] = f'{retry_after_s:.3f}'
         self._head = _start_line(status), headers
         self.status = status
-        ignore_write_error(self._write(body))
+        ignore_write_error(self._write(body if self._has_body else b''))
         self.finish()
 
     def set_head(self, head: ResponseHead) -> None:
@@ -324,9 +328,9 @@
             # Nobody can receive the answer, and no close ends the handler.
             self._log_unanswered()
             return
-        reply = Reply(self._connection)
         line = self._request_line
         assert line is not None
+        reply = Reply(self._connection, has_body=line.method != 'HEAD')
         request = IncomingRequest(
             line.method,
             line.path,
