Promise no caller of HTTP/1.0 a connection that closes

At a planned stop a caller of HTTP/1.0 that asked to keep its connection was told that it is kept, and it closed.

--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -222,6 +222,9 @@
         assert isinstance(start_line, RequestStartLine)
         self._request_line = start_line
         self._raw_headers = list(headers.get_all())
+        if self._connection.params.no_keep_alive:
+            # Tornado would promise a caller of HTTP/1.0 to keep it open.
+            headers.pop('Connection', None)
         self._arrived_at_s = time.monotonic()
         self._listener.in_flight += 1
         self._is_in_flight = True
