Close connections that were accepted in the same turn

The listener's close left a connection open whose first exchange had not begun: the library starts to serve it in the next turn of the event loop.

--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -365,7 +365,8 @@
         self.max_body_bytes = DEFAULT_BODY_BYTES
         self._sockets: list[socket.socket] = []
         self._stop_accepting: list[Callable[[], None]] = []
-        # The present or next exchange of each open connection.
+        self._connections: set[HTTP1ServerConnection] = set()
+        # The present or next exchange of each connection that is served.
         self._exchanges_by_connection: dict[
             HTTP1ServerConnection, _Exchange
         ] = {}
@@ -389,7 +390,8 @@
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that has closed."""
         assert isinstance(server_conn, HTTP1ServerConnection)
-        del self._exchanges_by_connection[server_conn]
+        self._connections.discard(server_conn)
+        self._exchanges_by_connection.pop(server_conn, None)
 
     def listen(self, host: str, port: int) -> None:
         """Listen on an address."""
@@ -404,9 +406,10 @@
         self, connection: socket.socket, address: tuple[str, int]
     ) -> None:
         stream = CallerStream(connection)
-        HTTP1ServerConnection(stream, self._params, address).start_serving(
-            self
-        )
+        served = HTTP1ServerConnection(stream, self._params, address)
+        # Its first exchange begins in the next turn of the event loop.
+        self._connections.add(served)
+        served.start_serving(self)
 
     def _schedule_expiry(self) -> None:
         if self._expiry_timer is not None:
@@ -474,7 +477,7 @@
     @property
     def open_connections(self) -> int:
         """Return how many connections are open."""
-        return len(self._exchanges_by_connection)
+        return len(self._connections)
 
     @property
     def is_busy(self) -> bool:
@@ -496,7 +499,8 @@
         """Close every connection, also those with requests in flight."""
         if self._expiry_timer is not None:
             self._expiry_timer.cancel()
-        for exchange in self._exchanges_by_connection.values():
-            exchange.close(CloseReason.PROCESS_END)
-        for connection in list(self._exchanges_by_connection):
+        for connection in self._connections:
+            assert isinstance(connection.stream, CallerStream)
+            connection.stream.close_for(CloseReason.PROCESS_END)
+        for connection in list(self._connections):
             await connection.close()
