Log the instance's own close after its last response as such

The log named the caller as the one who closed a connection that the instance had closed after a response.

--- a/jackdawfield/gateway/http/caller_stream.py
+++ b/jackdawfield/gateway/http/caller_stream.py
@@ -11,6 +11,7 @@
     """Names what closed a caller's connection."""
 
     CALLER = 'caller'
+    LAST_RESPONSE = 'last response'
     IDLE_AT_STOP = 'idle at planned stop'
     IDLE_LIMIT = 'idle for too long'
     HEAD_TIMEOUT = 'request head incomplete'
--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -150,6 +150,9 @@
     def finish(self) -> None:
         """Complete the response."""
         self.has_ended = True
+        if self._connection.params.no_keep_alive:
+            # Tornado closes the connection once the response is written.
+            self._stream.close_reason = CloseReason.LAST_RESPONSE
         if self._head is not None:
             ignore_write_error(self._write(b''))
         try:
