Part the listener into connections, exchanges and replies

Exchanges share a small state with their listener instead of the listener itself. No change of behaviour.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -25,10 +25,10 @@
 from jackdawfield.gateway.fleet.seat_holder import SeatHolder
 from jackdawfield.gateway.fleet.table_sharing import SharedTables
 from jackdawfield.gateway.fleet.table_sharing import TableSharing
+from jackdawfield.gateway.http.caller_exchange import IncomingRequest
 from jackdawfield.gateway.http.listener import HttpListener
-from jackdawfield.gateway.http.listener import IncomingRequest
-from jackdawfield.gateway.http.listener import Reply
 from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.http.reply import Reply
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.model import GatewaySettings
@@ -329,7 +329,9 @@
         self.stream_calls.configuration = configuration
         self.slot_queue.configuration = configuration
         self.rate_owner.configure(configuration)
-        self.caller_listener.max_body_bytes = configuration.body_limit_bytes
+        self.caller_listener.state.max_body_bytes = (
+            configuration.body_limit_bytes
+        )
         log_event(LOG, 'configuration_applied', version=configuration.version)
 
     def _decode_servers(
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -9,9 +9,9 @@
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.calls import Stage
+from jackdawfield.gateway.http.caller_exchange import IncomingRequest
 from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.listener import IncomingRequest
-from jackdawfield.gateway.http.listener import Reply
+from jackdawfield.gateway.http.reply import Reply
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.model import FleetConfiguration
--- /dev/null
+++ b/jackdawfield/gateway/http/caller_exchange.py
@@ -0,0 +1,227 @@
+"""Receive one request of a caller and run its handler."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from dataclasses import dataclass
+import logging
+import time
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import RequestStartLine
+from tornado.httputil import ResponseStartLine
+
+from jackdawfield.gateway.http.caller_stream import CallerStream
+from jackdawfield.gateway.http.caller_stream import CloseReason
+from jackdawfield.gateway.http.reply import Reply
+from jackdawfield.logs import log_event
+
+LOG = logging.getLogger(__name__)
+# Limit of a body until the configuration sets one.
+DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+STATUS_TOO_LARGE = 413
+# A connection that waits longer for a request is closed. The limit is above
+# the configured one for idle connections.
+IDLE_LIMIT_S = 120.0
+# Limit from the first byte of a request until its head is complete.
+HEAD_TIMEOUT_S = 30.0
+
+
+class IncomingRequest:
+    """Holds a caller's request as received.
+
+    `arrived_at_s` is when its head arrived, by the monotonic clock.
+    """
+
+    __slots__ = ('arrived_at_s', 'body', 'method', 'raw_headers', 'target')
+
+    def __init__(
+        self,
+        method: str,
+        target: str,
+        raw_headers: list[tuple[str, str]],
+        body: bytes,
+        arrived_at_s: float,
+    ) -> None:
+        self.method = method
+        self.target = target
+        self.raw_headers = raw_headers
+        self.body = body
+        self.arrived_at_s = arrived_at_s
+
+
+Handler = Callable[[IncomingRequest, Reply], Awaitable[None]]
+
+
+@dataclass(slots=True)
+class ListenerState:
+    """Holds what the exchanges of one listener share."""
+
+    handler: Handler
+    max_body_bytes: int = DEFAULT_BODY_BYTES
+    in_flight: int = 0
+
+
+class Exchange(HTTPMessageDelegate):
+    """Receives one request and runs its handler."""
+
+    def __init__(
+        self, state: ListenerState, connection: HTTP1Connection
+    ) -> None:
+        self._state = state
+        self._connection = connection
+        assert isinstance(connection.stream, CallerStream)
+        self._stream = connection.stream
+        self._stream.begin_request()
+        self._pieces: list[bytes] = []
+        self._request_line: RequestStartLine | None = None
+        self._raw_headers: list[tuple[str, str]] = []
+        self._arrived_at_s = 0.0
+        self._body_bytes = 0
+        self._is_refused = False
+        self._is_in_flight = False
+        self._has_started = False
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> None:
+        """Store the request's head and count the request as in flight."""
+        assert isinstance(start_line, RequestStartLine)
+        self._request_line = start_line
+        self._raw_headers = list(headers.get_all())
+        if self._connection.params.no_keep_alive:
+            # Tornado would promise a caller of HTTP/1.0 to keep it open.
+            headers.pop('Connection', None)
+        self._arrived_at_s = time.monotonic()
+        self._state.in_flight += 1
+        self._is_in_flight = True
+        length = headers.get('Content-Length', '')
+        if length.isdecimal() and int(length) > self._state.max_body_bytes:
+            self._refuse_body()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Store a piece of the body, or refuse a body that is too large."""
+        if self._is_refused:
+            return
+        self._body_bytes += len(chunk)
+        if self._body_bytes > self._state.max_body_bytes:
+            self._refuse_body()
+            return
+        self._pieces.append(chunk)
+
+    def _refuse_body(self) -> None:
+        """Answer before the whole body was read, and close the connection."""
+        self._is_refused = True
+        self._pieces.clear()
+        Reply(self._connection).send(STATUS_TOO_LARGE, 'body too large')
+        self._end()
+        log_event(LOG, 'body_refused', logging.WARNING, read=self._body_bytes)
+
+    def _end(self) -> None:
+        """Count the request as no longer in flight, once."""
+        if self._is_in_flight:
+            self._is_in_flight = False
+            self._state.in_flight -= 1
+
+    def finish(self) -> None:
+        """Start the handler; Tornado calls this once a request is complete."""
+        if self._is_refused:
+            return
+        # Tornado turns TCP_NODELAY off after each response.
+        self._connection.stream.set_nodelay(True)
+        self._task = asyncio.create_task(self._run())
+        self._task.add_done_callback(lambda _: self._end())
+        self._connection.set_close_callback(self.cancel_handler)
+
+    def on_connection_close(self) -> None:
+        """Handle a connection that closed before its request was complete.
+
+        Without a handler's task, a request in flight ends here. A connection
+        that closes later cancels the task, which then ends the request.
+        """
+        if self._task is None:
+            self._end()
+
+    def _log_unanswered(self) -> None:
+        """Log a whole request whose connection closed before its answer."""
+        now_s = time.monotonic()
+        first_read_at_s = self._stream.first_read_at_s or now_s
+        line = self._request_line
+        log_event(
+            LOG,
+            'request_on_closed_connection',
+            logging.WARNING,
+            target=line.path if line else '',
+            closed_by=self._stream.close_reason.value,
+            first_read_ms=round((now_s - first_read_at_s) * 1000),
+            head_parsed_ms=round((now_s - self._arrived_at_s) * 1000),
+        )
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing of the request has arrived."""
+        return self._stream.awaits_request
+
+    def close_expired(self, now_s: float) -> None:
+        """Close a connection that waits too long for a request's head."""
+        stream = self._stream
+        first_read_at_s = stream.first_read_at_s
+        if self._request_line is not None:
+            return
+        if first_read_at_s is not None:
+            if now_s - first_read_at_s > HEAD_TIMEOUT_S and stream.reading():
+                self.close(CloseReason.HEAD_TIMEOUT)
+        elif now_s - stream.idle_since_s > IDLE_LIMIT_S and self.is_idle:
+            self.close(CloseReason.IDLE_LIMIT)
+
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection is open."""
+        return not self._stream.closed()
+
+    def close(self, reason: CloseReason) -> None:
+        """Close an idle connection."""
+        self._stream.close_for(reason)
+
+    def cancel_handler(self) -> None:
+        """Cancel the handler of a request in flight.
+
+        A task that is cancelled before its first step could not respond.
+        """
+        if self._task is not None and self._has_started:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        self._has_started = True
+        if self._stream.closed():
+            # Nobody can receive the answer, and no close ends the handler.
+            self._log_unanswered()
+            return
+        line = self._request_line
+        assert line is not None
+        reply = Reply(self._connection, has_body=line.method != 'HEAD')
+        request = IncomingRequest(
+            line.method,
+            line.path,
+            self._raw_headers,
+            b''.join(self._pieces),
+            self._arrived_at_s,
+        )
+        try:
+            await self._state.handler(request, reply)
+        except asyncio.CancelledError:
+            reply.abort()
+        except Exception:
+            LOG.exception('event=handler_failed')
+            if reply.has_written:
+                reply.abort()
+            else:
+                reply.send(500, 'internal error')
+        finally:
+            if not reply.has_ended:
+                reply.abort()
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -14,7 +14,7 @@
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.daemon import Gateway
 from jackdawfield.gateway.http.connection import Connection
-from jackdawfield.gateway.http.listener import Reply
+from jackdawfield.gateway.http.reply import Reply
 from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
 from jackdawfield.gateway.programs.accounts import Verdict
--- a/tests/gateway/http/test_listener.py
+++ b/tests/gateway/http/test_listener.py
@@ -6,11 +6,12 @@
 import unittest
 from unittest.mock import patch
 
+from jackdawfield.gateway.http.caller_exchange import Exchange
+from jackdawfield.gateway.http.caller_exchange import IncomingRequest
 from jackdawfield.gateway.http.caller_stream import CloseReason
 from jackdawfield.gateway.http.listener import HttpListener
-from jackdawfield.gateway.http.listener import IncomingRequest
 from jackdawfield.gateway.http.listener import MAX_HEADER_BYTES
-from jackdawfield.gateway.http.listener import Reply
+from jackdawfield.gateway.http.reply import Reply
 from tests.gateway.harness import free_port
 from tests.gateway.harness import HOST
 
@@ -25,7 +26,7 @@
     async def asyncSetUp(self) -> None:
         self.bodies: list[bytes] = []
         self.listener = HttpListener(self.handle)
-        self.listener.max_body_bytes = LIMIT_BYTES
+        self.listener.state.max_body_bytes = LIMIT_BYTES
         self.port = free_port()
         self.listener.listen(HOST, self.port)
         self.addAsyncCleanup(self.listener.close)
@@ -118,13 +119,13 @@
 
         for turns in range(MAX_TURNS):
             sock = await self.kept_connection()
-            self.listener.handler = handle
+            self.listener.state.handler = handle
             sock.send(REQUEST)
             for _ in range(turns):
                 await asyncio.sleep(0)
             await self.listener.close()
             await asyncio.sleep(0.01)
-            self.listener.handler = self.handle
+            self.listener.state.handler = self.handle
         self.assertEqual(set(closed_by), {None})
         self.assertEqual(self.listener.in_flight, 0)
 
@@ -133,10 +134,9 @@
     async def test_request_that_arrived_before_the_idle_limit_is_answered(
         self,
     ) -> None:
-        module = 'jackdawfield.gateway.http.listener'
         with (
-            patch(f'{module}.IDLE_LIMIT_S', 0.1),
-            patch(f'{module}.EXPIRY_INTERVAL_S', 0.05),
+            patch(f'{Exchange.__module__}.IDLE_LIMIT_S', 0.1),
+            patch(f'{HttpListener.__module__}.EXPIRY_INTERVAL_S', 0.05),
         ):
             self.listener.stop_listening()
             self.listener = HttpListener(self.handle)
@@ -153,10 +153,9 @@
     async def test_head_that_stays_incomplete_ends_the_connection(
         self,
     ) -> None:
-        module = 'jackdawfield.gateway.http.listener'
         with (
-            patch(f'{module}.HEAD_TIMEOUT_S', 0.1),
-            patch(f'{module}.EXPIRY_INTERVAL_S', 0.05),
+            patch(f'{Exchange.__module__}.HEAD_TIMEOUT_S', 0.1),
+            patch(f'{HttpListener.__module__}.EXPIRY_INTERVAL_S', 0.05),
         ):
             self.listener.stop_listening()
             self.listener.listen(HOST, self.port)
@@ -215,7 +214,7 @@
             await may_answer.wait()
             reply.send(200, 'done')
 
-        self.listener.handler = handle
+        self.listener.state.handler = handle
         sock = socket.create_connection((HOST, self.port))
         self.addCleanup(sock.close)
         sock.sendall(REQUEST)
@@ -256,8 +255,11 @@
     async def test_request_that_arrives_at_the_idle_limit_is_answered(
         self,
     ) -> None:
-        with patch(f'{HttpListener.__module__}.IDLE_LIMIT_S', 1.0):
-            listener = HttpListener(self.handle)
+        limit = patch(f'{Exchange.__module__}.IDLE_LIMIT_S', 1.0)
+        interval = patch(f'{HttpListener.__module__}.EXPIRY_INTERVAL_S', 0.1)
+        self.enterContext(limit)
+        self.enterContext(interval)
+        listener = HttpListener(self.handle)
         port = free_port()
         listener.listen(HOST, port)
         self.addAsyncCleanup(listener.close)
