Pass over a pooled connection whose close or late bytes have arrived

Callers saw 502 "may have run" for an unsafe request that was sent on a kept connection which its server had closed already, and a call of the store could take the late second answer of an earlier call for its own.

Cause: the pool asked the protocol whether the connection was usable. What has arrived in the socket is told to the protocol in the next turn of the event loop, so that a request is sent in between.

Change: before an idle connection is handed out, its socket is polled once, without waiting; with anything to read in it, the connection is closed and the next one is taken. Nothing runs between this and the send.

Remains: a close that is still on its way when the request is sent can't be seen; such a request may have run, and the caller is told so.

--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -7,6 +7,8 @@
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
+from select import poll
+from select import POLLIN
 import socket
 import time
 from typing import cast
@@ -245,6 +247,21 @@
             and not transport.is_closing()
         )
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Return whether bytes or a close wait in the socket, unread.
+
+        An idle connection with either can't carry another request. The event
+        loop reports them in its next turn only.
+        """
+        transport = self._transport
+        sock = transport.get_extra_info('socket') if transport else None
+        if sock is None or sock.fileno() < 0:
+            return False
+        poller = poll()
+        poller.register(sock.fileno(), POLLIN)
+        return bool(poller.poll(0))
+
     def send(self, request: OutgoingRequest) -> Result[None, ExchangeError]:
         """Write a request; on an error none of it was sent."""
         if not self.is_usable or self._transport is None:
--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -30,9 +30,12 @@
         idle = self._idle_by_address.get((host, port), [])
         while idle:
             connection = idle.pop()
-            if connection.is_usable and connection.idle_until_s > now_s:
+            if not can_be_reused(connection, now_s):
+                connection.abort('idle for too long')
+            elif connection.has_unread_input:
+                connection.abort('closed by the server, or late bytes')
+            else:
                 return Ok(connection)
-            connection.abort('idle for too long')
         return await self.open(host, port, timeout_s)
 
     async def open(
@@ -66,7 +69,7 @@
         for address, idle in list(self._idle_by_address.items()):
             usable = []
             for connection in idle:
-                if connection.is_usable and connection.idle_until_s > now_s:
+                if can_be_reused(connection, now_s):
                     usable.append(connection)
                 else:
                     connection.abort('idle for too long')
@@ -87,3 +90,8 @@
         self._idle_by_address.clear()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
+
+
+def can_be_reused(connection: Connection, now_s: float) -> bool:
+    """Return whether an idle connection is open and not idle for too long."""
+    return connection.is_usable and connection.idle_until_s > now_s
