Keep a link to a peer open while frames arrive on it

Callers could see a forwarded answer break off (home_lost) and instances a lost answer of the store, though the peer was sound.

Cause: the link to a peer was closed as silent after three timeouts of requests in a row; only answers to requests counted against that, not the items of streams nor late answers. One handler that is slow at the peer, such as one that waits for the store, closed the link under all other exchanges, and these ended as lost.

Change: a link counts the timeouts since its last frame, of any exchange. The count goes with the link, so that timeouts of an old link no longer count against the one that replaced it.

Evidence: the test failed with (lost, stream closed) for the fourth item and passes; a link that carries nothing is still reopened after three timeouts (test_silent_link_is_reopened, unchanged).

--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -138,6 +138,8 @@
         self._outgoing: asyncio.Queue[bytes] = asyncio.Queue()
         self._read_task: asyncio.Task[None] | None = None
         self.is_broken = False
+        # Requests that have timed out since the last frame arrived.
+        self.timeouts_in_silence = 0
 
     def start(self) -> None:
         """Open the stream in the background."""
@@ -153,6 +155,7 @@
         reason = 'stream closed'
         try:
             async for data in call:
+                self.timeouts_in_silence = 0
                 frame = decode_frame(data)
                 queue = self._queues_by_exchange.get(frame.exchange)
                 if queue is not None:
@@ -333,7 +336,6 @@
     ) -> None:
         self._credentials = credentials
         self._links_by_address: dict[str, Link] = {}
-        self._timeout_counts_by_address: dict[str, int] = {}
 
     def _link(self, address: str) -> Link:
         link = self._links_by_address.get(address)
@@ -360,26 +362,33 @@
 
         A timeout counts as LOST, since the peer may have the message.
         """
+        link = self._link(address)
         try:
             async with asyncio.timeout(timeout_s):
-                async for answer in self.stream(address, message):
-                    self._timeout_counts_by_address.pop(address, None)
+                async for answer in link.exchange(message):
                     return answer
         except TimeoutError:
-            await self._record_timeout(address)
+            await self._record_timeout(link)
             return Err(PeerError(PeerFault.LOST, 'timeout'))
         return Err(PeerError(PeerFault.FAILED, 'no answer'))
 
-    async def _record_timeout(self, address: str) -> None:
-        """Close a link after repeated timeouts; the next use reopens it."""
-        timeout_count = self._timeout_counts_by_address.get(address, 0) + 1
-        self._timeout_counts_by_address[address] = timeout_count
-        link = self._links_by_address.get(address)
-        if timeout_count < TIMEOUTS_TO_REOPEN or link is None:
+    async def _record_timeout(self, link: Link) -> None:
+        """Close a link after repeated timeouts; the next use reopens it.
+
+        A link on which frames arrive stays, since other exchanges use it.
+        """
+        link.timeouts_in_silence += 1
+        if link.timeouts_in_silence < TIMEOUTS_TO_REOPEN:
             return
-        del self._links_by_address[address]
-        del self._timeout_counts_by_address[address]
-        log_event(LOG, 'link_silent', peer=address, timeouts=timeout_count)
+        if self._links_by_address.get(link.address) is not link:
+            return
+        del self._links_by_address[link.address]
+        log_event(
+            LOG,
+            'link_silent',
+            peer=link.address,
+            timeouts=link.timeouts_in_silence,
+        )
         await link.close()
 
     async def close(self) -> None:
