--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,7 +6,10 @@
 
 from result import Err
 from result import Ok
+from result import Result
 
+from jackdawfield.drivers.peers import PeerError
+from jackdawfield.drivers.peers import PeerFault
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.drivers.peers import TIMEOUTS_TO_REOPEN
@@ -20,6 +23,8 @@
 from tests.gateway.harness import HOST
 
 ASK = AskFallback(OrganisationId('o'), 1)
+PONG = Pong('incarnation', 1, RolesDigest(b''))
+LONG_GRACE_S = 60.0
 
 
 class SilencingProxy:
@@ -61,7 +66,7 @@
 class PeerLinksTest(unittest.IsolatedAsyncioTestCase):
     async def test_silent_link_is_reopened(self) -> None:
         async def answer(_: Ping) -> Pong:
-            return Pong('incarnation', 1, RolesDigest(b''))
+            return PONG
 
         server = PeerServer()
         server.handle(Ping, answer)
@@ -122,3 +127,86 @@
             answers,
             [Ok(FallbackGranted(n)) for n in range(TIMEOUTS_TO_REOPEN + 1)],
         )
+
+
+class PeerServerStopTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.taken: list[Ping] = []
+        self.may_answer = asyncio.Event()
+        self.address = f'{HOST}:{free_port()}'
+        self.server = await self.start_server()
+        self.links = PeerLinks()
+        self.addAsyncCleanup(self.links.close)
+
+    async def start_server(self) -> PeerServer:
+        server = PeerServer()
+        server.handle(Ping, self.answer)
+        await server.start(self.address, None)
+        self.addAsyncCleanup(server.stop, 0)
+        return server
+
+    async def answer(self, ping: Ping) -> Pong:
+        self.taken.append(ping)
+        await self.may_answer.wait()
+        return PONG
+
+    def ask(self) -> asyncio.Task[Result[Pong, PeerError]]:
+        request = self.links.request(self.address, Ping(), 5.0)
+        return asyncio.create_task(request)
+
+    async def take(self) -> asyncio.Task[Result[Pong, PeerError]]:
+        """Ask and return once the server has begun to answer."""
+        asked = self.ask()
+        async with asyncio.timeout(5.0):
+            while not self.taken:
+                await asyncio.sleep(0.01)
+        return asked
+
+    # Guards against requests of other instances whose answers are lost at a
+    # planned stop.
+    async def test_what_was_taken_is_answered_and_then_the_stop_ends(
+        self,
+    ) -> None:
+        asked = await self.take()
+        stopping = asyncio.create_task(self.server.stop(LONG_GRACE_S))
+        await asyncio.sleep(0)
+        self.may_answer.set()
+        self.assertEqual(await asked, Ok(PONG))
+        async with asyncio.timeout(5.0):
+            await stopping
+
+    # Guards against requests that are taken during a planned stop and cut.
+    async def test_what_comes_during_a_stop_is_refused_as_not_sent(
+        self,
+    ) -> None:
+        asked = await self.take()
+        stopping = asyncio.create_task(self.server.stop(LONG_GRACE_S))
+        await asyncio.sleep(0)
+        result = await self.ask()
+        assert isinstance(result, Err)
+        self.assertIs(result.err_value.fault, PeerFault.NOT_SENT)
+        self.assertEqual(len(self.taken), 1)
+        self.may_answer.set()
+        self.assertEqual(await asked, Ok(PONG))
+        async with asyncio.timeout(5.0):
+            await stopping
+
+    async def test_link_is_used_again_once_the_peer_is_back(self) -> None:
+        self.may_answer.set()
+        self.assertEqual(await self.ask(), Ok(PONG))
+        async with asyncio.timeout(5.0):
+            await self.server.stop(LONG_GRACE_S)
+        await self.start_server()
+        async with asyncio.timeout(5.0):
+            while await self.ask() != Ok(PONG):
+                await asyncio.sleep(0.05)
+        self.assertEqual(len(self.taken), 2)
+
+    async def test_stop_cuts_what_is_not_answered_within_the_grace(
+        self,
+    ) -> None:
+        asked = await self.take()
+        await self.server.stop(0.1)
+        result = await asked
+        assert isinstance(result, Err)
+        self.assertIs(result.err_value.fault, PeerFault.LOST)
