Answer what peers sent before a stop, and refuse the rest as not sent

Instances that asked a stopping one saw their requests end as lost, though they had not been taken; a write that it relayed to the store, or a forwarded call, could lose its answer. Callers could see 502 "may have run" for a call that no instance had taken.

Cause: a stop of the server for peers waited for links that never end, went on taking what arrived on them, and then aborted each link with all of its exchanges.

Change: a stop tells each peer the last exchange that was taken. Later ones end there as not sent, at once and without a round trip, and what still arrives is refused. Taken exchanges are answered within the grace; then each link is ended after its last frame, so that a stop takes no longer than its exchanges. Older peers ignore the announcement and see the refusal as a failure.

--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -14,6 +14,7 @@
 from functools import partial
 import itertools
 import logging
+import time
 from typing import Any
 
 import grpc
@@ -35,6 +36,12 @@
 # An open connection can stop carrying data while new ones work.
 TIMEOUTS_TO_REOPEN = 3
 MAX_FRAME_BYTES = 64 * 1024 * 1024
+# Exchange number of a frame about the link itself. Its body is the number of
+# the last exchange that the peer has taken before it stops.
+STOPPING_EXCHANGE = 0
+# Name of a failed frame for an exchange that the peer has not taken.
+NOT_TAKEN = 'not taken'
+STOP_CHECK_S = 0.01
 GRPC_OPTIONS = [
     ('grpc.enable_retries', 0),
     ('grpc.max_receive_message_length', MAX_FRAME_BYTES),
@@ -68,7 +75,7 @@
     """Holds one message of one exchange.
 
     The name is that of the message class; with FAILED, the body is the reason
-    as text.
+    as text, and the name may be NOT_TAKEN.
     """
 
     exchange: int
@@ -111,6 +118,11 @@
     return msgspec.msgpack.decode(data, type=Frame)
 
 
+def not_taken_frame(exchange: int) -> Frame:
+    """Return the frame that ends an exchange that the peer has not taken."""
+    return Frame(exchange, FrameKind.FAILED, NOT_TAKEN, b'peer is stopping')
+
+
 def remove_task(
     tasks: dict[int, asyncio.Task[None]],
     exchange: int,
@@ -135,9 +147,11 @@
             )
         self._exchange_numbers = itertools.count(1)
         self._queues_by_exchange: dict[int, asyncio.Queue[Frame]] = {}
-        self._outgoing: asyncio.Queue[bytes] = asyncio.Queue()
+        # None ends the stream.
+        self._outgoing: asyncio.Queue[bytes | None] = asyncio.Queue()
         self._read_task: asyncio.Task[None] | None = None
         self.is_broken = False
+        self.is_peer_stopping = False
         # Requests that have timed out since the last frame arrived.
         self.timeouts_in_silence = 0
 
@@ -146,8 +160,8 @@
         self._read_task = asyncio.create_task(self._read())
 
     async def _send(self) -> AsyncIterator[bytes]:
-        while True:
-            yield await self._outgoing.get()
+        while (data := await self._outgoing.get()) is not None:
+            yield data
 
     async def _read(self) -> None:
         method: Any = self._channel.stream_stream(PATH)
@@ -156,26 +170,49 @@
         try:
             async for data in call:
                 self.timeouts_in_silence = 0
-                frame = decode_frame(data)
-                queue = self._queues_by_exchange.get(frame.exchange)
-                if queue is not None:
-                    queue.put_nowait(frame)
+                self._receive(decode_frame(data))
         except grpc.aio.AioRpcError as error:
             reason = f'{error.code().name}: {error.details()}'
         finally:
             self.is_broken = True
+            self._outgoing.put_nowait(None)
             for number, queue in self._queues_by_exchange.items():
                 failed_frame = Frame(
                     number, FrameKind.FAILED, '', reason.encode()
                 )
                 queue.put_nowait(failed_frame)
 
+    def _receive(self, frame: Frame) -> None:
+        if frame.exchange == STOPPING_EXCHANGE:
+            self._end_not_taken(int(frame.body))
+            return
+        queue = self._queues_by_exchange.get(frame.exchange)
+        if queue is not None:
+            queue.put_nowait(frame)
+
+    def _end_not_taken(self, last_taken: int) -> None:
+        """End the exchanges that a stopping peer has not taken."""
+        self.is_peer_stopping = True
+        for number, queue in self._queues_by_exchange.items():
+            if number > last_taken:
+                queue.put_nowait(not_taken_frame(number))
+
+    def _unusable_reason(self) -> str | None:
+        """Return why no exchange can begin, None if one can."""
+        if self.is_broken:
+            return 'broken'
+        if self.is_peer_stopping:
+            return 'peer is stopping'
+        if len(self._queues_by_exchange) >= MAX_IN_FLIGHT:
+            return 'too many in flight'
+        return None
+
     async def exchange(
         self, message: object
     ) -> AsyncIterator[Result[Any, PeerError]]:
         """Send a message and yield the peer's answers; an error ends them."""
-        if self.is_broken or len(self._queues_by_exchange) >= MAX_IN_FLIGHT:
-            reason = 'broken' if self.is_broken else 'too many in flight'
+        reason = self._unusable_reason()
+        if reason is not None:
             yield Err(PeerError(PeerFault.NOT_SENT, reason))
             return
         number = next(self._exchange_numbers)
@@ -206,12 +243,16 @@
                     )
                 ]
             case FrameKind.FAILED:
-                fault = PeerFault.LOST if self.is_broken else PeerFault.FAILED
                 reason = frame.body.decode(errors='replace')
-                return [Err(PeerError(fault, reason))]
+                return [Err(PeerError(self._fault(frame), reason))]
             case _:
                 return []
 
+    def _fault(self, failed_frame: Frame) -> PeerFault:
+        if failed_frame.name == NOT_TAKEN:
+            return PeerFault.NOT_SENT
+        return PeerFault.LOST if self.is_broken else PeerFault.FAILED
+
     async def close(self) -> None:
         """Close the stream and its channel."""
         if self._read_task is not None:
@@ -219,12 +260,50 @@
         await self._channel.close()
 
 
+class ServedLink:
+    """Holds a peer's stream to this instance and its exchanges."""
+
+    def __init__(self) -> None:
+        self.last_taken = STOPPING_EXCHANGE
+        self.tasks_by_exchange: dict[int, asyncio.Task[None]] = {}
+        # None ends the stream.
+        self.outgoing: asyncio.Queue[bytes | None] = asyncio.Queue()
+
+    def send(self, frame: Frame) -> None:
+        """Send a frame to the peer."""
+        self.outgoing.put_nowait(encode_frame(frame))
+
+    def announce_stop(self) -> None:
+        """Tell the peer which exchanges were taken, and that none will be."""
+        body = str(self.last_taken).encode()
+        self.send(Frame(STOPPING_EXCHANGE, FrameKind.END, '', body))
+
+    def take(self, exchange: int, task: asyncio.Task[None]) -> None:
+        """Hold the task that answers an exchange until it has ended."""
+        self.last_taken = exchange
+        self.tasks_by_exchange[exchange] = task
+        remove = partial(remove_task, self.tasks_by_exchange, exchange)
+        task.add_done_callback(remove)
+
+    def cancel(self, exchange: int) -> None:
+        """Cancel an exchange that its requester has given up."""
+        task = self.tasks_by_exchange.pop(exchange, None)
+        if task is not None:
+            task.cancel()
+
+    def end(self) -> None:
+        """End the stream after what was sent."""
+        self.outgoing.put_nowait(None)
+
+
 class PeerServer:
     """Serves exchanges with the handlers of their message classes."""
 
     def __init__(self) -> None:
         self._handlers_by_name: dict[str, Handler] = {}
         self._server: grpc.aio.Server | None = None
+        self._links: set[ServedLink] = set()
+        self._is_stopping = False
         self.open_exchange_count = 0
 
     def handle_stream(self, cls: type, handler: Handler) -> None:
@@ -256,62 +335,70 @@
         await self._server.start()
 
     async def stop(self, grace_s: float) -> None:
-        """Stop when all streams have ended, at the latest after the grace."""
-        if self._server is not None:
-            await self._server.stop(grace_s)
+        """Take no more exchanges, answer those taken, and stop.
+
+        What is not answered within the grace in seconds is cut.
+        """
+        if self._server is None:
+            return
+        deadline_s = time.monotonic() + grace_s
+        self._is_stopping = True
+        for link in self._links:
+            link.announce_stop()
+        while self.open_exchange_count and time.monotonic() < deadline_s:
+            await asyncio.sleep(STOP_CHECK_S)
+        for link in self._links:
+            link.end()
+        await self._server.stop(max(0.0, deadline_s - time.monotonic()))
 
     async def _serve_stream(
         self, frames: AsyncIterator[bytes], context: Any
     ) -> AsyncIterator[bytes]:
-        outgoing: asyncio.Queue[bytes | None] = asyncio.Queue()
-        tasks: dict[int, asyncio.Task[None]] = {}
-
-        async def receive() -> None:
-            async for data in frames:
-                frame = decode_frame(data)
-                if frame.kind is FrameKind.CANCEL:
-                    task = tasks.pop(frame.exchange, None)
-                    if task is not None:
-                        task.cancel()
-                    continue
-                answer = self._answer(frame, outgoing)
-                task = asyncio.create_task(answer)
-                tasks[frame.exchange] = task
-                remove = partial(remove_task, tasks, frame.exchange)
-                task.add_done_callback(remove)
-            outgoing.put_nowait(None)
-
-        receiver = asyncio.create_task(receive())
+        link = ServedLink()
+        self._links.add(link)
+        if self._is_stopping:
+            link.announce_stop()
+        receiver = asyncio.create_task(self._receive(frames, link))
         try:
-            while (data := await outgoing.get()) is not None:
+            while (data := await link.outgoing.get()) is not None:
                 yield data
         except asyncio.CancelledError:
             # The peer has closed the stream; this is no error.
             return
         finally:
+            self._links.discard(link)
             receiver.cancel()
-            for task in list(tasks.values()):
+            for task in list(link.tasks_by_exchange.values()):
                 task.cancel()
 
-    async def _answer(
-        self, frame: Frame, outgoing: asyncio.Queue[bytes | None]
+    async def _receive(
+        self, frames: AsyncIterator[bytes], link: ServedLink
     ) -> None:
+        async for data in frames:
+            frame = decode_frame(data)
+            if frame.kind is FrameKind.CANCEL:
+                link.cancel(frame.exchange)
+            elif self._is_stopping:
+                link.send(not_taken_frame(frame.exchange))
+            else:
+                answer = self._answer(frame, link)
+                link.take(frame.exchange, asyncio.create_task(answer))
+        link.end()
+
+    async def _answer(self, frame: Frame, link: ServedLink) -> None:
         self.open_exchange_count += 1
         try:
-            end_frame = await self._run(frame, outgoing)
+            link.send(await self._run(frame, link))
         except Exception as error:
             LOG.exception('event=handler_failed message=%s', frame.name)
             reason = f'{frame.name}: {type(error).__name__}'
-            end_frame = Frame(
-                frame.exchange, FrameKind.FAILED, '', reason.encode()
+            link.send(
+                Frame(frame.exchange, FrameKind.FAILED, '', reason.encode())
             )
         finally:
             self.open_exchange_count -= 1
-        outgoing.put_nowait(encode_frame(end_frame))
 
-    async def _run(
-        self, frame: Frame, outgoing: asyncio.Queue[bytes | None]
-    ) -> Frame:
+    async def _run(self, frame: Frame, link: ServedLink) -> Frame:
         handler = self._handlers_by_name.get(frame.name)
         if handler is None:
             reason = f'no handler for {frame.name}'.encode()
@@ -323,8 +410,9 @@
             case Ok(message):
                 async for answer in handler(message):
                     name, body = encode(answer)
-                    item = Frame(frame.exchange, FrameKind.ITEM, name, body)
-                    outgoing.put_nowait(encode_frame(item))
+                    link.send(
+                        Frame(frame.exchange, FrameKind.ITEM, name, body)
+                    )
         return Frame(frame.exchange, FrameKind.END)
 
 
