Show that a stop of the daemon cuts requests that it is reading

The daemon counts a request from its last byte on, and keeps connections open through a planned stop until the process ends.

--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -2,17 +2,24 @@
 
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
+from http.client import HTTPConnection
+import json
 import signal
+import time
 import unittest
 
 from tests.fleet import BOOKING
 from tests.fleet import configuration
+from tests.fleet import DaemonProcess
 from tests.fleet import Fleet
 from tests.fleet import http
 from tests.fleet import Program
 from tests.fleet import QUOTE
 from tests.fleet import wait_for
 
+# An instance without anything to do has ended by then.
+STOP_WAIT_S = 1.0
+
 
 class PathTest(unittest.TestCase):
     fleet: Fleet
@@ -116,6 +123,72 @@
 
 
 class StopTest(unittest.TestCase):
+    def connect(self, daemon: DaemonProcess) -> HTTPConnection:
+        """Return a connection to the callers' interface, kept open."""
+        address = daemon.caller_url.removeprefix('http://')
+        connection = HTTPConnection(address, timeout=20.0)
+        self.addCleanup(connection.close)
+        return connection
+
+    def stop(self, daemon: DaemonProcess) -> None:
+        """Begin a planned stop."""
+        daemon.signal(signal.SIGTERM)
+        wait_for(lambda: 'event=draining' in daemon.log_text())
+
+    # Guards against requests that are cut, as they count from their last
+    # byte on.
+    def test_sigterm_answers_a_request_whose_body_is_arriving(self) -> None:
+        fleet = Fleet(daemons_per_domain=1)
+        self.addCleanup(fleet.close)
+        daemon = fleet.first_daemon()
+        program = Program(daemon)
+        body = json.dumps({'pickup': 7}).encode()
+        connection = self.connect(daemon)
+        connection.putrequest('POST', f'/v1/services/{BOOKING}')
+        headers = {
+            **program.headers,
+            'X-Jackdawfield-Program': program.program_id,
+            'X-Jackdawfield-Call': '1',
+            'Content-Length': str(len(body)),
+        }
+        for name, value in headers.items():
+            connection.putheader(name, value)
+        connection.endheaders(body[:4])
+        # The head is read before the signal is.
+        time.sleep(0.2)
+        self.stop(daemon)
+        time.sleep(STOP_WAIT_S)
+        connection.send(body[4:])
+        answer = connection.getresponse()
+        self.assertEqual(200, answer.status, answer.read())
+        process = daemon.process
+        assert process is not None
+        self.assertEqual(0, process.wait())
+
+    # Guards against requests on kept connections, which are cut when the
+    # process ends.
+    def test_answers_during_a_stop_end_their_connections(self) -> None:
+        fleet = Fleet(daemons_per_domain=1, engine_state={'step_s': 0.02})
+        self.addCleanup(fleet.close)
+        daemon = fleet.first_daemon()
+        program = Program(daemon)
+        kept = self.connect(daemon)
+        kept.request('POST', '/v1/services/none')
+        kept.getresponse().read()
+        with ThreadPoolExecutor(1) as pool:
+            streamed = pool.submit(
+                program.chat, daemon, stream=True, max_tokens=60
+            )
+            engine = fleet.engines[0]
+            wait_for(lambda: engine.get('/seen')['requests'])
+            self.stop(daemon)
+            kept.request('POST', '/v1/services/none')
+            answer = kept.getresponse()
+            self.assertEqual(404, answer.status)
+            self.assertEqual('close', answer.headers['Connection'])
+            text = streamed.result().text
+        self.assertTrue(text.endswith('data: [DONE]\n\n'), text[-200:])
+
     def test_sigterm_breaks_no_stream_in_progress(self) -> None:
         fleet = Fleet(daemons_per_domain=2, engine_state={'step_s': 0.02})
         self.addCleanup(fleet.close)
