Answer each request that the daemon has received before it stops

Callers saw their connection closed without an answer when a planned stop of the daemon (jackdawfield.daemon) met their request: one whose body was still arriving, one that waited in a connection that the kernel had established and the daemon had not accepted, or one on a kept connection between the end of the drain and the end of the process. A request that is in the daemon then may have run.

Cause: the drain counted requests from their last byte on, closed the listening socket under what waited there, and left kept connections open until the process ended.

Change: from the signal on each answer ends its connection. Once the drain is over, what is established is accepted, and connections are closed only if they are idle: no head was parsed, none is on its way to the parser (the stream has a read in progress), and none lies in the socket. The daemon goes on when no connection is left, at the latest after drain_s as before.

Remains: an instance with nothing to do stops listening at once, before a load balancer has let go of it; callers are then refused a connection.

--- a/jackdawfield/daemon.py
+++ b/jackdawfield/daemon.py
@@ -12,7 +12,6 @@
 import grpc
 from result import Err
 from result import Ok
-import tornado.httpserver
 import tornado.web
 
 from jackdawfield.drivers.admin import admin_application
@@ -29,6 +28,7 @@
 from jackdawfield.drivers.homes import HomesDriver
 from jackdawfield.drivers.http import HttpClient
 from jackdawfield.drivers.lease_view import ManagedLeaseView
+from jackdawfield.drivers.listening import DrainableServer
 from jackdawfield.drivers.operators import operator_routes
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
@@ -57,6 +57,8 @@
 # The header with sealed tails can exceed the default limit of 64 KiB.
 MAX_HEADER_BYTES = 1 << 20
 DRAIN_CHECK_S = 0.05
+# Time for a request to arrive on a connection that was just accepted.
+LAST_REQUEST_S = 0.1
 
 
 class Daemon:
@@ -72,7 +74,7 @@
         self._build_pools()
         self._build_programs()
         self._build_interfaces()
-        self._servers: list[tornado.httpserver.HTTPServer] = []
+        self._servers: list[DrainableServer] = []
 
     def _build_fleet_state(self) -> None:
         """Build the components for leases, configuration and rates."""
@@ -185,13 +187,13 @@
         tls: TlsSettings | None,
     ) -> None:
         host, port = split_address(address)
-        server = tornado.httpserver.HTTPServer(
+        server = DrainableServer(
             application,
             ssl_options=ssl_context(tls),
             max_body_size=self.settings.limits.body_bytes,
             max_header_size=MAX_HEADER_BYTES,
         )
-        server.listen(port, host)
+        server.listen_at(host, port)
         self._servers.append(server)
 
     async def stop(self) -> bool:
@@ -199,11 +201,13 @@
 
         The drain lasts at most `drain_s` of the settings.
         """
+        deadline_s = time.monotonic() + self.settings.limits.drain_s
         self.admin.draining = True
-        log_event(LOG, 'draining')
-        is_drained = await self._wait_until_idle()
         for server in self._servers:
-            server.stop()
+            server.disable_keep_alive()
+        log_event(LOG, 'draining')
+        await self._wait_until_idle(deadline_s)
+        is_drained = await self._end_connections(deadline_s)
         self.pools.stop()
         await self.rates.stop()
         await self.homes.stop(self.settings.platform.timeout_s)
@@ -216,13 +220,29 @@
         log_event(LOG, 'stopped', whole=is_drained)
         return is_drained
 
-    async def _wait_until_idle(self) -> bool:
-        deadline_s = time.monotonic() + self.settings.limits.drain_s
-        while time.monotonic() < deadline_s:
-            if not self._is_busy():
+    async def _wait_until_idle(self, deadline_s: float) -> None:
+        while self._is_busy() and time.monotonic() < deadline_s:
+            await asyncio.sleep(DRAIN_CHECK_S)
+
+    async def _end_connections(self, deadline_s: float) -> bool:
+        """Stop listening and close each connection after its answer.
+
+        Return False if work is still under way at the deadline.
+        """
+        for server in self._servers:
+            server.stop_listening()
+        await asyncio.sleep(LAST_REQUEST_S)
+        while True:
+            for server in self._servers:
+                server.close_idle()
+            if not self._is_busy() and not self._has_connections():
                 return True
+            if time.monotonic() >= deadline_s:
+                return False
             await asyncio.sleep(DRAIN_CHECK_S)
-        return not self._is_busy()
+
+    def _has_connections(self) -> bool:
+        return any(server.connection_count for server in self._servers)
 
     def _is_busy(self) -> bool:
         open_exchanges = self.peers.open_exchange_count
--- /dev/null
+++ b/jackdawfield/drivers/listening.py
@@ -0,0 +1,129 @@
+"""Serve an application over HTTP, and end its connections at a stop."""
+
+import socket
+from typing import Any
+
+from tornado.http1connection import HTTP1ServerConnection
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPConnection
+from tornado.httputil import HTTPHeaders
+from tornado.httputil import HTTPMessageDelegate
+from tornado.httputil import RequestStartLine
+from tornado.httputil import ResponseStartLine
+from tornado.netutil import bind_sockets
+
+from jackdawfield.sockets import has_unread_input
+
+
+class Message(HTTPMessageDelegate):
+    """Passes a connection's next request on once its head has arrived."""
+
+    def __init__(
+        self, connection: HTTP1ServerConnection, delegate: HTTPMessageDelegate
+    ) -> None:
+        self._stream = connection.stream
+        self._delegate = delegate
+        self._has_begun = False
+
+    def headers_received(
+        self,
+        start_line: RequestStartLine | ResponseStartLine,
+        headers: HTTPHeaders,
+    ) -> Any:
+        """Pass the head on; the request then is in flight."""
+        self._has_begun = True
+        return self._delegate.headers_received(start_line, headers)
+
+    def data_received(self, chunk: bytes) -> Any:
+        """Pass a piece of the body on."""
+        return self._delegate.data_received(chunk)
+
+    def finish(self) -> None:
+        """Pass on that the request is complete."""
+        self._delegate.finish()
+
+    def on_connection_close(self) -> None:
+        """Pass on that the connection was closed within the request."""
+        self._delegate.on_connection_close()
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether the connection waits and nothing has arrived.
+
+        A head that has arrived may be unread in the socket, or be read and
+        not parsed yet; the stream then has no read in progress.
+        """
+        if self._has_begun or self._stream.closed():
+            return False
+        if not self._stream.reading():
+            return False
+        sock: socket.socket = self._stream.socket
+        return not has_unread_input(sock.fileno())
+
+    def close_connection(self) -> None:
+        """Close the connection."""
+        self._stream.close()
+
+
+class DrainableServer(HTTPServer):
+    """Represents an HTTP server that answers all it received at a stop."""
+
+    def initialize(self, *args: Any, **kwargs: Any) -> None:
+        """Initialize the server; Tornado calls this from its constructor."""
+        super().initialize(*args, **kwargs)
+        self._listening: list[socket.socket] = []
+        self._messages_by_connection: dict[object, Message] = {}
+
+    def listen_at(self, host: str, port: int) -> None:
+        """Listen on an address."""
+        self._listening = bind_sockets(port, host)
+        self.add_sockets(self._listening)
+
+    def start_request(
+        self, server_conn: object, request_conn: HTTPConnection
+    ) -> HTTPMessageDelegate:
+        """Return the delegate of a connection's next request."""
+        assert isinstance(server_conn, HTTP1ServerConnection)
+        delegate = super().start_request(server_conn, request_conn)
+        message = Message(server_conn, delegate)
+        self._messages_by_connection[server_conn] = message
+        return message
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a connection that is closed."""
+        self._messages_by_connection.pop(server_conn, None)
+        super().on_close(server_conn)
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self._messages_by_connection)
+
+    def disable_keep_alive(self) -> None:
+        """Close each connection after the answer to its next request."""
+        self.conn_params.no_keep_alive = True
+
+    def stop_listening(self) -> None:
+        """Stop accepting, after the connections that were established.
+
+        Closing the socket would reset those that wait to be accepted.
+        """
+        for sock in self._listening:
+            self._accept_waiting(sock)
+        self._listening = []
+        self.stop()
+
+    def _accept_waiting(self, sock: socket.socket) -> None:
+        while True:
+            try:
+                connection, address = sock.accept()
+            except OSError:
+                return
+            connection.setblocking(False)
+            self._handle_connection(connection, address)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has arrived."""
+        for message in list(self._messages_by_connection.values()):
+            if message.is_idle:
+                message.close_connection()
--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -7,8 +7,6 @@
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
-from select import poll
-from select import POLLIN
 import socket
 import time
 from typing import cast
@@ -18,6 +16,8 @@
 from result import Ok
 from result import Result
 
+from jackdawfield.sockets import has_unread_input
+
 MAX_HEAD_BYTES = 65536
 # Interim heads and late responses skipped before a request's response.
 MAX_SKIPPED_RESPONSES = 8
@@ -251,16 +251,13 @@
     def has_unread_input(self) -> bool:
         """Return whether bytes or a close wait in the socket, unread.
 
-        An idle connection with either can't carry another request. The event
-        loop reports them in its next turn only.
+        An idle connection with either can't carry another request.
         """
         transport = self._transport
         sock = transport.get_extra_info('socket') if transport else None
         if sock is None or sock.fileno() < 0:
             return False
-        poller = poll()
-        poller.register(sock.fileno(), POLLIN)
-        return bool(poller.poll(0))
+        return has_unread_input(sock.fileno())
 
     def send(self, request: OutgoingRequest) -> Result[None, ExchangeError]:
         """Write a request; on an error none of it was sent."""
