Lose an answer in the store's stand-in instead of refusing the call

The stand-in answered 503 for a transaction that it had applied and whose answer was to be lost. 503 states that nothing was written, so a test over HTTP could not see what an instance makes of a lost answer. It now closes the connection without an answer, as the platform's store is seen to.

--- a/jackdawfield/standins/base.py
+++ b/jackdawfield/standins/base.py
@@ -67,9 +67,7 @@
 
     def close_connection(self) -> None:
         """Close the connection without a response."""
-        self.request.connection.stream.close()  # type: ignore[union-attr]
-        # Keeps Tornado from sending a response of its own.
-        self._finished = True
+        close_unanswered(self)
 
     def send_json(self, value: object) -> None:
         """Send a JSON response, or drop it while lose_answers is above 0."""
@@ -85,6 +83,13 @@
         return json.loads(self.request.body or b'{}')
 
 
+def close_unanswered(handler: tornado.web.RequestHandler) -> None:
+    """Close a request's connection without a response."""
+    handler.request.connection.stream.close()  # type: ignore[union-attr]
+    # Keeps Tornado from sending a response of its own.
+    handler._finished = True
+
+
 class FaultsHandler(tornado.web.RequestHandler):
     """Serves and sets the faults."""
 
--- a/jackdawfield/standins/platform_store.py
+++ b/jackdawfield/standins/platform_store.py
@@ -11,10 +11,13 @@
 import tornado.web
 
 from jackdawfield.decisions.table import Committed
+from jackdawfield.decisions.table import NotApplied
+from jackdawfield.decisions.table import OutcomeUnknown
 from jackdawfield.gateway.storage.rows import RowConflict
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import RowTransaction
 from jackdawfield.gateway.storage.rows import StoredRow
+from jackdawfield.standins.base import close_unanswered
 from jackdawfield.standins.base import FreePortServer
 from jackdawfield.standins.row_store import MemoryRowStore
 
@@ -118,7 +121,9 @@
             case RowConflict(rows):
                 self.set_status(412)
                 self.send_rows(rows, self.standin.rows.version)
-            case _:
+            case OutcomeUnknown():
+                close_unanswered(self)
+            case NotApplied():
                 self.send_error(503)
 
     def send_rows(self, rows: tuple[StoredRow, ...], version: int) -> None:
