Show that a write that a relay has applied is reported as not applied

If the direct path refuses a write and a relay loses its answer, the write's outcome is that of the direct path, not applied.

--- a/tests/gateway/storage/test_path.py
+++ b/tests/gateway/storage/test_path.py
@@ -3,6 +3,7 @@
 from result import Err
 from result import Ok
 
+from jackdawfield.decisions.table import OutcomeUnknown
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.http.pool import ConnectionPool
@@ -12,6 +13,7 @@
 from jackdawfield.platform.store import PlatformStore
 from jackdawfield.standins.platform_store import PlatformStoreStandIn
 from jackdawfield.standins.row_store import MemoryRowStore
+from jackdawfield.standins.row_store import StoreFault
 from tests.gateway.harness import free_port
 from tests.gateway.harness import HOST
 
@@ -73,6 +75,32 @@
         self.assertEqual(len(self.rows.transactions), 1)
         self.assertEqual(self.rows.rows_by_key[KEY].value, b'value')
 
+    # Guards against writes that were applied and are reported as not applied.
+    async def test_write_whose_relayed_answer_is_lost_is_in_doubt(
+        self,
+    ) -> None:
+        self.direct.is_refusing = True
+        await self.assert_lost_answer_leaves_doubt()
+
+    async def test_write_is_in_doubt_if_a_later_path_refuses_it(self) -> None:
+        self.direct.is_refusing = True
+        # From now on the relay is tried before the direct path.
+        (await self.store.read('table', 'part')).unwrap()
+        await self.assert_lost_answer_leaves_doubt()
+
+    async def test_write_whose_direct_answer_is_lost_is_in_doubt(
+        self,
+    ) -> None:
+        self.other.is_refusing = True
+        await self.assert_lost_answer_leaves_doubt()
+
+    async def assert_lost_answer_leaves_doubt(self) -> None:
+        self.rows.injected_faults.append(StoreFault.ANSWER_LOST)
+        transaction = RowTransaction(((KEY, 0),), ((KEY, b'value'),))
+        outcome = await self.store.transact(transaction, 1.0)
+        self.assertEqual(self.rows.rows_by_key[KEY].value, b'value')
+        self.assertIsInstance(outcome, OutcomeUnknown)
+
     async def test_read_fails_if_no_path_reaches_the_store(self) -> None:
         self.direct.is_refusing = True
         self.other.is_refusing = True
