Report a write as in doubt if any path may have carried it to the store

A caller could be told that its call hasn't run, or an instance could write its reservation a second time, after the store had applied the write.

Cause: a call of the store that no path answered ended with the outcome of the direct path. If that one was refused or not sent, and the answer of a relay was lost (its instance stopped, or its own connection to the store broke), the write counted as not applied, though the relay may have carried it. It is the operators' case "after an answer was lost, the caller was told that the work hadn't run".

Change: without an answer the call ends as lost if any relay's attempt did.

Evidence: the two tests failed with NotApplied for a row that was written, and pass with OutcomeUnknown; a write whose direct answer is lost was in doubt before (third test).

Suspected: a path that answers 404 or 507 after another path has lost its answer still counts as not applied.

--- a/jackdawfield/gateway/storage/path.py
+++ b/jackdawfield/gateway/storage/path.py
@@ -69,13 +69,18 @@
     async def call(
         self, method: str, target: str, body: bytes, timeout_s: float
     ) -> Result[StoreReply, ExchangeError]:
-        """Return the store's answer from the first path that yields one."""
+        """Return the store's answer from the first path that yields one.
+
+        Without one, the call is lost if any path may have carried it.
+        """
+        relay_errors = []
         if self.is_direct_avoided:
             relayed = await self._call_by_relay(
                 method, target, body, timeout_s
             )
             if isinstance(relayed, Ok):
                 return relayed
+            relay_errors.append(relayed.err_value)
         started_s = time.monotonic()
         found = await self._call_directly(method, target, body, timeout_s)
         if self._record_direct_result(found, started_s):
@@ -83,6 +88,10 @@
         relayed = await self._call_by_relay(method, target, body, timeout_s)
         if isinstance(relayed, Ok):
             return relayed
+        relay_errors.append(relayed.err_value)
+        for error in relay_errors:
+            if error.fault is Fault.LOST:
+                return Err(error)
         return found
 
     def _record_direct_result(
