Show that members see a planned stop only at their next read

A leaving instance grants nothing from the signal on, and hands its rates over; the next owner grants, and the others ask it, only once each has read the members again.

--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -1,8 +1,10 @@
 import asyncio
 import unittest
+from unittest import mock
 
 from jackdawfield.gateway.daemon import LISTEN_AFTER_STOP_S
 from jackdawfield.gateway.fleet.ownership import TAKEOVER_WAIT_S
+from jackdawfield.gateway.fleet.table_sharing import MEMBERS_INTERVAL_S
 from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import OutgoingRequest
 from jackdawfield.gateway.storage.rows import RowKey
@@ -12,6 +14,11 @@
 from tests.gateway.harness import HOST
 from tests.gateway.scripted_server import ReceivedRequest
 
+MEMBERS_INTERVAL = (
+    'jackdawfield.gateway.fleet.table_sharing.MEMBERS_INTERVAL_S'
+)
+LONG_INTERVAL_S = 60.0
+
 
 class GatewayTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
@@ -295,6 +302,25 @@
                 lambda g=gateway: g.call_handler.configuration.version == 8
             )
 
+    # Guards against rates that nobody grants after a planned stop, until the
+    # others happen to read the members again.
+    async def test_holders_learn_at_once_that_a_seat_was_left(self) -> None:
+        interval = mock.patch(MEMBERS_INTERVAL, LONG_INTERVAL_S)
+        interval.start()
+        self.addCleanup(interval.stop)
+        # Each holder waits out the interval that it has begun.
+        await asyncio.sleep(2 * MEMBERS_INTERVAL_S)
+        leaving, *others = [
+            g for g in self.fleet.gateways if g not in self.others
+        ]
+        seat = leaving.members.own_seat
+        version = leaving.members.versions_by_seat[seat]
+        await leaving.seat_holder.leave()
+        for gateway in others:
+            await self.fleet.wait_until(
+                lambda g=gateway: g.members.versions_by_seat[seat] > version
+            )
+
     async def test_seats_go_to_others_after_planned_stops(self) -> None:
         holders = [g for g in self.fleet.gateways if g not in self.others]
         await asyncio.gather(*(g.seat_holder.leave() for g in holders[:2]))
