Have members read their table as soon as one of them has written it

Under planned stops alone callers got 503 "owner of the rate not reached".

Cause: a leaving instance grants nothing from the signal on and hands its rates over. The next owner grants only once it has read that the other left, and the others ask it only once they have. Holders read the members each 0.6 s, so a rate had no owner for up to 0.6 s, while an instance asks again for 0.21 s and then refuses for 0.3 s.

Change: an instance that has written its row tells the holders, and each reads the table at once; the reads of each 0.6 s stay. Who may grant, and when, is unchanged: a view only becomes known earlier. A write costs a message and a read of the table for each holder.

--- a/jackdawfield/gateway/fleet/failure_detector.py
+++ b/jackdawfield/gateway/fleet/failure_detector.py
@@ -11,6 +11,7 @@
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.clock import boot_time_s
+from jackdawfield.gateway.fleet.member_news import MemberNews
 from jackdawfield.gateway.fleet.member_rows import encode_member
 from jackdawfield.gateway.fleet.member_rows import mark_suspended
 from jackdawfield.gateway.fleet.member_rows import MemberRow
@@ -66,11 +67,13 @@
         self._links = links
         self._unanswered_since_by_seat: dict[SeatId, float] = {}
         self._probe_tasks_by_seat: dict[SeatId, asyncio.Task[None]] = {}
+        self._news = MemberNews(members, links)
         self.is_leaving = False
 
     def register(self, server: PeerServer) -> None:
-        """Answer the pings of other instances."""
+        """Answer the pings of other instances, and note their news."""
         server.handle(Ping, self._answer_ping)
+        self._news.register(server)
 
     async def _answer_ping(self, _: Ping) -> Pong:
         # One that is leaving grants nothing, and confirms no view any more.
--- a/jackdawfield/gateway/fleet/members.py
+++ b/jackdawfield/gateway/fleet/members.py
@@ -1,5 +1,6 @@
 """Hold this instance's view of the table of members."""
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
 import logging
@@ -34,7 +35,10 @@
         # The store was unavailable at the start: the seat of this instance's
         # earlier incarnation, which has ended, is held without a new row.
         self.adopts_earlier = False
+        # Set once an instance has written the table, until it is read again.
+        self.read_wanted = asyncio.Event()
         self._listeners: list[Callable[[], None]] = []
+        self._written_listeners: list[Callable[[], None]] = []
 
     @property
     def seat_count(self) -> int:
@@ -112,6 +116,15 @@
         """Register a callback for each change of the members."""
         self._listeners.append(listener)
 
+    def add_written_listener(self, listener: Callable[[], None]) -> None:
+        """Register a callback for each write of the table by this instance."""
+        self._written_listeners.append(listener)
+
+    def record_written(self) -> None:
+        """Record that this instance has written the table."""
+        for listener in self._written_listeners:
+            listener()
+
     def apply_snapshot(self, rows: tuple[StoredRow, ...], _: bool) -> None:
         """Replace the members by those of the whole table."""
         listed = {SeatId(row.key.key) for row in rows}
--- a/jackdawfield/gateway/fleet/seat_holder.py
+++ b/jackdawfield/gateway/fleet/seat_holder.py
@@ -217,9 +217,12 @@
         key = RowKey(MEMBERS_TABLE, '', seat_id)
         conditions = () if version is None else ((key, version),)
         put = (key, encode_member(row))
-        return await self._store.transact(
+        outcome = await self._store.transact(
             RowTransaction(conditions, (put,)), WRITE_TIMEOUT_S
         )
+        if isinstance(outcome, Committed):
+            self._members.record_written()
+        return outcome
 
     async def write_established(self) -> None:
         """Record that every ownership older than this instance's expired."""
--- a/jackdawfield/gateway/fleet/table_sharing.py
+++ b/jackdawfield/gateway/fleet/table_sharing.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextlib import suppress
 import logging
 
 from result import Err
@@ -219,8 +220,15 @@
     async def _read_members_again(
         self, after_version: int
     ) -> Result[RowsChanged, StoreError]:
-        """Read the members after an interval, which confirms the view."""
-        await asyncio.sleep(MEMBERS_INTERVAL_S)
+        """Read the members, which confirms the view.
+
+        That is after an interval, or at once if they have been written.
+        """
+        read_wanted = self._members.read_wanted
+        with suppress(TimeoutError):
+            async with asyncio.timeout(MEMBERS_INTERVAL_S):
+                await read_wanted.wait()
+        read_wanted.clear()
         read_at_s = boot_time_s()
         read = await self._store.read(MEMBERS_TABLE, '')
         if isinstance(read, Err):
--- a/jackdawfield/messages/fleet_tables.py
+++ b/jackdawfield/messages/fleet_tables.py
@@ -50,6 +50,18 @@
     after_outage: bool
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class MembersWritten:
+    """Requests that a member reads the table of members, which has changed."""
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class MembersWrittenNoted:
+    """Confirms a MembersWritten."""
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class TableNotFollowed:
