End a request of the daemon at once when its connection is reset

A caller waited until its deadline, and the slot of its call with it, when the backend server that answered it had ended.

Cause: Tornado's client raises a reset in a callback of the stream, where it is logged only; the request ends by its timeout.

Change: the connection of a request ends it with whatever closed it. The outcome stays lost, as before.

Evidence: two tests, of an answer cut within its announced length and within its chunks, failed with 'Timeout during request' after 5 s and pass.

--- a/jackdawfield/drivers/http.py
+++ b/jackdawfield/drivers/http.py
@@ -45,6 +45,29 @@
     headers: dict[str, str] = field(default_factory=dict)
 
 
+class RequestConnection(tornado.simple_httpclient._HTTPConnection):
+    """Carries one request, and ends it when its connection ends."""
+
+    def on_connection_close(self) -> None:
+        """End a request whose connection was closed or reset.
+
+        Tornado leaves a request whose connection was reset to its timeout.
+        """
+        if self.final_callback is None:
+            return
+        error = self.stream.error
+        if error is None:
+            error = tornado.simple_httpclient.HTTPStreamClosedError('closed')
+        self._handle_exception(type(error), error, None)
+
+
+class ConnectionClient(tornado.simple_httpclient.SimpleAsyncHTTPClient):
+    """Sends each request over a RequestConnection."""
+
+    def _connection_class(self) -> type:
+        return RequestConnection
+
+
 class HttpClient:
     """Opens a new connection for each request.
 
@@ -53,7 +76,7 @@
 
     def __init__(self, user_agent: str) -> None:
         self._user_agent = user_agent
-        self._client = tornado.simple_httpclient.SimpleAsyncHTTPClient(
+        self._client = ConnectionClient(
             force_instance=True,
             max_clients=MAX_CONNECTIONS,
             max_body_size=MAX_ANSWER_BYTES,
