Count an answer of unknown length that is reset as lost

A caller of the daemon could get half an answer of a backend server as a complete success: the operators' case of an answer that broke off halfway.

Cause: an answer without a length ends with its connection, and Tornado's client does not tell a reset from a close there.

Change: such an answer fails if its connection ended with an error. One that announces its length is complete by its length, whatever comes after it.

Evidence: the test got 200 with the first piece as the whole body, and gets a lost request now.

--- a/jackdawfield/drivers/http.py
+++ b/jackdawfield/drivers/http.py
@@ -15,6 +15,8 @@
 CONNECT_TIMEOUT_S = 2.0
 # An answer without end must not take the memory of a small instance.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+LENGTH_HEADERS = ('Content-Length', 'Transfer-Encoding')
+STATUSES_WITHOUT_BODY = (204, 304)
 
 
 class HttpFault(Enum):
@@ -60,6 +62,19 @@
             error = tornado.simple_httpclient.HTTPStreamClosedError('closed')
         self._handle_exception(type(error), error, None)
 
+    def finish(self) -> None:
+        """Return the answer, or fail if a reset may have broken it off."""
+        if self._ends_with_connection() and self.stream.error is not None:
+            self.on_connection_close()
+            return
+        super().finish()
+
+    def _ends_with_connection(self) -> bool:
+        """Return whether the answer's body has no length of its own."""
+        if self.headers is None or self.code in STATUSES_WITHOUT_BODY:
+            return False
+        return not any(name in self.headers for name in LENGTH_HEADERS)
+
 
 class ConnectionClient(tornado.simple_httpclient.SimpleAsyncHTTPClient):
     """Sends each request over a RequestConnection."""
