--- a/tests/test_listening.py
+++ b/tests/test_listening.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 import unittest
 
 from tornado.web import Application
@@ -15,6 +16,7 @@
 # More turns of the event loop than a request takes from its arrival to its
 # handler.
 TURNS = 20
+IDLE_LIMIT_S = 0.5
 
 
 class EchoHandler(RequestHandler):
@@ -25,10 +27,13 @@
 class DrainableServerTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.server = DrainableServer(Application([('/p', EchoHandler)]))
+        self.listen()
+
+    def listen(self) -> None:
         self.port = free_port()
         self.server.listen_at(HOST, self.port)
         self.addAsyncCleanup(self.server.close_all_connections)
-        self.addCleanup(self.server.stop)
+        self.addCleanup(self.server.stop_listening)
 
     def connect(self) -> socket.socket:
         """Return a connection that the loop has not accepted yet."""
@@ -94,3 +99,31 @@
         sock.send(REQUEST[-1:])
         answer = await self.read(sock)
         self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+
+    async def test_connection_that_is_idle_for_too_long_is_closed(
+        self,
+    ) -> None:
+        self.limit_idle_time()
+        sock = self.connect()
+        self.assertEqual(await self.read(sock), b'')
+
+    # Guards against requests that are lost, as they arrive when their
+    # connection has just been idle for too long.
+    async def test_request_that_arrives_at_the_idle_limit_is_answered(
+        self,
+    ) -> None:
+        self.limit_idle_time()
+        sock = self.connect()
+        await self.wait_for_connections(1)
+        sock.send(REQUEST)
+        # The loop sees the request and the end of the limit in one turn.
+        time.sleep(2 * IDLE_LIMIT_S)
+        answer = await self.read(sock)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'), answer)
+
+    def limit_idle_time(self) -> None:
+        application = Application([('/p', EchoHandler)])
+        self.server = DrainableServer(
+            application, idle_connection_timeout=IDLE_LIMIT_S
+        )
+        self.listen()
