Close the daemon's idle connections by what has arrived on them

Callers saw their connection closed without an answer if their request arrived as their connection reached the limit of an hour without one.

Cause: Tornado's timer closes the connection, also if it runs in the turn of the event loop in which the request arrives, or after a busy turn.

--- a/jackdawfield/drivers/listening.py
+++ b/jackdawfield/drivers/listening.py
@@ -1,6 +1,7 @@
 """Serve an application over HTTP, and end its connections at a stop."""
 
 import socket
+import time
 from typing import Any
 
 from tornado.http1connection import HTTP1ServerConnection
@@ -10,10 +11,16 @@
 from tornado.httputil import HTTPMessageDelegate
 from tornado.httputil import RequestStartLine
 from tornado.httputil import ResponseStartLine
+from tornado.ioloop import PeriodicCallback
 from tornado.netutil import bind_sockets
 
 from jackdawfield.sockets import has_unread_input
 
+IDLE_LIMIT_S = 3600.0
+UNLIMITED_S = 1e9
+SWEEPS_PER_LIMIT = 4
+MS_PER_S = 1000
+
 
 class Message(HTTPMessageDelegate):
     """Passes a connection's next request on once its head has arrived."""
@@ -24,6 +31,7 @@
         self._stream = connection.stream
         self._delegate = delegate
         self._has_begun = False
+        self._awaited_since_s = time.monotonic()
 
     def headers_received(
         self,
@@ -60,6 +68,11 @@
         sock: socket.socket = self._stream.socket
         return not has_unread_input(sock.fileno())
 
+    @property
+    def idle_s(self) -> float:
+        """Return how long the connection has waited, if it is idle."""
+        return time.monotonic() - self._awaited_since_s
+
     def close_connection(self) -> None:
         """Close the connection."""
         self._stream.close()
@@ -69,8 +82,20 @@
     """Represents an HTTP server that answers all it received at a stop."""
 
     def initialize(self, *args: Any, **kwargs: Any) -> None:
-        """Initialize the server; Tornado calls this from its constructor."""
+        """Initialize the server; Tornado calls this from its constructor.
+
+        The argument idle_connection_timeout is how long, in seconds, a
+        connection may be idle.
+        """
+        limit_s = kwargs.get('idle_connection_timeout', IDLE_LIMIT_S)
+        # Tornado's timer would also close one on which bytes have arrived.
+        kwargs['idle_connection_timeout'] = UNLIMITED_S
         super().initialize(*args, **kwargs)
+        self._idle_limit_s: float = limit_s
+        self._sweep = PeriodicCallback(
+            self._close_long_idle,
+            limit_s / SWEEPS_PER_LIMIT * MS_PER_S,
+        )
         self._listening: list[socket.socket] = []
         self._messages_by_connection: dict[object, Message] = {}
 
@@ -78,6 +103,7 @@
         """Listen on an address."""
         self._listening = bind_sockets(port, host)
         self.add_sockets(self._listening)
+        self._sweep.start()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -111,6 +137,7 @@
         for sock in self._listening:
             self._accept_waiting(sock)
         self._listening = []
+        self._sweep.stop()
         self.stop()
 
     def _accept_waiting(self, sock: socket.socket) -> None:
@@ -122,8 +149,14 @@
             connection.setblocking(False)
             self._handle_connection(connection, address)
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request has arrived."""
+    def close_idle(self, min_idle_s: float = 0.0) -> None:
+        """Close the connections on which no request has arrived.
+
+        Those that were idle for less than the minimum are left open.
+        """
         for message in list(self._messages_by_connection.values()):
-            if message.is_idle:
+            if message.idle_s >= min_idle_s and message.is_idle:
                 message.close_connection()
+
+    def _close_long_idle(self) -> None:
+        self.close_idle(self._idle_limit_s)
