--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -16,6 +16,8 @@
 from result import Ok
 from result import Result
 
+from jackdawfield.sockets import has_unread_input
+
 MAX_HEAD_BYTES = 65536
 # Interim heads and late responses skipped before a request's response.
 MAX_SKIPPED_RESPONSES = 8
@@ -245,6 +247,18 @@
             and not transport.is_closing()
         )
 
+    @property
+    def has_unread_input(self) -> bool:
+        """Return whether bytes or a close wait in the socket, unread.
+
+        An idle connection with either can't carry another request.
+        """
+        transport = self._transport
+        sock = transport.get_extra_info('socket') if transport else None
+        if sock is None or sock.fileno() < 0:
+            return False
+        return has_unread_input(sock.fileno())
+
     def send(self, request: OutgoingRequest) -> Result[None, ExchangeError]:
         """Write a request; on an error none of it was sent."""
         if not self.is_usable or self._transport is None:
