--- a/jackdawfield/gateway/http/caller_stream.py
+++ b/jackdawfield/gateway/http/caller_stream.py
@@ -1,11 +1,12 @@
 """Record what arrives on a caller's connection and what closed it."""
 
 from enum import Enum
-import socket
 import time
 
 from tornado.iostream import IOStream
 
+from jackdawfield.sockets import has_unread_input
+
 
 class CloseReason(Enum):
     """Names what closed a caller's connection."""
@@ -57,14 +58,7 @@
         """
         if self.closed() or self.received_bytes:
             return False
-        return self.reading() and not self._has_unread_bytes()
-
-    def _has_unread_bytes(self) -> bool:
-        try:
-            return bool(self.socket.recv(1, socket.MSG_PEEK))
-        except OSError:
-            # There are none, or the connection is broken.
-            return False
+        return self.reading() and not has_unread_input(self.socket.fileno())
 
     def close_for(self, reason: CloseReason) -> None:
         """Close the connection and record the reason."""
