Answer other instances' requests before an instance closes its links

The gateway closed its links with no grace: requests of other instances that it had taken, such as relayed calls of the store, lost their answers. It now lets its server for peers end what it has taken, for 0.3 s at most.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -74,6 +74,8 @@
 LAST_REQUEST_S = 0.1
 # Time for the last answers to be written before their connections close.
 LAST_ANSWERS_S = 0.1
+# Time for answers to requests of other instances that were taken before.
+PEER_GRACE_S = 0.3
 # End of the grace period, reserved for the last answers and for closing.
 STOP_MARGIN_S = 0.8
 
@@ -437,8 +439,8 @@
         ):
             listener.stop_listening()
             await listener.close()
+        await self.peers.stop(PEER_GRACE_S)
         await self.links.close()
-        await self.peers.stop(0)
         self.store_pool.close()
         self.server_pool.close()
 
