Refuse a body that stays incomplete, and only then

The listener refuses an incomplete body itself after the same 30 s, with 408: the request has not run.

--- a/jackdawfield/gateway/http/caller_exchange.py
+++ b/jackdawfield/gateway/http/caller_exchange.py
@@ -21,12 +21,15 @@
 LOG = logging.getLogger(__name__)
 # Limit of a body until the configuration sets one.
 DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+STATUS_TIMEOUT = 408
 STATUS_TOO_LARGE = 413
 # A connection that waits longer for a request is closed. The limit is above
 # the configured one for idle connections.
 IDLE_LIMIT_S = 120.0
 # Limit from the first byte of a request until its head is complete.
 HEAD_TIMEOUT_S = 30.0
+# Limit from a request's head until its body is complete.
+BODY_TIMEOUT_S = 30.0
 
 
 class IncomingRequest:
@@ -102,7 +105,7 @@
         self._is_in_flight = True
         length = headers.get('Content-Length', '')
         if length.isdecimal() and int(length) > self._state.max_body_bytes:
-            self._refuse_body()
+            self._refuse_body(STATUS_TOO_LARGE, 'body too large')
 
     def data_received(self, chunk: bytes) -> None:
         """Store a piece of the body, or refuse a body that is too large."""
@@ -110,17 +113,23 @@
             return
         self._body_bytes += len(chunk)
         if self._body_bytes > self._state.max_body_bytes:
-            self._refuse_body()
+            self._refuse_body(STATUS_TOO_LARGE, 'body too large')
             return
         self._pieces.append(chunk)
 
-    def _refuse_body(self) -> None:
+    def _refuse_body(self, status: int, text: str) -> None:
         """Answer before the whole body was read, and close the connection."""
         self._is_refused = True
         self._pieces.clear()
-        Reply(self._connection).send(STATUS_TOO_LARGE, 'body too large')
+        Reply(self._connection).send(status, text)
         self._end()
-        log_event(LOG, 'body_refused', logging.WARNING, read=self._body_bytes)
+        log_event(
+            LOG,
+            'body_refused',
+            logging.WARNING,
+            status=status,
+            read=self._body_bytes,
+        )
 
     def _end(self) -> None:
         """Count the request as no longer in flight, once."""
@@ -168,10 +177,11 @@
         return self._stream.awaits_request
 
     def close_expired(self, now_s: float) -> None:
-        """Close a connection that waits too long for a request's head."""
+        """End a request that arrives too slowly, or a connection without."""
         stream = self._stream
         first_read_at_s = stream.first_read_at_s
         if self._request_line is not None:
+            self._refuse_slow_body(now_s)
             return
         if first_read_at_s is not None:
             if now_s - first_read_at_s > HEAD_TIMEOUT_S and stream.reading():
@@ -179,6 +189,12 @@
         elif now_s - stream.idle_since_s > IDLE_LIMIT_S and self.is_idle:
             self.close(CloseReason.IDLE_LIMIT)
 
+    def _refuse_slow_body(self, now_s: float) -> None:
+        is_receiving = self._task is None and not self._is_refused
+        is_late = now_s - self._arrived_at_s > BODY_TIMEOUT_S
+        if is_receiving and is_late and self._stream.reading():
+            self._refuse_body(STATUS_TIMEOUT, 'body incomplete')
+
     @property
     def is_open(self) -> bool:
         """Return whether the connection is open."""
--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -23,10 +23,8 @@
 from jackdawfield.logs import log_event
 
 LOG = logging.getLogger(__name__)
-# Tornado closes a connection whose body is larger or arrives for longer. The
-# listener keeps and accepts less.
+# Tornado closes a connection whose body is larger; exchanges accept less.
 MAX_BODY_BYTES = 64 * 1024 * 1024
-BODY_TIMEOUT_S = 30.0
 ACCEPT_BACKLOG = 1024
 # 256 KiB for the request line and all headers.
 MAX_HEADER_BYTES = 262144
@@ -48,7 +46,6 @@
         self._params = HTTP1ConnectionParameters(
             max_body_size=MAX_BODY_BYTES,
             max_header_size=MAX_HEADER_BYTES,
-            body_timeout=BODY_TIMEOUT_S,
         )
         self._expiry_timer: asyncio.TimerHandle | None = None
 
--- a/tests/gateway/http/test_listener.py
+++ b/tests/gateway/http/test_listener.py
@@ -226,6 +226,37 @@
         answer = await self.read_answer(sock)
         self.assertIn(b'\r\nConnection: close\r\n', answer)
 
+    def expect_bodies_within(self, limit_s: float) -> None:
+        """Limit the time in which bodies have to arrive."""
+        module = Exchange.__module__
+        self.enterContext(patch(f'{module}.BODY_TIMEOUT_S', limit_s))
+        interval = f'{HttpListener.__module__}.EXPIRY_INTERVAL_S'
+        self.enterContext(patch(interval, 0.05))
+        self.listener.stop_listening()
+        self.listener.listen(HOST, self.port)
+
+    # Guards against a whole request that is closed without an answer since
+    # its last byte arrives in the turn in which the body's limit ends.
+    async def test_body_that_completes_at_its_limit_is_handled(self) -> None:
+        self.expect_bodies_within(0.5)
+        sock = await self.kept_connection()
+        sock.send(REQUEST[:-1])
+        await asyncio.sleep(0.3)
+        sock.send(REQUEST[-1:])
+        # The loop is late, so that the limit and the byte come together.
+        time.sleep(0.3)
+        answer = await self.read_answer(sock)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 200'))
+
+    async def test_body_that_stays_incomplete_is_refused(self) -> None:
+        self.expect_bodies_within(0.1)
+        reader, writer = await self.connect()
+        writer.write(REQUEST[:-1])
+        answer = await self.read_all(reader)
+        self.assertTrue(answer.startswith(b'HTTP/1.1 408'))
+        self.assertEqual(self.bodies, [])
+        self.assertEqual(self.listener.in_flight, 0)
+
     # Guards against callers of HTTP/1.0 that are promised that a connection
     # is kept which closes.
     async def test_closing_connection_of_http_1_0_is_not_called_kept(
