--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -54,7 +54,7 @@
         """Respond to a request and log how it ended."""
         checked = self._check(request, headers)
         if isinstance(checked, Refusal):
-            self._refuse(headers.request_id, NO_ROUTE, checked, reply)
+            self._refuse(headers.request_id, None, checked, reply)
             return
         try:
             async with asyncio.timeout_at(loop_time(checked.deadline_s)):
@@ -127,7 +127,7 @@
         service = choose_service(call.route, call.request_id)
         if service is None:
             refusal = Refusal(503, 'route without service')
-            self._refuse(call.request_id, call.route.name, refusal, reply)
+            self._refuse(call.request_id, call, refusal, reply)
             return
         if call.route.kind is CallKind.STREAM:
             outcome = await self._stream_calls.serve(call, service, reply)
@@ -135,7 +135,7 @@
             outcome = await self._forward(call, service, reply)
         match outcome:
             case Refusal():
-                self._refuse(call.request_id, call.route.name, outcome, reply)
+                self._refuse(call.request_id, call, outcome, reply)
             case Failure(status, reason):
                 self._metrics.count_reason(call.route.name, status, reason)
                 log_event(
@@ -175,14 +175,23 @@
         return reply.end_incomplete(end)
 
     def _refuse(
-        self, request_id: str, route: str, refusal: Refusal, reply: Reply
+        self,
+        request_id: str,
+        call: Call | None,
+        refusal: Refusal,
+        reply: Reply,
     ) -> None:
+        """Refuse a request; the call is None if its route is unknown."""
+        route = call.route.name if call is not None else NO_ROUTE
         self._metrics.count_reason(route, refusal.status, refusal.reason)
         log_event(
             LOG,
             'call_refused',
             logging.WARNING,
             request=request_id,
+            route=route,
+            organisation=call.organisation_id if call else None,
+            previous_turn=call.headers.previous_turn if call else None,
             status=refusal.status,
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -280,6 +280,8 @@
             'turn_kept' if kept else 'turn_not_kept',
             logging.INFO if kept else logging.WARNING,
             request=call.request_id,
+            organisation=call.organisation_id,
+            previous_turn=call.headers.previous_turn,
             program=stream.program.text,
             depth=len(stream.chain),
             server=server_id,
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -57,6 +57,20 @@
             self.assertEqual(answer.status, 404)
         self.assertEqual(len(self.received), 1)
 
+    async def test_log_tells_whose_turn_was_not_found(self) -> None:
+        with self.assertLogs('jackdawfield.gateway', 'INFO') as logs:
+            await self.fleet.turn(self.first, 't1', b'one.')
+            await self.fleet.turn(
+                self.second, 't2', b'two.', previous='t1', key='other-key'
+            )
+        lines = '\n'.join(logs.output)
+        self.assertRegex(lines, 'event=turn_kept request=t1 organisation=org ')
+        self.assertRegex(
+            lines,
+            'event=call_refused request=t2 .*organisation=other'
+            ' previous_turn=t1 status=404',
+        )
+
     async def test_turn_with_an_unreadable_parent_is_refused(self) -> None:
         await self.fleet.turn(self.first, 't1', b'one.')
         self.fleet.store.is_refusing = True
