Soak: use kept connections at planned stops, and see requests dropped

Cause: callers used up the open connections of a stopping instance within a second, so that none was left at the moment at which it closes the idle ones; and a request that the instance had read and dropped without running it counted for nothing. A connection that is closed in order (no reset, nothing left unread) without an answer is a request that was read and dropped: a new check, except where the instance was killed, or in the last sixth of the grace with a server at work. The check of planned stops is unchanged but for its text.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -5,12 +5,17 @@
 from dataclasses import dataclass
 import itertools
 import random
+import socket
 import time
 
 from result import Err
+from result import Ok
+from result import Result
 
 from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import Connection
+from jackdawfield.gateway.http.connection import ExchangeError
+from jackdawfield.gateway.http.connection import Fault
 from jackdawfield.gateway.http.connection import OutgoingRequest
 from jackdawfield.gateway.http.connection import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
@@ -52,6 +57,12 @@
 TURN_COUNT_RANGE = (2, 5)
 # Share of programs whose streams are not retained.
 REPLY_SHARE = 0.4
+# Connections kept to each instance and used now and then.
+KEPT_CONNECTIONS = 40
+KEPT_IDLE_RANGE_S = (1.0, 4.0)
+# Those of an instance that is stopping are used once more, around the time
+# after SIGTERM at which it closes what is idle.
+LAST_USE_RANGE_S = (2.9, 3.3)
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,8 +83,46 @@
     previous_request_id: str = ''
 
 
+class CallerConnection(Connection):
+    """Tells a connection closed in order from one that was reset.
+
+    The kernel resets a connection whose peer closes it with bytes unread, or
+    that gets bytes after its peer has closed it.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_closed_in_order = False
+
+    def eof_received(self) -> bool:
+        """Record whether the peer had read all that was sent."""
+        assert self._transport is not None
+        sock = self._transport.get_extra_info('socket')
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        self.is_closed_in_order = error == 0
+        return super().eof_received()
+
+
+class CallerPool(ConnectionPool):
+    """Opens and keeps callers' connections."""
+
+    async def open(
+        self, host: str, port: int, timeout_s: float
+    ) -> Result[Connection, ExchangeError]:
+        """Open a connection within the timeout."""
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(
+                    CallerConnection, host, port
+                )
+        except (OSError, TimeoutError) as error:
+            return Err(ExchangeError(Fault.NOT_SENT, str(error)))
+        return Ok(connection)
+
+
 class LoadGenerator:
-    """Runs programs and key probes against the instances until stopped."""
+    """Runs programs and probes against the instances until stopped."""
 
     def __init__(
         self, seed: int, instances: list[Instance], record: Record
@@ -82,7 +131,7 @@
         self._instances = instances
         self._record = record
         self._counter = itertools.count(1)
-        self._pool = ConnectionPool()
+        self._pool = CallerPool()
         self.is_stopping = False
 
     async def run_programs(self, is_limited: bool) -> None:
@@ -108,17 +157,52 @@
             ):
                 probed_version = newest_version
 
-    async def _probe_key(self, key: str) -> None:
-        ask = Ask(
+    async def keep_connections(self, instance: Instance) -> None:
+        """Keep connections to an instance, each mostly idle."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(KEPT_CONNECTIONS):
+                group.create_task(self._use_kept_connections(instance))
+
+    async def _use_kept_connections(self, instance: Instance) -> None:
+        """Use a connection until the other end closes it, then another."""
+        while not self.is_stopping:
+            await asyncio.sleep(PROBE_INTERVAL_S)
+            opened = await self._pool.open(
+                instance.host, CALLER_PORT, CONNECT_TIMEOUT_S
+            )
+            if isinstance(opened, Err):
+                continue
+            connection = opened.ok_value
+            while connection.is_usable and not self.is_stopping:
+                ask = self._lookup(UNLIMITED_ORGANISATION, UNLIMITED_KEY)
+                await self._attempt_on(connection, instance, ask)
+                if not connection.reset_for_reuse():
+                    break
+                await asyncio.sleep(self._rng.uniform(*KEPT_IDLE_RANGE_S))
+                await self._wait_for_last_use(instance)
+            connection.abort('stopping')
+
+    async def _wait_for_last_use(self, instance: Instance) -> None:
+        last_use_s = self._rng.uniform(*LAST_USE_RANGE_S)
+        now_s = time.monotonic()
+        for name, stopped_s in self._record.planned_stops:
+            left_s = stopped_s + last_use_s - now_s
+            if name == instance.name and left_s > 0:
+                await asyncio.sleep(left_s)
+
+    def _lookup(self, organisation: str, key: str) -> Ask:
+        return Ask(
             CallClass.LOOKUP,
-            PROBE_ORGANISATION,
+            organisation,
             key,
             '',
             self._next_id('e'),
             b'p',
             b'p',
         )
-        await self._attempt(ask)
+
+    async def _probe_key(self, key: str) -> None:
+        await self._attempt(self._lookup(PROBE_ORGANISATION, key))
 
     def close(self) -> None:
         """Close every connection."""
@@ -205,6 +289,22 @@
         if isinstance(acquired, Err):
             return None, 0.0
         connection = acquired.ok_value
+        outcome, retry_after_s = await self._attempt_on(
+            connection, instance, ask
+        )
+        if outcome is None:
+            return None, 0.0
+        if outcome.whole:
+            self._pool.release(instance.host, CALLER_PORT, connection)
+        else:
+            connection.abort('no whole answer')
+        return outcome, retry_after_s
+
+    async def _attempt_on(
+        self, connection: Connection, instance: Instance, ask: Ask
+    ) -> tuple[Outcome | None, float]:
+        """Make one attempt on an open connection."""
+        assert isinstance(connection, CallerConnection)
         request_id = self._next_id('r')
         started_s = time.monotonic()
         if isinstance(connection.send(_build_request(ask, request_id)), Err):
@@ -212,10 +312,6 @@
         status, body, whole, retry_after_s = await _receive_response(
             connection
         )
-        if whole:
-            self._pool.release(instance.host, CALLER_PORT, connection)
-        else:
-            connection.abort('no whole answer')
         is_stream = ask.call_class in STREAM_CLASSES
         expected_body = (stream_body if is_stream else plain_body)(request_id)
         outcome = Outcome(
@@ -233,6 +329,7 @@
             short_digest(ask.prompt),
             ask.previous_request_id,
             ask.key,
+            status == 0 and connection.is_closed_in_order,
         )
         self._record.outcomes.append(outcome)
         return outcome, retry_after_s
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -39,6 +39,9 @@
 SERVER_FAULT_KINDS = frozenset(
     kind.value for kind in FaultKind if kind.value.startswith('server')
 )
+KILL_KINDS = frozenset((FaultKind.KILL.value, FaultKind.KILL_MOST.value))
+# Part of the grace period in which each request must be answered.
+GRACE_SHARE = 5 / 6
 # These actions of operators must not disturb any call.
 OPERATOR_ACTION_KINDS = frozenset(
     (FaultKind.CONFIGURATION.value, FaultKind.KEY_WITHDRAWN.value)
@@ -268,7 +271,40 @@
             if _is_unaffected(
                 other_faults, instance, start_s, outcome.ended_s
             ):
-                yield f'{outcome.request_id} was cut off by the stop'
+                late_s = outcome.started_s - stopped_s
+                yield (
+                    f'{outcome.request_id} to {instance}, sent'
+                    f' {late_s:.3f} s after SIGTERM, was cut off by the stop'
+                )
+
+
+def find_dropped_requests(record: Record) -> Details:
+    """Find requests that an instance read and closed without an answer.
+
+    Excepted are killed instances, and calls on which a server was still at
+    work in the last sixth of a grace period.
+    """
+    ran = {run.request_id for run in record.runs}
+    kills = [i for i in record.fault_intervals if i.kind in KILL_KINDS]
+    for outcome in record.outcomes:
+        if not outcome.is_dropped:
+            continue
+        since_stops_s = [
+            outcome.ended_s - stopped_s
+            for instance, stopped_s in record.planned_stops
+            if instance == outcome.instance and stopped_s < outcome.ended_s
+        ]
+        last_s = min(since_stops_s, default=0.0)
+        is_late = last_s > STOP_GRACE_S * GRACE_SHARE
+        if is_late and outcome.request_id in ran:
+            continue
+        if _is_unaffected(
+            kills, outcome.instance, outcome.started_s, outcome.ended_s
+        ):
+            yield (
+                f'{outcome.request_id} was read by {outcome.instance} and'
+                f' dropped, {last_s:.3f} s after SIGTERM'
+            )
 
 
 def find_failures_after_recovery(record: Record) -> Details:
@@ -304,6 +340,7 @@
     'withdrawn keys': find_late_key_use,
     'configuration never back': find_configuration_rollbacks,
     'planned stops cut nothing': find_calls_cut_by_stop,
+    'requests read are answered': find_dropped_requests,
     'served again in the calm': find_failures_after_recovery,
 }
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from dataclasses import replace
 import json
 import random
 import signal
@@ -34,6 +35,8 @@
 DETECTION_MARGIN_S = 1.0
 # Number of consecutive store calls to which random faults are assigned.
 STORE_CALL_FAULT_COUNT = 12
+# Time between two stops of a series, shorter than a stop takes.
+SERIES_GAP_S = 1.3
 # A removed server is listed as draining for this time first.
 DRAIN_S = 0.5
 LINK_FAULTS_BY_KIND = {
@@ -89,6 +92,7 @@
             FaultKind.SERVER_TRUNCATING: self._make_server_misbehave,
             FaultKind.SERVER_EXTRA_RESPONSES: self._make_server_misbehave,
             FaultKind.SERVER_DRAINING: self._remove_server,
+            FaultKind.STOP_SERIES: self._stop_in_series,
             FaultKind.KEY_WITHDRAWN: self._withdraw_key,
             FaultKind.CONFIGURATION: self._write_configuration_only,
         }
@@ -186,6 +190,16 @@
             await instance.wait_until_ready()
             self._record_interval(fault, instance, start_s)
 
+    async def _stop_in_series(self, fault: Fault) -> None:
+        async with asyncio.TaskGroup() as group:
+            for offset in range(len(self._instances)):
+                target = fault.target + offset
+                stop = replace(
+                    fault, kind=FaultKind.PLANNED_STOP, target=target
+                )
+                group.create_task(self._stop_gracefully(stop))
+                await asyncio.sleep(SERIES_GAP_S)
+
     # The store
 
     async def _degrade_store_link(self, fault: Fault) -> None:
--- a/soak/record.py
+++ b/soak/record.py
@@ -61,6 +61,9 @@
     expected_prompt_digest: str
     previous_request_id: str = ''
     key: str = ''
+    # The instance read the request and closed the connection, in order and
+    # without an answer.
+    is_dropped: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/run.py
+++ b/soak/run.py
@@ -145,6 +145,8 @@
             is_limited = number % 2 == 0
             self._load_tasks.spawn(load.run_programs(is_limited))
         self._load_tasks.spawn(load.probe_keys(lambda: injector.key_version))
+        for instance in self._instances:
+            self._load_tasks.spawn(load.keep_connections(instance))
         self._sampling_tasks.spawn(self._sample_versions())
 
     async def _sample_versions(self) -> None:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -32,18 +32,25 @@
     SERVER_TRUNCATING = 'server cutting answers'
     SERVER_EXTRA_RESPONSES = 'server sending extra answers'
     SERVER_DRAINING = 'server leaving'
+    STOP_SERIES = 'planned stops in series'
     KEY_WITHDRAWN = 'key withdrawn'
     CONFIGURATION = 'configuration'
 
 
-# Relative frequency of each kind in a schedule.
-WEIGHTS_BY_KIND = {kind: 2 for kind in FaultKind} | {
+# These are not drawn by weight.
+SEPARATE_KINDS = (FaultKind.STOP_SERIES,)
+# Relative frequency of each other kind in a schedule.
+WEIGHTS_BY_KIND = {
+    kind: 2 for kind in FaultKind if kind not in SEPARATE_KINDS
+} | {
     FaultKind.KILL: 3,
     FaultKind.PLANNED_STOP: 4,
     FaultKind.KILL_MOST: 1,
     FaultKind.STORE_UNAVAILABLE: 1,
     FaultKind.KEY_WITHDRAWN: 3,
 }
+# Share of runs with a series of planned stops.
+STOP_SERIES_SHARE = 0.5
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,6 +73,18 @@
 
 def draw_schedule(seed: int, length_s: float) -> list[Fault]:
     """Return the faults of a run in the order of their start."""
+    faults = _draw_short_faults(seed, length_s)
+    faults_end_s = length_s - FAULT_FREE_S
+    # A generator of its own keeps the other faults of a seed as they are.
+    rng = random.Random(f'{seed} separate')
+    if rng.random() < STOP_SERIES_SHARE:
+        at_s = rng.uniform(FIRST_FAULT_S, faults_end_s / 2)
+        series = Fault(FaultKind.STOP_SERIES, at_s, 0.0, rng.randrange(1000))
+        faults.append(series)
+    return sorted(faults, key=lambda fault: fault.at_s)
+
+
+def _draw_short_faults(seed: int, length_s: float) -> list[Fault]:
     rng = random.Random(seed)
     kinds = list(WEIGHTS_BY_KIND)
     weights = list(WEIGHTS_BY_KIND.values())
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -13,6 +13,7 @@
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.daemon import Gateway
+from jackdawfield.gateway.entry import CallHandler
 from jackdawfield.gateway.http.connection import Connection
 from jackdawfield.gateway.http.listener import Reply
 from jackdawfield.gateway.model import CallKind
@@ -28,6 +29,8 @@
 
 # One in this many body chunks is dropped.
 DROP_INTERVAL_CHUNKS = 9
+# One in this many requests is dropped.
+DROP_INTERVAL_REQUESTS = 100
 ROLLBACK_DELAY_S = 1.0
 
 
@@ -160,6 +163,24 @@
     _patch(Gateway, 'stop', Gateway.close)
 
 
+def drop_requests() -> None:
+    """Close some connections without an answer to the request."""
+    serve = CallHandler.serve
+    request_count = 0
+
+    async def changed(
+        self: CallHandler, request: Any, headers: Any, reply: Reply
+    ) -> None:
+        nonlocal request_count
+        request_count += 1
+        if request_count % DROP_INTERVAL_REQUESTS == 0:
+            reply.abort()
+            return
+        await serve(self, request, headers, reply)
+
+    _patch(CallHandler, 'serve', changed)
+
+
 def give_store_up() -> None:
     """Reject all writes after one that neither committed nor conflicted."""
     transact = MeasuredStore.transact
@@ -188,5 +209,6 @@
     'stay-on-first-configuration': stay_on_first_configuration,
     'go-back': go_back,
     'cut-at-stop': cut_at_stop,
+    'drop-requests': drop_requests,
     'give-store-up': give_store_up,
 }
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -15,6 +15,7 @@
 from soak.scenario import plain_body
 from soak.scenario import PROBE_ORGANISATION
 from soak.scenario import PROGRAM_BUDGET_TOKENS
+from soak.scenario import STOP_GRACE_S
 from soak.scenario import TOKENS_PER_EVENT
 from soak.scenario import UNLIMITED_ORGANISATION
 from soak.schedule import FaultKind
@@ -198,6 +199,38 @@
                 len(find_violations(checked_record)), len(expected_violations)
             )
 
+    def check_dropped(
+        self, ended_s: float, runs: tuple[Run, ...] = ()
+    ) -> Record:
+        """Return a record with a request dropped after a stop at 10 s."""
+        dropped = outcome('r', 10.5, status=0, whole=False, body=b'')
+        dropped = replace(dropped, ended_s=ended_s, is_dropped=True)
+        checked_record = record((dropped,), runs)
+        checked_record.planned_stops = [('i0', 10.0)]
+        return checked_record
+
+    # Guards against a close of idle connections that hits a request.
+    def test_request_read_and_dropped_at_a_stop(self) -> None:
+        self.assert_violated(
+            self.check_dropped(13.1), 'requests read are answered'
+        )
+
+    def test_request_dropped_late_only_if_a_server_ran_it(self) -> None:
+        late_s = 10 + STOP_GRACE_S * 0.9
+        self.assert_violated(
+            self.check_dropped(late_s), 'requests read are answered'
+        )
+        checked_record = self.check_dropped(late_s, (run('r', 11),))
+        promises = {v.promise for v in find_violations(checked_record)}
+        self.assertNotIn('requests read are answered', promises)
+
+    def test_request_dropped_by_a_kill(self) -> None:
+        checked_record = self.check_dropped(13.1)
+        checked_record.fault_intervals.append(
+            FaultInterval(FaultKind.KILL.value, 'i0', 13.0, 14.0)
+        )
+        self.assertEqual(find_violations(checked_record), [])
+
     def test_failure_after_recovery(self) -> None:
         failed = outcome('r', FAULT_FREE_FROM_S + 3, status=503)
         self.assert_violated(record((failed,)), 'served again in the calm')
