Soak: send a request that ends each server which runs it

Each server that begins to run it ends (connections and listener) and is back after 1 s, with a later start. Two checks: once three servers have ended and 4 s have passed, it runs at most three times more, sent by instances whose process had no fault for 4 s; no other call is refused as one that ends servers. All other checks hold as before. The test that every kind is drawn passes the switch.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,11 +19,18 @@
 MAX_SEEDS_PER_VARIANT = 10
 
 
-def run_seed(seed: int, length_s: float, variant: str, logs: Path) -> Report:
+def run_seed(
+    seed: int,
+    length_s: float,
+    variant: str,
+    logs: Path,
+    has_ending_request: bool = False,
+) -> Report:
     """Run one seed and return its report; write logs to a subdirectory."""
     directory = logs / f'{seed}{variant and "-" + variant}'
     directory.mkdir(parents=True, exist_ok=True)
-    return asyncio.run(SoakRun(seed, variant, directory).run(length_s))
+    run = SoakRun(seed, variant, directory, has_ending_request)
+    return asyncio.run(run.run(length_s))
 
 
 def _to_json_value(value: object) -> object:
@@ -92,6 +99,11 @@
         choices=list(VARIANTS_BY_NAME),
         help='run the seeds with one broken variant',
     )
+    parser.add_argument(
+        '--ending-request',
+        action='store_true',
+        help='send a request that ends the servers which run it',
+    )
     options = parser.parse_args()
     # The record holds everything that the stand-ins' access logs report.
     logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
@@ -100,7 +112,13 @@
         return 1 if check_variants(options, logs) else 0
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
-        report = run_seed(seed, options.seconds, options.variant, logs)
+        report = run_seed(
+            seed,
+            options.seconds,
+            options.variant,
+            logs,
+            options.ending_request,
+        )
         print_report(report, options.json)
         broken += bool(report.violations)
     return 1 if broken else 0
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -1,6 +1,7 @@
 """Serve as a backend server that records its executions."""
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum
 from hashlib import sha256
 import time
@@ -13,12 +14,15 @@
 from soak.record import CallClass
 from soak.record import Run
 from soak.record import STREAM_CLASSES
+from soak.scenario import ENDING_BODY
 from soak.scenario import HEADER_PREFIX
 from soak.scenario import plain_body
 from soak.scenario import turn_events
 
 EVENT_INTERVAL_S = 0.015
 PLAIN_DURATION_S = 0.02
+# Time that a request which ends its server runs.
+ENDING_DURATION_S = 0.05
 
 
 def short_digest(body: bytes) -> str:
@@ -41,6 +45,8 @@
         self.server_id = server_id
         self.runs = runs
         self.misbehaviours: set[Misbehaviour] = set()
+        # Ends the server, None while no request does.
+        self.end: Callable[[], None] | None = None
         super().__init__(r'/([a-z]+)/.*', _Handler, backend=self)
 
 
@@ -79,6 +85,9 @@
             short_digest(self.request.body),
         )
         self.backend.runs.append(run)
+        if self.request.body.endswith(ENDING_BODY) and self.backend.end:
+            await self._end_server(run)
+            return
         if run.call_class in STREAM_CLASSES:
             await self._stream_events(run)
         else:
@@ -94,6 +103,23 @@
                 return
             self._send_extra_response()
 
+    async def _end_server(self, run: Run) -> None:
+        """Begin to answer a stream, then end the server."""
+        if run.call_class in STREAM_CLASSES:
+            self.set_header('Content-Type', 'text/event-stream')
+            if not self.request.headers.get('Last-Event-Id'):
+                event = turn_events(run.request_id)[0]
+                self.write(f'id: 0\ndata: {event}\n\n')
+                run.events += 1
+            try:
+                await self.flush()
+            except tornado.iostream.StreamClosedError:
+                return
+        await asyncio.sleep(ENDING_DURATION_S)
+        if self.backend.end:
+            self.backend.end()
+        self._close_connection()
+
     async def _stream_events(self, run: Run) -> None:
         self.set_header('Content-Type', 'text/event-stream')
         last_id = self.request.headers.get('Last-Event-Id')
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -28,6 +28,8 @@
 from soak.record import RETRIED_STATUSES
 from soak.record import STREAM_CLASSES
 from soak.scenario import APPLY_LIMIT_S
+from soak.scenario import BESIDE_BODY
+from soak.scenario import ENDING_BODY
 from soak.scenario import HEADER_PREFIX
 from soak.scenario import HOST_NAME
 from soak.scenario import LIMITED_KEY
@@ -57,6 +59,8 @@
 TURN_COUNT_RANGE = (2, 5)
 # Share of programs whose streams are not retained.
 REPLY_SHARE = 0.4
+# Pause before the request that ends servers is sent again.
+ENDING_INTERVAL_S = 0.15
 # Connections kept to each instance and used now and then.
 KEPT_CONNECTIONS = 40
 KEPT_IDLE_RANGE_S = (1.0, 4.0)
@@ -132,6 +136,11 @@
         self._record = record
         self._counter = itertools.count(1)
         self._pool = CallerPool()
+        self._ending_class = random.Random(f'{seed} ending').choice(
+            list(CallClass)
+        )
+        # The newest whole turn of the unlimited organisation and its text.
+        self._newest_turn = ('', b'')
         self.is_stopping = False
 
     async def run_programs(self, is_limited: bool) -> None:
@@ -157,6 +166,37 @@
             ):
                 probed_version = newest_version
 
+    async def send_ending_requests(
+        self, is_active: Callable[[], bool]
+    ) -> None:
+        """Send a request that ends servers, and another one beside it.
+
+        A turn goes on from the newest turn, as its place in a program is no
+        part of what makes it the same request.
+        """
+        while not self.is_stopping:
+            await asyncio.sleep(ENDING_INTERVAL_S)
+            if is_active():
+                await asyncio.gather(
+                    self._attempt(self._repeated_ask(ENDING_BODY)),
+                    self._attempt(self._repeated_ask(BESIDE_BODY)),
+                )
+
+    def _repeated_ask(self, body: bytes) -> Ask:
+        previous_request_id, conversation = '', b''
+        if self._ending_class is CallClass.TURN:
+            previous_request_id, conversation = self._newest_turn
+        return Ask(
+            self._ending_class,
+            UNLIMITED_ORGANISATION,
+            UNLIMITED_KEY,
+            self._next_id('program-'),
+            self._next_id('e'),
+            body,
+            conversation + body,
+            previous_request_id,
+        )
+
     async def keep_connections(self, instance: Instance) -> None:
         """Keep connections to an instance, each mostly idle."""
         async with asyncio.TaskGroup() as group:
@@ -243,6 +283,8 @@
             if is_retained:
                 conversation += turn_input + turn_text(outcome.request_id)
                 previous_request_id = outcome.request_id
+                if not is_limited:
+                    self._newest_turn = (previous_request_id, conversation)
             await asyncio.sleep(MAX_THINK_S * rng.random())
             await self._call_tool(organisation, key, program)
 
@@ -329,6 +371,7 @@
             short_digest(ask.prompt),
             ask.previous_request_id,
             ask.key,
+            ask.body == ENDING_BODY,
             status == 0 and connection.is_closed_in_order,
         )
         self._record.outcomes.append(outcome)
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -17,10 +17,14 @@
 from soak.record import Violation
 from soak.scenario import APPLY_LIMIT_S
 from soak.scenario import BURST_CALLS
+from soak.scenario import ENDS_UNTIL_KNOWN
+from soak.scenario import IN_TOUCH_S
 from soak.scenario import LIMITED_ORGANISATION
+from soak.scenario import MAX_RUNS_ONCE_KNOWN
 from soak.scenario import MAX_TOKENS_PER_TURN
 from soak.scenario import PROBE_ORGANISATION
 from soak.scenario import PROGRAM_BUDGET_TOKENS
+from soak.scenario import QUARANTINED_TEXT
 from soak.scenario import RATE_OVERSHOOT_RATIO
 from soak.scenario import RATE_PER_S
 from soak.scenario import RATE_SLACK_CALLS
@@ -42,6 +46,16 @@
 KILL_KINDS = frozenset((FaultKind.KILL.value, FaultKind.KILL_MOST.value))
 # Part of the grace period in which each request must be answered.
 GRACE_SHARE = 5 / 6
+# Only these keep an instance from what the others tell it.
+PROCESS_FAULT_KINDS = frozenset(
+    kind.value
+    for kind in (
+        FaultKind.KILL,
+        FaultKind.KILL_MOST,
+        FaultKind.PAUSE,
+        FaultKind.PLANNED_STOP,
+    )
+)
 # These actions of operators must not disturb any call.
 OPERATOR_ACTION_KINDS = frozenset(
     (FaultKind.CONFIGURATION.value, FaultKind.KEY_WITHDRAWN.value)
@@ -307,6 +321,50 @@
             )
 
 
+def find_runs_of_known_request(record: Record) -> Details:
+    """Find runs of a request that is known to end servers.
+
+    Counted are those sent by instances in touch with the others, once the
+    servers that it may end until it is known have ended.
+    """
+    if len(record.server_ends) < ENDS_UNTIL_KNOWN:
+        return
+    ended_s = sorted(end.at_s for end in record.server_ends)
+    known_s = ended_s[ENDS_UNTIL_KNOWN - 1] + IN_TOUCH_S
+    fault_intervals = [
+        interval
+        for interval in record.fault_intervals
+        if interval.kind in PROCESS_FAULT_KINDS
+    ]
+    ran = {run.request_id for run in record.runs}
+    late_ids = [
+        outcome.request_id
+        for outcome in record.outcomes
+        if outcome.ends_servers
+        and outcome.started_s > known_s
+        and outcome.request_id in ran
+        and _is_unaffected(
+            fault_intervals,
+            outcome.instance,
+            outcome.started_s - IN_TOUCH_S,
+            outcome.ended_s,
+        )
+    ]
+    if len(late_ids) > MAX_RUNS_ONCE_KNOWN:
+        yield (
+            f'a request that ended {len(ended_s)} servers ran'
+            f' {len(late_ids)} times more: {late_ids}'
+        )
+
+
+def find_wrong_quarantines(record: Record) -> Details:
+    """Find calls that were taken for one that ends servers."""
+    for outcome in record.outcomes:
+        is_quarantined = outcome.body.strip() == QUARANTINED_TEXT
+        if is_quarantined and not outcome.ends_servers:
+            yield f'{outcome.request_id} was quarantined'
+
+
 def find_failures_after_recovery(record: Record) -> Details:
     """Find calls that fail after the recovery limit of the last fault.
 
@@ -341,6 +399,8 @@
     'configuration never back': find_configuration_rollbacks,
     'planned stops cut nothing': find_calls_cut_by_stop,
     'requests read are answered': find_dropped_requests,
+    'no server ended once known': find_runs_of_known_request,
+    'others not quarantined': find_wrong_quarantines,
     'served again in the calm': find_failures_after_recovery,
 }
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,11 +4,13 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 import json
 import random
 import signal
 import time
 
+from jackdawfield.background import BackgroundTasks
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.standins.platform_store import PlatformStoreStandIn
 from jackdawfield.standins.row_store import StoreFault
@@ -19,10 +21,12 @@
 from soak.proxy import LinkFault
 from soak.record import FaultInterval
 from soak.record import Record
+from soak.record import ServerEnd
 from soak.scenario import build_configuration
 from soak.scenario import CONFIGURATION_KEY
 from soak.scenario import encode_server_row
 from soak.scenario import probe_key
+from soak.scenario import SERVER_RESTART_S
 from soak.scenario import STOP_GRACE_S
 from soak.schedule import Fault
 from soak.schedule import FaultKind
@@ -71,6 +75,9 @@
         self._backends = backends
         self._faulty_proxies: set[FaultProxy] = set()
         self._configuration_version = 0
+        self._restarts = BackgroundTasks()
+        # Whether the request that ends servers is being sent.
+        self.has_ending_request = False
         self.key_version = 0
         self._actions_by_kind: dict[
             FaultKind, Callable[[Fault], Awaitable[None]]
@@ -92,6 +99,7 @@
             FaultKind.SERVER_TRUNCATING: self._make_server_misbehave,
             FaultKind.SERVER_EXTRA_RESPONSES: self._make_server_misbehave,
             FaultKind.SERVER_DRAINING: self._remove_server,
+            FaultKind.SERVER_ENDING: self._let_request_end_servers,
             FaultKind.STOP_SERIES: self._stop_in_series,
             FaultKind.KEY_WITHDRAWN: self._withdraw_key,
             FaultKind.CONFIGURATION: self._write_configuration_only,
@@ -268,7 +276,9 @@
     def _write_server_row(
         self, backend: Backend, proxy: FaultProxy, is_draining: bool
     ) -> None:
-        entry = encode_server_row(f'{proxy.host}:{proxy.port}', is_draining)
+        entry = encode_server_row(
+            f'{proxy.host}:{proxy.port}', is_draining, proxy.started_ms
+        )
         key = RowKey('servers', '', backend.server_id)
         self._store.rows.put(key, entry)
 
@@ -282,6 +292,35 @@
         self._write_server_row(backend, proxy, False)
         self._record_interval(fault, None, start_s)
 
+    async def _let_request_end_servers(self, fault: Fault) -> None:
+        for backend, proxy in self._backends:
+            backend.end = partial(self._end_server, fault, backend, proxy)
+        self.has_ending_request = True
+        await asyncio.sleep(fault.lasts_s)
+        self.has_ending_request = False
+        for backend, _ in self._backends:
+            backend.end = None
+        await self._restarts.wait(SERVER_RESTART_S + DETECTION_MARGIN_S)
+
+    def _end_server(
+        self, fault: Fault, backend: Backend, proxy: FaultProxy
+    ) -> None:
+        if not proxy.is_listening:
+            return
+        proxy.stop()
+        end = ServerEnd(backend.server_id, time.monotonic())
+        self._record.server_ends.append(end)
+        self._restarts.spawn(self._restart_server(fault, backend, proxy))
+
+    async def _restart_server(
+        self, fault: Fault, backend: Backend, proxy: FaultProxy
+    ) -> None:
+        start_s = time.monotonic()
+        await asyncio.sleep(SERVER_RESTART_S)
+        await proxy.start()
+        self._write_server_row(backend, proxy, False)
+        self._record_interval(fault, None, start_s)
+
     # Operators
 
     async def _withdraw_key(self, _: Fault) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from enum import Enum
+import time
 
 from jackdawfield.standins.base import reset_connection
 
@@ -32,6 +33,12 @@
         self._fault_changed = asyncio.Event()
         self._fault = LinkFault.NONE
         self.port = 0
+        self.started_ms = 0
+
+    @property
+    def is_listening(self) -> bool:
+        """Return whether the proxy accepts connections."""
+        return self._server is not None and self._server.is_serving()
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -39,6 +46,7 @@
             self._handle_connection, self.host, 0
         )
         self.port = self._server.sockets[0].getsockname()[1]
+        self.started_ms = time.time_ns() // 1_000_000
 
     def set_fault(self, fault: LinkFault) -> None:
         """Replace the active fault."""
--- a/soak/record.py
+++ b/soak/record.py
@@ -61,11 +61,21 @@
     expected_prompt_digest: str
     previous_request_id: str = ''
     key: str = ''
+    # The request ends the servers that run it.
+    ends_servers: bool = False
     # The instance read the request and closed the connection, in order and
     # without an answer.
     is_dropped: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ServerEnd:
+    """Holds a server's end by a request that it ran."""
+
+    server_id: str
+    at_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class VersionSample:
     """Holds the configuration version of an instance at one time."""
@@ -105,6 +115,7 @@
 
     runs: list[Run] = field(default_factory=list)
     outcomes: list[Outcome] = field(default_factory=list)
+    server_ends: list[ServerEnd] = field(default_factory=list)
     version_samples: list[VersionSample] = field(default_factory=list)
     fault_intervals: list[FaultInterval] = field(default_factory=list)
     # Name of the instance and time of its SIGTERM.
--- a/soak/run.py
+++ b/soak/run.py
@@ -56,8 +56,15 @@
 class SoakRun:
     """Holds the fleet, the load and the record of one run."""
 
-    def __init__(self, seed: int, variant: str, directory: Path) -> None:
+    def __init__(
+        self,
+        seed: int,
+        variant: str,
+        directory: Path,
+        has_ending_request: bool = False,
+    ) -> None:
         self._seed = seed
+        self._has_ending_request = has_ending_request
         self._variant = variant
         self._directory = directory
         self._record = Record()
@@ -77,7 +84,9 @@
         assert task is not None
         for signal_number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(signal_number, task.cancel)
-        schedule = draw_schedule(self._seed, length_s)
+        schedule = draw_schedule(
+            self._seed, length_s, self._has_ending_request
+        )
         try:
             injector = await self._start_fleet()
             load = LoadGenerator(self._seed, self._instances, self._record)
@@ -147,6 +156,9 @@
         self._load_tasks.spawn(load.probe_keys(lambda: injector.key_version))
         for instance in self._instances:
             self._load_tasks.spawn(load.keep_connections(instance))
+        self._load_tasks.spawn(
+            load.send_ending_requests(lambda: injector.has_ending_request)
+        )
         self._sampling_tasks.spawn(self._sample_versions())
 
     async def _sample_versions(self) -> None:
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -31,6 +31,19 @@
 STOP_GRACE_S = 5.0
 # Time limit after the last fault for calls to succeed again.
 RECOVERY_LIMIT_S = 2.0
+# A server that a request ended is back after this time.
+SERVER_RESTART_S = 1.0
+# An instance without a fault for this long is in touch with the others.
+IN_TOUCH_S = 4.0
+# Servers that a request may end before it is known, and retries of it that
+# may still reach a server later than IN_TOUCH_S after that.
+ENDS_UNTIL_KNOWN = 3
+MAX_RUNS_ONCE_KNOWN = 3
+# Body of the request that ends the servers that run it, and of one that is
+# sent along with it.
+ENDING_BODY = b'ends its server'
+BESIDE_BODY = b'runs beside it'
+QUARANTINED_TEXT = b'quarantined'
 UNLIMITED_KEY = 'free-key'
 LIMITED_KEY = 'limited-key'
 UNLIMITED_ORGANISATION = 'free'
@@ -85,7 +98,9 @@
     }
 
 
-def encode_server_row(address: str, is_draining: bool) -> bytes:
+def encode_server_row(
+    address: str, is_draining: bool, started_ms: int
+) -> bytes:
     """Return the value of a backend server's row."""
     entry = {
         'service': SERVICE,
@@ -93,6 +108,7 @@
         'zone': 'a',
         'slots': SLOTS_PER_SERVER,
         'state': 'draining' if is_draining else 'ready',
+        'born': started_ms,
     }
     return json.dumps(entry).encode()
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -4,6 +4,8 @@
 from enum import Enum
 import random
 
+from soak.scenario import SERVER_RESTART_S
+
 # Faults start after the fleet has settled and end before the fault-free
 # period at the end of the run.
 FIRST_FAULT_S = 3.0
@@ -32,13 +34,14 @@
     SERVER_TRUNCATING = 'server cutting answers'
     SERVER_EXTRA_RESPONSES = 'server sending extra answers'
     SERVER_DRAINING = 'server leaving'
+    SERVER_ENDING = 'server ended by a request'
     STOP_SERIES = 'planned stops in series'
     KEY_WITHDRAWN = 'key withdrawn'
     CONFIGURATION = 'configuration'
 
 
 # These are not drawn by weight.
-SEPARATE_KINDS = (FaultKind.STOP_SERIES,)
+SEPARATE_KINDS = (FaultKind.SERVER_ENDING, FaultKind.STOP_SERIES)
 # Relative frequency of each other kind in a schedule.
 WEIGHTS_BY_KIND = {
     kind: 2 for kind in FaultKind if kind not in SEPARATE_KINDS
@@ -71,7 +74,9 @@
         return self.at_s + self.lasts_s
 
 
-def draw_schedule(seed: int, length_s: float) -> list[Fault]:
+def draw_schedule(
+    seed: int, length_s: float, has_ending_request: bool = False
+) -> list[Fault]:
     """Return the faults of a run in the order of their start."""
     faults = _draw_short_faults(seed, length_s)
     faults_end_s = length_s - FAULT_FREE_S
@@ -81,6 +86,10 @@
         at_s = rng.uniform(FIRST_FAULT_S, faults_end_s / 2)
         series = Fault(FaultKind.STOP_SERIES, at_s, 0.0, rng.randrange(1000))
         faults.append(series)
+    if has_ending_request:
+        lasts_s = faults_end_s - FIRST_FAULT_S - SERVER_RESTART_S
+        kind = FaultKind.SERVER_ENDING
+        faults.append(Fault(kind, FIRST_FAULT_S, lasts_s, 0))
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -9,12 +9,17 @@
 from soak.record import Outcome
 from soak.record import Record
 from soak.record import Run
+from soak.record import ServerEnd
 from soak.record import VersionSample
 from soak.scenario import APPLY_LIMIT_S
+from soak.scenario import ENDS_UNTIL_KNOWN
+from soak.scenario import IN_TOUCH_S
 from soak.scenario import LIMITED_ORGANISATION
+from soak.scenario import MAX_RUNS_ONCE_KNOWN
 from soak.scenario import plain_body
 from soak.scenario import PROBE_ORGANISATION
 from soak.scenario import PROGRAM_BUDGET_TOKENS
+from soak.scenario import QUARANTINED_TEXT
 from soak.scenario import STOP_GRACE_S
 from soak.scenario import TOKENS_PER_EVENT
 from soak.scenario import UNLIMITED_ORGANISATION
@@ -231,6 +236,45 @@
         )
         self.assertEqual(find_violations(checked_record), [])
 
+    def check_known_request(self, late_runs: int, at_s: float) -> Record:
+        """Return a record in which a request ended servers at 9 to 11 s."""
+        ids = [f'r{number}' for number in range(late_runs)]
+        checked_record = record(
+            tuple(outcome(i, at_s, ends_servers=True) for i in ids),
+            tuple(run(i, at_s) for i in ids),
+        )
+        checked_record.server_ends = [
+            ServerEnd(f's{number}', 9.0 + number)
+            for number in range(ENDS_UNTIL_KNOWN)
+        ]
+        return checked_record
+
+    # Guards against a request that ends one server after another.
+    def test_request_runs_though_known_to_end_servers(self) -> None:
+        late_s = 11.1 + IN_TOUCH_S
+        too_many = MAX_RUNS_ONCE_KNOWN + 1
+        self.assert_violated(
+            self.check_known_request(too_many, late_s),
+            'no server ended once known',
+        )
+        for allowed in (
+            self.check_known_request(too_many, late_s - 0.2),
+            self.check_known_request(MAX_RUNS_ONCE_KNOWN, late_s),
+        ):
+            self.assertEqual(find_violations(allowed), [])
+
+    def test_known_request_at_an_instance_out_of_touch(self) -> None:
+        checked_record = self.check_known_request(9, 12 + IN_TOUCH_S)
+        interval = FaultInterval(FaultKind.PAUSE.value, 'i0', 13, 14)
+        checked_record.fault_intervals.append(interval)
+        self.assertEqual(find_violations(checked_record), [])
+
+    def test_other_call_quarantined(self) -> None:
+        refused = outcome('r', status=503, body=QUARANTINED_TEXT + b'\n')
+        self.assert_violated(record((refused,)), 'others not quarantined')
+        ending = replace(refused, ends_servers=True)
+        self.assertEqual(find_violations(record((ending,))), [])
+
     def test_failure_after_recovery(self) -> None:
         failed = outcome('r', FAULT_FREE_FROM_S + 3, status=503)
         self.assert_violated(record((failed,)), 'served again in the calm')
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -20,7 +20,7 @@
 
     def test_no_fault_at_the_start_or_in_the_fault_free_period(self) -> None:
         for seed in range(50):
-            for fault in draw_schedule(seed, LENGTH_S):
+            for fault in draw_schedule(seed, LENGTH_S, True):
                 self.assertGreaterEqual(fault.at_s, FIRST_FAULT_S)
                 self.assertLessEqual(fault.end_s, LENGTH_S - FAULT_FREE_S)
 
@@ -28,7 +28,7 @@
         drawn = {
             fault.kind
             for seed in range(1, 51)
-            for fault in draw_schedule(seed, LENGTH_S)
+            for fault in draw_schedule(seed, LENGTH_S, True)
         }
         self.assertEqual(drawn, set(FaultKind))
 
