--- a/tests/gateway/programs/test_accounts.py
+++ b/tests/gateway/programs/test_accounts.py
@@ -10,11 +10,14 @@
 import time
 import unittest
 
+from jackdawfield.decisions.table import OutcomeUnknown
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
 from jackdawfield.gateway.programs.accounts import Verdict
 from jackdawfield.gateway.programs.ledger import Reserve
 from jackdawfield.gateway.programs.ledger import Settle
 from jackdawfield.gateway.programs.turns import ProgramKey
+from jackdawfield.gateway.storage.rows import RowOutcome
+from jackdawfield.gateway.storage.rows import RowTransaction
 from jackdawfield.standins.row_store import MemoryRowStore
 from jackdawfield.standins.row_store import StoreFault
 from tests.gateway.programs.test_turns import PROGRAM
@@ -23,6 +26,28 @@
 USED = 77
 
 
+class LateStore(MemoryRowStore):
+    """Applies a transaction only after its caller has read the row again."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.holds_next = False
+        self._held: RowTransaction | None = None
+
+    async def transact(
+        self, transaction: RowTransaction, timeout_s: float
+    ) -> RowOutcome:
+        """Apply the held transaction first, or hold this one."""
+        if self.holds_next:
+            self.holds_next = False
+            self._held = transaction
+            return OutcomeUnknown('no answer')
+        held, self._held = self._held, None
+        if held is not None:
+            await super().transact(held, timeout_s)
+        return await super().transact(transaction, timeout_s)
+
+
 class AccountsTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.rows = MemoryRowStore()
@@ -106,6 +131,30 @@
         self.assertEqual(set(verdicts), {Verdict.FITS})
         self.assertLessEqual(len(self.rows.transactions), before + 2)
 
+    # Guards against a write that is applied seconds after its answer was lost
+    # and then made once more.
+    async def test_late_write_settles_a_call_once(self) -> None:
+        self.rows = LateStore()
+        accounts = self.instance('a')
+        budget = 4 * MOST
+        deadline_s = time.monotonic() + 1.0
+        reserve = Reserve(MOST, budget, prepays=False)
+        await accounts.reserve(PROGRAM, reserve, deadline_s)
+        await accounts.reserve(PROGRAM, reserve, deadline_s)
+        self.rows.holds_next = True
+        settled = Settle(MOST, USED, 0)
+        await accounts.submit(PROGRAM, settled, (), deadline_s)
+        self.assertEqual(accounts.granted_tokens(PROGRAM), MOST + USED)
+
+    async def test_late_write_reserves_tokens_once(self) -> None:
+        self.rows = LateStore()
+        accounts = self.instance('a')
+        self.rows.holds_next = True
+        reserve = Reserve(MOST, 4 * MOST, prepays=False)
+        deadline_s = time.monotonic() + 1.0
+        await accounts.reserve(PROGRAM, reserve, deadline_s)
+        self.assertEqual(accounts.granted_tokens(PROGRAM), MOST)
+
     async def test_lost_answers_grant_no_token_twice(self) -> None:
         budget = 4 * MOST
         accounts = self.instance('a')
