Recognise a budget's write that is applied late, and keep what others wrote

Cause: a write was recognised only by the number of the newest plan. One that was applied after the row had been read again was not, so that its events were written twice. And where it was recognised, the row as planned replaced the row as read, with the newer version: what another instance had reserved since was overwritten by the next write. Change: the account keeps each write without a known outcome until the row that it replaces is no longer the newest, and resolves its updates once a row that was read includes it; the row as read stays.

--- a/jackdawfield/gateway/programs/accounts.py
+++ b/jackdawfield/gateway/programs/accounts.py
@@ -75,12 +75,25 @@
     has_collected: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _UnknownWrite:
+    """Holds a write that may have been applied, or may be later.
+
+    The version is that of the row which it replaces.
+    """
+
+    plan: LedgerPlan
+    updates: list[_PendingUpdate]
+    version: int
+
+
 class _Account:
     """Holds a program's ledger and the updates that await its next write."""
 
     def __init__(self, writer: str) -> None:
         self.ledger = Ledger(writer)
         self.pending: list[_PendingUpdate] = []
+        self.unknown_writes: list[_UnknownWrite] = []
         self.task: asyncio.Task[None] | None = None
 
     @property
@@ -224,6 +237,7 @@
         self, program: ProgramKey, account: _Account
     ) -> bool:
         """Try to write the pending updates; False if the store failed."""
+        self._resolve_unknown_writes(account)
         self._expire_updates(account)
         updates = list(account.pending)
         if not updates:
@@ -293,26 +307,42 @@
         outcome: RowOutcome,
     ) -> bool:
         ledger = account.ledger
+        write = _UnknownWrite(plan, updates, ledger.version)
         match outcome:
             case Committed(revision):
                 ledger.record_written(plan, revision)
                 self._resolve_all(account, updates, plan)
                 return True
             case RowConflict(rows):
+                account.unknown_writes.append(write)
                 key = ledger_key(program)
                 load_row(ledger, next((r for r in rows if r.key == key), None))
             case NotApplied(reason):
                 log_event(LOG, 'ledger_unwritten', reason=reason)
                 return False
             case OutcomeUnknown(reason):
+                account.unknown_writes.append(write)
                 log_event(LOG, 'ledger_in_doubt', reason=reason)
-                if not await self._reload(program, ledger):
-                    return False
-        if ledger.has_written(plan):
-            ledger.record_written(plan, ledger.version)
-            self._resolve_all(account, updates, plan)
+                return await self._reload(program, ledger)
         return True
 
+    def _resolve_unknown_writes(self, account: _Account) -> None:
+        """Resolve the updates of a write that the row read last includes.
+
+        Another write that replaces the same row can still be applied only
+        while that row is the newest.
+        """
+        ledger = account.ledger
+        for write in account.unknown_writes:
+            if ledger.has_written(write.plan):
+                ledger.record_found(write.plan)
+                self._resolve_all(account, write.updates, write.plan)
+        account.unknown_writes = [
+            write
+            for write in account.unknown_writes
+            if write.version == ledger.version
+        ]
+
     async def _reload(self, program: ProgramKey, ledger: Ledger) -> bool:
         read = await read_row(self._store, ledger_key(program))
         if isinstance(read, Err):
--- a/jackdawfield/gateway/programs/ledger.py
+++ b/jackdawfield/gateway/programs/ledger.py
@@ -197,6 +197,10 @@
         self.is_loaded = True
         self.available += plan.available_change
 
+    def record_found(self, plan: LedgerPlan) -> None:
+        """Apply a plan that the row which was read includes already."""
+        self.available += plan.available_change
+
     def has_written(self, plan: LedgerPlan) -> bool:
         """Return whether the row that was read includes a plan's write."""
         number = plan.row.marks.get(self.writer)
--- a/tests/gateway/programs/test_accounts.py
+++ b/tests/gateway/programs/test_accounts.py
@@ -155,6 +155,26 @@
         await accounts.reserve(PROGRAM, reserve, deadline_s)
         self.assertEqual(accounts.granted_tokens(PROGRAM), MOST)
 
+    # Guards against a lost answer that hides what another instance wrote.
+    async def test_write_of_another_after_a_lost_answer_is_kept(self) -> None:
+        first, second = self.instance('a'), self.instance('b')
+        deadline_s = time.monotonic() + 1.0
+        reserve = Reserve(MOST, 9 * MOST, prepays=False)
+        await first.reserve(PROGRAM, reserve, deadline_s)
+        read = self.rows.read
+
+        async def read_later(*arguments: str) -> object:
+            self.rows.read = read
+            await second.reserve(PROGRAM, reserve, deadline_s)
+            return await read(*arguments)
+
+        self.rows.read = read_later
+        self.rows.injected_faults.append(StoreFault.ANSWER_LOST)
+        await first.reserve(PROGRAM, reserve, deadline_s)
+        await first.reserve(PROGRAM, reserve, deadline_s)
+        await second.refresh(PROGRAM)
+        self.assertEqual(second.granted_tokens(PROGRAM), 4 * MOST)
+
     async def test_lost_answers_grant_no_token_twice(self) -> None:
         budget = 4 * MOST
         accounts = self.instance('a')
