Let the store's stand-in lose an answer without refusing the call

Change: it closes the connection without an answer, as the platform does. Result: the new test failed before (NotApplied in place of OutcomeUnknown) and passes.

--- a/jackdawfield/standins/platform_store.py
+++ b/jackdawfield/standins/platform_store.py
@@ -11,6 +11,7 @@
 import tornado.web
 
 from jackdawfield.decisions.table import Committed
+from jackdawfield.decisions.table import OutcomeUnknown
 from jackdawfield.gateway.storage.rows import RowConflict
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import RowTransaction
@@ -118,9 +119,17 @@
             case RowConflict(rows):
                 self.set_status(412)
                 self.send_rows(rows, self.standin.rows.version)
+            case OutcomeUnknown():
+                self.close_connection()
             case _:
                 self.send_error(503)
 
+    def close_connection(self) -> None:
+        """Close the connection without an answer."""
+        self.request.connection.stream.close()  # type: ignore[union-attr]
+        # Keeps Tornado from sending a response of its own.
+        self._finished = True
+
     def send_rows(self, rows: tuple[StoredRow, ...], version: int) -> None:
         """Send rows and the newest version."""
         wire = [encode_row(row) for row in rows]
--- a/tests/gateway/storage/test_path.py
+++ b/tests/gateway/storage/test_path.py
@@ -3,6 +3,7 @@
 from result import Err
 from result import Ok
 
+from jackdawfield.decisions.table import OutcomeUnknown
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.http.pool import ConnectionPool
@@ -12,6 +13,7 @@
 from jackdawfield.platform.store import PlatformStore
 from jackdawfield.standins.platform_store import PlatformStoreStandIn
 from jackdawfield.standins.row_store import MemoryRowStore
+from jackdawfield.standins.row_store import StoreFault
 from tests.gateway.harness import free_port
 from tests.gateway.harness import HOST
 
@@ -51,6 +53,18 @@
         self.addCleanup(stand_in.stop)
         return stand_in
 
+    # Guards against a stand-in that refuses what it has applied.
+    async def test_lost_answer_of_the_stand_in_is_no_refusal(self) -> None:
+        alone = StorePath(
+            self.pool, HOST, self.direct.port, self.links, lambda: []
+        )
+        self.rows.injected_faults.append(StoreFault.ANSWER_LOST)
+        outcome = await PlatformStore(alone).transact(
+            RowTransaction(((KEY, 0),), ((KEY, b'value'),)), 1.0
+        )
+        self.assertIsInstance(outcome, OutcomeUnknown)
+        self.assertEqual(self.rows.rows_by_key[KEY].value, b'value')
+
     async def test_direct_path_is_used_without_relays(self) -> None:
         self.rows.put(KEY, b'value')
         found = (await self.store.read('table', 'part')).unwrap()
