--- a/soak/checks.py
+++ b/soak/checks.py
@@ -308,16 +308,17 @@
             for instance, stopped_s in record.planned_stops
             if instance == outcome.instance and stopped_s < outcome.ended_s
         ]
-        last_s = min(since_stops_s, default=0.0)
-        is_late = last_s > STOP_GRACE_S * GRACE_SHARE
+        last_s = min(since_stops_s, default=None)
+        is_late = last_s is not None and last_s > STOP_GRACE_S * GRACE_SHARE
         if is_late and outcome.request_id in ran:
             continue
         if _is_unaffected(
             kills, outcome.instance, outcome.started_s, outcome.ended_s
         ):
+            when = f'{last_s:.3f} s after SIGTERM' if last_s else 'no stop'
             yield (
                 f'{outcome.request_id} was read by {outcome.instance} and'
-                f' dropped, {last_s:.3f} s after SIGTERM'
+                f' dropped, {when}'
             )
 
 
