Count a planned stop's times from the signal

What callers saw: with a slow store an instance that stops listened for up to a second longer, and took requests until then whose deadline lies beyond its grace period. The test was red before; found by the review.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -412,7 +412,8 @@
         self.detector.is_leaving = True
         self.rate_owner.hand_over_all()
         await self.seat_holder.leave()
-        await asyncio.sleep(LISTEN_AFTER_STOP_S)
+        listen_until_s = started_s + LISTEN_AFTER_STOP_S
+        await asyncio.sleep(max(0.0, listen_until_s - time.monotonic()))
         self.call_handler.ends_at_s = drain_until_s
         self.caller_listener.stop_listening()
         # The last connections that were accepted carry a request already.
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -342,6 +342,21 @@
         self.assertEqual(head.status, 503)
         self.assertEqual(len(self.received), 0)
 
+    # Guards against a stop whose times shift with a slow store, so that it
+    # takes requests that it may not finish.
+    async def test_listening_ends_a_time_after_the_signal(self) -> None:
+        async def leave_slowly() -> None:
+            await asyncio.sleep(1.0)
+
+        listener = self.first.caller_listener
+        with mock.patch.object(self.first.seat_holder, 'leave', leave_slowly):
+            stopping = asyncio.create_task(self.first.stop())
+            await asyncio.sleep(LISTEN_AFTER_STOP_S - 0.3)
+            self.assertTrue(listener.is_listening)
+            await asyncio.sleep(0.8)
+            self.assertFalse(listener.is_listening)
+            await stopping
+
     # Guards against a request that is taken late in a planned stop and cut
     # off when the grace period ends.
     async def test_stopping_instance_refuses_what_it_may_not_finish(
