--- a/tests/gateway/fleet/test_seat_holder.py
+++ b/tests/gateway/fleet/test_seat_holder.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from typing import Any
 import unittest
 from unittest import mock
 
@@ -263,6 +264,28 @@
         self.assertEqual(len(held), 1)
         self.assertEqual(instance.members.own_seats, held)
 
+    # Guards against a planned stop that fails, and so drains nothing, as a
+    # second seat is lost while the first one is left.
+    async def test_seat_that_is_lost_while_another_is_left(self) -> None:
+        instance = await self.joined('a')
+        members = instance.members
+        own = members.own_seat
+        assert own is not None
+        extra = max(seat for seat in SEATS if seat != own)
+        members.rows_by_seat[extra] = members.rows_by_seat[own]
+        first, second = members.own_seats
+        transact = self.store.transact
+
+        async def transact_as_a_seat_is_lost(*args: Any) -> Any:
+            members.rows_by_seat.pop(second, None)
+            return await transact(*args)
+
+        with mock.patch.object(
+            self.store, 'transact', transact_as_a_seat_is_lost
+        ):
+            await instance.holder.leave()
+        self.assertTrue(self.rows()[first].left)
+
     async def test_lost_seat_is_noticed(self) -> None:
         instance = await self.joined('a')
         seat = instance.members.own_seat
