Go on accepting at a stop after a caller that has left

A connection whose caller had reset it ended the last round of accepts, and those behind it were reset. Found by the review, by reading; the own daemon's listener swallowed the error without a log line.

--- a/jackdawfield/drivers/listening.py
+++ b/jackdawfield/drivers/listening.py
@@ -1,5 +1,6 @@
 """Serve an application over HTTP, and end its connections at a stop."""
 
+import logging
 import socket
 import time
 from typing import Any
@@ -14,8 +15,10 @@
 from tornado.ioloop import PeriodicCallback
 from tornado.netutil import bind_sockets
 
+from jackdawfield.logs import log_event
 from jackdawfield.sockets import has_unread_input
 
+LOG = logging.getLogger(__name__)
 IDLE_LIMIT_S = 3600.0
 UNLIMITED_S = 1e9
 SWEEPS_PER_LIMIT = 4
@@ -144,7 +147,13 @@
         while True:
             try:
                 connection, address = sock.accept()
-            except OSError:
+            except ConnectionAbortedError:
+                # Its caller has left; others may wait behind it.
+                continue
+            except BlockingIOError:
+                return
+            except OSError as error:
+                log_event(LOG, 'accept_failed', reason=error)
                 return
             connection.setblocking(False)
             self._handle_connection(connection, address)
--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -118,6 +118,9 @@
         while True:
             try:
                 connection, address = sock.accept()
+            except ConnectionAbortedError:
+                # Its caller has left; others may wait behind it.
+                continue
             except OSError as error:
                 if not isinstance(error, BlockingIOError):
                     log_event(LOG, 'accept_failed', reason=error)
