--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -211,6 +211,10 @@
     def _add_gauges(self) -> None:
         add_gauge = self.metrics.add_gauge
         add_gauge('requests_in_flight', lambda: self.caller_listener.in_flight)
+        add_gauge(
+            'caller_connections',
+            lambda: self.caller_listener.open_connections,
+        )
         add_gauge('servers_listed', lambda: len(self.servers.by_id))
         add_gauge('members_known', lambda: len(self.members.rows_by_seat))
         add_gauge('seats_held', lambda: len(self.members.own_seats))
--- a/jackdawfield/gateway/http/caller_exchange.py
+++ b/jackdawfield/gateway/http/caller_exchange.py
@@ -201,7 +201,7 @@
         return not self._stream.closed()
 
     def close(self, reason: CloseReason) -> None:
-        """Close an idle connection."""
+        """Close the connection."""
         self._stream.close_for(reason)
 
     def cancel_handler(self) -> None:
