Quarantine requests that end the servers that run them

Servers were judged, not requests.

Now a request is known by organisation, method, host, target and body. When a server closes a running request's connection and then refuses connections, or is listed with a later start, it has ended, and what ran there is suspected. A request that is among the suspects of three endings and is not explained by another one is refused with 503, in all instances: members pass the evidence on until each peer has confirmed it, and an instance that starts asks for it. A request that ends whole is cleared. A server that ended is not chosen while its entry is still listed. Nothing is sent or hashed while nothing is suspected.

The dispatcher takes the guard as an argument, so its test passes one; no check of that test changed.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -48,9 +48,13 @@
 from jackdawfield.gateway.servers.choice import MISSING_GRACE_S
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.dispatch import Dispatcher
+from jackdawfield.gateway.servers.endings import EndedServers
 from jackdawfield.gateway.servers.exchange import HeaderFormat
 from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.failures import FailureReports
+from jackdawfield.gateway.servers.guard import CallGuard
+from jackdawfield.gateway.servers.quarantine import Quarantine
+from jackdawfield.gateway.servers.quarantine_sharing import QuarantineSharing
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.storage.follower import TableFollower
 from jackdawfield.gateway.storage.measured import MeasuredStore
@@ -151,13 +155,21 @@
         self.failure_reports = FailureReports(
             self.servers, self.members, self.table_sharing, self.links
         )
+        self.quarantine = Quarantine()
+        self.quarantine_sharing = QuarantineSharing(
+            self.quarantine, self.members, self.table_sharing, self.links
+        )
+        self.ended_servers = EndedServers(
+            self.servers, self.quarantine, self.quarantine_sharing.notify
+        )
         exchange = ServerExchange(
             self.servers,
             self.server_pool,
             self._adapter.header_format,
             self.failure_reports.report,
         )
-        self.dispatcher = Dispatcher(self.slot_queue, exchange)
+        guard = CallGuard(self.quarantine, self.ended_servers)
+        self.dispatcher = Dispatcher(self.slot_queue, exchange, guard)
         self.rate_owner = RateOwner(
             settings.bounds,
             self.members,
@@ -219,6 +231,12 @@
             lambda: time.monotonic() - self.store_path.reached_at_s,
         )
         add_gauge('configuration_version', self._configuration_version)
+        add_gauge(
+            'requests_quarantined',
+            lambda: len(self.quarantine.quarantined(time.monotonic())),
+        )
+        add_gauge('requests_suspected', self.quarantine.suspect_count)
+        add_gauge('servers_ended', lambda: self.ended_servers.ended_count)
         for follower in self._followers:
             add_gauge(f'{follower.table}_table_age_s', follower.age_s)
 
@@ -262,6 +280,7 @@
         self.detector.register(self.peers)
         self.rate_owner.register(self.peers)
         self.failure_reports.register(self.peers)
+        self.quarantine_sharing.register(self.peers, self.ended_servers)
         self.table_sharing.register(self.peers)
         self.overdraft_lender.register(self.peers)
         self.unused_tokens.register(self.peers, self.accounts)
@@ -275,6 +294,7 @@
         self._tasks.spawn(self._run_checks())
         self._tasks.spawn(self._remove_expired())
         self._tasks.spawn(self.rate_owner.poll_views())
+        self._tasks.spawn(self.quarantine_sharing.run())
         log_event(
             LOG,
             'started',
@@ -421,6 +441,8 @@
     async def close(self) -> None:
         """Cancel the background tasks and close all connections."""
         self._tasks.cancel()
+        self.ended_servers.close()
+        self.quarantine_sharing.close()
         for listener in (
             self.caller_listener,
             self._health_listener,
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -129,7 +129,10 @@
             refusal = Refusal(503, 'route without service')
             self._refuse(call.request_id, call.route.name, refusal, reply)
             return
-        if call.route.kind is CallKind.STREAM:
+        outcome: Refusal | Failure | None = self._dispatcher.check(call)
+        if outcome is not None:
+            pass
+        elif call.route.kind is CallKind.STREAM:
             outcome = await self._stream_calls.serve(call, service, reply)
         else:
             outcome = await self._forward(call, service, reply)
--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -112,6 +112,8 @@
         self._is_lost = False
         self._idle_limit_s = DEFAULT_IDLE_S
         self.lost_reason = ''
+        # Whether the server closed the connection, and not this instance.
+        self.is_closed_by_server = False
         self.idle_until_s = 0.0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -131,6 +133,7 @@
 
     def eof_received(self) -> bool:
         """Handle the end of data, which ends a response without a length."""
+        self.is_closed_by_server = not self._is_lost
         if self._request is not None and not self._has_ended:
             self._parser.receive_data(b'')
             self._parse()
@@ -139,6 +142,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Mark a response in progress as cut."""
+        if not self._is_lost:
+            self.is_closed_by_server = True
         self._mark_lost(str(exc) if exc else 'closed')
 
     def _mark_lost(self, reason: str) -> None:
--- /dev/null
+++ b/jackdawfield/gateway/servers/blame.py
@@ -0,0 +1,115 @@
+"""Find the request to blame among the suspects of several endings."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+from dataclasses import dataclass
+from dataclasses import field
+
+from jackdawfield.messages.fleet_quarantine import RequestDigest
+from jackdawfield.messages.fleet_quarantine import ServerStart
+
+# Moments at which servers ended under a request, until it is quarantined:
+# before they had sent a part of its answer; at any time; and though another
+# request was beside it each time.
+EARLY_TO_CONVICT = 3
+ENDINGS_TO_CONVICT = 4
+ENDINGS_TO_CONVICT_ALL = 5
+# Servers that end within this time have a common cause and count once.
+MOMENT_S = 0.2
+
+
+@dataclass(slots=True)
+class Mark:
+    """Holds one request's suspicion at one ending.
+
+    `version` is that of the last change; `is_relayed` tells that it came from
+    an instance which also told the others.
+    """
+
+    had_begun: bool
+    is_cleared: bool
+    version: int
+    is_relayed: bool
+
+
+@dataclass(slots=True)
+class Ending:
+    """Holds when a server ended and the requests that ran there."""
+
+    at_s: float
+    marks: dict[RequestDigest, Mark] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class _Weight:
+    """Holds how much points to a request, the most telling first.
+
+    The last counts more where fewer others were running beside it.
+    """
+
+    early_moments: int
+    moments: int
+    share_of_blame: float
+
+
+def most_suspected(
+    endings: Mapping[ServerStart, Ending],
+    starts_by_digest: Mapping[RequestDigest, set[ServerStart]],
+) -> RequestDigest | None:
+    """Return the request to convict first, None if there is none."""
+    weights = {
+        digest: _weight(digest, [endings[start] for start in starts])
+        for digest, starts in starts_by_digest.items()
+    }
+    ranked = sorted(weights, key=lambda d: (weights[d], d), reverse=True)
+    for digest in ranked:
+        weight = weights[digest]
+        if weight.moments >= ENDINGS_TO_CONVICT_ALL:
+            return digest
+        if (
+            weight.early_moments < EARLY_TO_CONVICT
+            and weight.moments < ENDINGS_TO_CONVICT
+        ):
+            continue
+        has_rival = any(
+            other != digest
+            and _is_rival(
+                starts_by_digest[digest], weight, starts, weights[other]
+            )
+            for other, starts in starts_by_digest.items()
+        )
+        if not has_rival:
+            return digest
+    return None
+
+
+def _weight(digest: RequestDigest, endings: list[Ending]) -> _Weight:
+    early = [e for e in endings if not e.marks[digest].had_begun]
+    return _Weight(
+        moment_count(early),
+        moment_count(endings),
+        sum(1 / len(ending.marks) for ending in endings),
+    )
+
+
+def _is_rival(
+    starts: set[ServerStart],
+    weight: _Weight,
+    other_starts: set[ServerStart],
+    other_weight: _Weight,
+) -> bool:
+    """Return whether another request may be to blame instead of one."""
+    if starts <= other_starts:
+        return other_weight.early_moments >= weight.early_moments
+    return len(other_starts) > len(starts) and bool(starts & other_starts)
+
+
+def moment_count(endings: Iterable[Ending]) -> int:
+    """Return the number of endings that are apart in time."""
+    count = 0
+    last_s = 0.0
+    for at_s in sorted(ending.at_s for ending in endings):
+        if count == 0 or at_s - last_s >= MOMENT_S:
+            count += 1
+            last_s = at_s
+    return count
--- a/jackdawfield/gateway/servers/choice.py
+++ b/jackdawfield/gateway/servers/choice.py
@@ -20,6 +20,8 @@
 
 # Entries that expired in an outage of the store return within 2 s of its end.
 MISSING_GRACE_S = 2.0
+# The entry of a server that ended is removed within this time.
+ENDED_LISTED_S = 5.0
 # A server that refused a request as full is not preferred for this long.
 FULL_PAUSE_S = 0.1
 # Consecutive failures after which a server is avoided, and for how long; the
@@ -59,6 +61,8 @@
     avoid_until_s: float = 0.0
     full_until_s: float = 0.0
     missing_since_s: float | None = None
+    # A server that has ended is not chosen until then.
+    absent_until_s: float = 0.0
     ejection: EjectionState = field(default_factory=EjectionState)
     concurrency_limit: ConcurrencyLimit = field(
         default_factory=lambda: ConcurrencyLimit.with_all_slots(1)
@@ -153,6 +157,14 @@
         state.entry = entry
         state.missing_since_s = None
 
+    def mark_ended(
+        self, server_id: ServerId, started_ms: int, now_s: float
+    ) -> None:
+        """Stop choosing a server that ended, while its entry is listed."""
+        state = self.by_id.get(server_id)
+        if state is not None and state.entry.started_ms == started_ms:
+            state.absent_until_s = now_s + ENDED_LISTED_S
+
     def remove(
         self, server_id: ServerId, now_s: float, after_outage: bool
     ) -> None:
@@ -191,7 +203,8 @@
         ]
         if not usable:
             return None
-        not_ejected = _without_ejected(usable, now_s)
+        present = [s for s in usable if s.absent_until_s <= now_s]
+        not_ejected = _without_ejected(present or usable, now_s)
         not_avoided = [s for s in not_ejected if s.avoid_until_s <= now_s]
         candidates = not_avoided or not_ejected
         return min(
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -24,6 +24,7 @@
 from jackdawfield.gateway.servers.exchange import ResponseStream
 from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.exchange import Unreached
+from jackdawfield.gateway.servers.guard import CallGuard
 from jackdawfield.gateway.servers.slot_queue import RETRY_AFTER_S
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.logs import log_event
@@ -88,10 +89,18 @@
     """Chooses backend servers for calls and sends the requests to them."""
 
     def __init__(
-        self, slot_queue: SlotQueue, exchange: ServerExchange
+        self,
+        slot_queue: SlotQueue,
+        exchange: ServerExchange,
+        guard: CallGuard,
     ) -> None:
         self._slot_queue = slot_queue
         self._exchange = exchange
+        self._guard = guard
+
+    def check(self, call: Call) -> Refusal | None:
+        """Return a refusal if a call must not be sent to any server now."""
+        return self._guard.check(call)
 
     async def start(
         self,
@@ -119,6 +128,13 @@
                 return server
             if server is None or isinstance(server, Refusal):
                 break
+            # What is known of the request may have changed meanwhile.
+            refusal = self._guard.check(call)
+            if refusal is not None:
+                self._slot_queue.release(server)
+                if not may_have_run:
+                    return refusal
+                break
             outcome = await self._try(call, server, body, tries)
             match outcome:
                 case ResponseStream():
@@ -131,6 +147,8 @@
                     may_have_run = True
                     if not call.route.is_repeatable:
                         return Failure(502, reason)
+                    if not self._guard.may_send_again(call):
+                        break
         if may_have_run:
             return Failure(502, reason)
         return Refusal(503, reason, RETRY_AFTER_S)
@@ -149,6 +167,9 @@
             server = self._choose_to_resume(sent, elsewhere)
             if server is None or _is_too_late(call):
                 break
+            if not self._guard.may_send_again(call):
+                reason = 'its servers ended'
+                break
             self._slot_queue.take(server)
             outcome = await self._try(
                 call, server, sent.body, tries, last_event_id
@@ -207,13 +228,17 @@
             last_event_id or call.headers.last_event_id,
         )
         has_started = False
+        self._guard.begin(call)
         try:
             outcome = await self._exchange.start(attempt)
             has_started = isinstance(outcome, ResponseStream)
         finally:
             if not has_started:
                 self._slot_queue.release(server)
+                self._guard.end(call)
         tries.record(server_id, outcome)
+        if isinstance(outcome, ResponseLost) and outcome.is_closed_by_server:
+            self._guard.record_broken(call, server, had_begun=False)
         if not isinstance(outcome, ResponseStream):
             log_event(
                 LOG,
@@ -232,6 +257,15 @@
         The end is None if the caller disconnected.
         """
         self._slot_queue.release(response.server)
+        self._guard.end(response.call)
+        if end is BodyEnd.WHOLE:
+            self._guard.record_whole(response.call)
+        elif response.connection.is_closed_by_server:
+            self._guard.record_broken(
+                response.call,
+                response.server,
+                had_begun=response.first_piece_s is not None,
+            )
         self._exchange.release(response, end)
 
 
--- a/jackdawfield/gateway/servers/exchange.py
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -61,6 +61,7 @@
 class ResponseStream:
     """Holds a call whose response has begun and reads the response's body."""
 
+    call: Call
     server: ServerState
     connection: Connection
     head: ResponseHead
@@ -127,6 +128,7 @@
     """Reports a request that may have run, without a usable response."""
 
     reason: str
+    is_closed_by_server: bool = False
 
 
 ExchangeOutcome = ResponseStream | Unreached | NotRun | ResponseLost
@@ -237,7 +239,10 @@
         if response is None:
             self._record_failure(server, time.monotonic(), 'answer lost')
             connection.abort('answer lost')
-            return ResponseLost(connection.lost_reason or 'answer lost')
+            return ResponseLost(
+                connection.lost_reason or 'answer lost',
+                connection.is_closed_by_server,
+            )
         if self._is_not_run(response.head):
             await self._handle_refusal(server, connection, response.head)
             return NotRun(f'server answered {response.head.status}, not run')
@@ -251,7 +256,11 @@
         if not isinstance(head, ResponseHead):
             return None
         response = ResponseStream(
-            attempt.server, connection, head, sent_at_s=sent_at_s
+            attempt.call,
+            attempt.server,
+            connection,
+            head,
+            sent_at_s=sent_at_s,
         )
         if self._is_not_run(head):
             return response
--- a/tests/gateway/servers/test_dispatch.py
+++ b/tests/gateway/servers/test_dispatch.py
@@ -20,8 +20,11 @@
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.dispatch import Dispatcher
 from jackdawfield.gateway.servers.dispatch import SentCall
+from jackdawfield.gateway.servers.endings import EndedServers
 from jackdawfield.gateway.servers.exchange import HeaderFormat
 from jackdawfield.gateway.servers.exchange import ServerExchange
+from jackdawfield.gateway.servers.guard import CallGuard
+from jackdawfield.gateway.servers.quarantine import Quarantine
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
@@ -154,7 +157,11 @@
         exchange = ServerExchange(
             servers, self.pool, HEADER_FORMAT, self.reported.append
         )
-        self.dispatcher = Dispatcher(slot_queue, exchange)
+        quarantine = Quarantine()
+        ended = EndedServers(servers, quarantine, lambda: None)
+        self.addCleanup(ended.close)
+        guard = CallGuard(quarantine, ended)
+        self.dispatcher = Dispatcher(slot_queue, exchange, guard)
         return await self.dispatcher.start(call, SERVICE, b'body', None)
 
     @property
