List and lift quarantines, and say what they are

Operators had no way to see or end a quarantine.

Tests: other requests are served meanwhile, an instance that starts learns what the others know, innocent calls are retried elsewhere, lost answers and planned leaving convict nobody, a lift reaches the other instances.

--- a/jackdawfield/cmdline.py
+++ b/jackdawfield/cmdline.py
@@ -35,6 +35,8 @@
     'programs end': 'fleet:EndProgramCommand',
     'programs list': 'fleet:Programs',
     'programs show': 'fleet:ShowProgram',
+    'quarantine lift': 'quarantine:LiftQuarantine',
+    'quarantine list': 'quarantine:Quarantined',
     'report burn': 'report:Burn',
     'replay': 'local:Replay',
     'routes list': 'templates:ListRoutes',
--- a/jackdawfield/explain.py
+++ b/jackdawfield/explain.py
@@ -35,6 +35,8 @@
     ' {waiting_for}',
     'call_timed_out': 'its deadline passed before it was answered, while it'
     ' waited for the {waiting_for}',
+    'request_quarantined': 'refused, not run: the same request ended the'
+    ' servers {servers}',
     'call_refused': 'refused with {status}, not run: {reason}',
     'turn_not_kept': 'its turn could not be written in time, so that the '
     'answer was not ended',
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -54,6 +54,7 @@
 from jackdawfield.gateway.servers.failures import FailureReports
 from jackdawfield.gateway.servers.guard import CallGuard
 from jackdawfield.gateway.servers.quarantine import Quarantine
+from jackdawfield.gateway.servers.quarantine_page import QuarantinePage
 from jackdawfield.gateway.servers.quarantine_sharing import QuarantineSharing
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.storage.follower import TableFollower
@@ -159,6 +160,9 @@
         self.quarantine_sharing = QuarantineSharing(
             self.quarantine, self.members, self.table_sharing, self.links
         )
+        self.quarantine_page = QuarantinePage(
+            self.quarantine, self.quarantine_sharing
+        )
         self.ended_servers = EndedServers(
             self.servers, self.quarantine, self.quarantine_sharing.notify
         )
@@ -412,7 +416,13 @@
             200 if self.is_ready else 503, 'ready' if self.is_ready else ''
         )
 
-    async def _answer_metrics(self, _: IncomingRequest, reply: Reply) -> None:
+    async def _answer_metrics(
+        self, request: IncomingRequest, reply: Reply
+    ) -> None:
+        answer = self.quarantine_page.answer(request.method, request.target)
+        if answer is not None:
+            reply.send(answer.status, answer.text)
+            return
         reply.send(200, self.metrics.render_prometheus().rstrip('\n'))
 
     async def stop(self) -> None:
--- a/tests/gateway/test_quarantine.py
+++ b/tests/gateway/test_quarantine.py
@@ -4,9 +4,13 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import json
+import time
 import unittest
 
+from jackdawfield.gateway.daemon import Gateway
 from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.messages.fleet_quarantine import RequestDigest
+from jackdawfield.model import ServerId
 from tests.gateway.harness import Answer
 from tests.gateway.harness import engine
 from tests.gateway.harness import Fleet
@@ -30,14 +34,14 @@
     """Represents a server whose process ends when it runs the poison."""
 
     def __init__(self, script: Script = engine) -> None:
-        self._script = script
+        self.script = script
         self.scripted = ScriptedServer(self._serve)
         self.has_ended = False
         self.poison_count = 0
 
     async def _serve(self, received: ReceivedRequest) -> None:
         if POISON not in received.body:
-            await self._script(received)
+            await self.script(received)
             return
         self.poison_count += 1
         await self.end()
@@ -71,6 +75,12 @@
                 lambda g=gateway: len(g.servers.by_id) == SERVERS
             )
 
+    async def stop(self) -> None:
+        """Stop the instances, the store and the servers."""
+        await super().stop()
+        for server in self.servers:
+            await server.end()
+
     def list_server(self, number: int, **changes: object) -> None:
         """Write a server's entry."""
         server = self.servers[number].scripted
@@ -128,6 +138,111 @@
         self.assertLessEqual(self.fleet.ended_count, MAX_ENDED)
         self.assertEqual({a.status for a in answers[MAX_ENDED:]}, {503})
 
+    async def convict(self) -> None:
+        """Send the poison until all instances have quarantined it."""
+        fleet = self.fleet
+        number = 0
+        while not all(quarantined_at(g) for g in fleet.gateways):
+            await fleet.send_poison(number, '/turns/x')
+            number += 1
+            await asyncio.sleep(SPREAD_S)
+
+    async def test_other_requests_are_served_meanwhile(self) -> None:
+        await self.convict()
+        gateway = self.fleet.gateways[0]
+        answer = await self.fleet.call(gateway, 'r', '/turns/x', b'sound')
+        self.assertEqual((answer.status, answer.whole), (200, True))
+        # The same body from another organisation is another request.
+        answer = await self.fleet.call(
+            gateway, 'r2', '/turns/x', POISON, key='other-key'
+        )
+        self.assertEqual(answer.status, 502)
+
+    async def test_instance_that_starts_learns_what_the_others_know(
+        self,
+    ) -> None:
+        await self.convict()
+        started = await self.fleet.start_instance('late')
+        await self.fleet.wait_until(lambda: quarantined_at(started))
+        await self.fleet.wait_until(lambda: started.is_ready)
+        ended = self.fleet.ended_count
+        answer = await self.fleet.call(started, 'p', '/turns/x', POISON)
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers['retry-after']), 0)
+        self.assertEqual(self.fleet.ended_count, ended)
+
+    async def test_innocent_beside_it_is_retried_elsewhere(self) -> None:
+        fleet = self.fleet
+
+        async def slow(received: ReceivedRequest) -> None:
+            await asyncio.sleep(SPREAD_S)
+            await engine(received)
+
+        for server in fleet.servers:
+            server.script = slow
+        calls = [
+            asyncio.create_task(
+                fleet.call(fleet.gateways[0], f'r{n}', '/open/x', b'%d' % n)
+            )
+            for n in range(SERVERS)
+        ]
+        await asyncio.sleep(SPREAD_S / 2)
+        await fleet.send_poison(0, '/turns/x')
+        answers = await asyncio.gather(*calls)
+        self.assertEqual({a.status for a in answers}, {200})
+        self.assertFalse(any(quarantined_at(g) for g in fleet.gateways))
+
+    async def test_lost_answers_of_a_living_server_convict_nobody(
+        self,
+    ) -> None:
+        async def broken(received: ReceivedRequest) -> None:
+            received.reset()
+
+        for server in self.fleet.servers:
+            server.script = broken
+        for number in range(SENDS):
+            gateway = self.fleet.gateways[number % INSTANCES]
+            await self.fleet.call(gateway, f'r{number}', '/turns/x', b'same')
+        await asyncio.sleep(SPREAD_S)
+        for gateway in self.fleet.gateways:
+            self.assertTrue(gateway.quarantine.is_empty)
+
+    async def test_servers_that_leave_convict_nobody(self) -> None:
+        fleet = self.fleet
+        for number, server in enumerate(fleet.servers):
+            fleet.list_server(number, state='draining')
+            for gateway in fleet.gateways:
+                state = gateway.servers.by_id[ServerId(f's-{number}')]
+                await fleet.wait_until(lambda s=state: s.entry.is_draining)
+                gateway.ended_servers.record_broken(
+                    RequestDigest(b'same'), state, had_begun=False
+                )
+            await server.end()
+        await asyncio.sleep(SPREAD_S)
+        for gateway in fleet.gateways:
+            self.assertTrue(gateway.quarantine.is_empty)
+
+    async def test_operator_lists_and_lifts_a_quarantine(self) -> None:
+        await self.convict()
+        first, second = self.fleet.gateways[:2]
+        found = first.quarantine_page.answer('GET', '/quarantine')
+        assert found is not None
+        (row,) = json.loads(found.text)
+        self.assertEqual(len(row['servers'].split()), 3)
+        path = f'/quarantine/{row["digest"]}'
+        lifted = first.quarantine_page.answer('DELETE', path)
+        assert lifted is not None
+        self.assertEqual(lifted.status, 200)
+        await self.fleet.wait_until(lambda: not quarantined_at(second))
+        again = first.quarantine_page.answer('DELETE', path)
+        assert again is not None
+        self.assertEqual(again.status, 404)
+
+
+def quarantined_at(gateway: Gateway) -> bool:
+    """Return whether an instance has quarantined any request."""
+    return bool(gateway.quarantine.quarantined(time.monotonic()))
+
 
 if __name__ == '__main__':
     unittest.main()
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -46,6 +46,18 @@
         cause = explain_request('r2', self.texts).cause
         self.assertEqual(cause, 'refused with 429, not run: over the rate')
 
+    def test_cause_of_a_quarantine_names_the_servers(self) -> None:
+        text = (
+            'at=1 instance=a event=request_quarantined request=r4 digest=2b '
+            'servers=i-1,i-2,i-3'
+        )
+        refused = (
+            'at=2 instance=a event=call_refused request=r4 status=503 '
+            'reason=quarantined'
+        )
+        cause = explain_request('r4', [text, refused]).cause
+        self.assertIn('i-1,i-2,i-3', cause)
+
     def test_cause_of_a_request_without_lines(self) -> None:
         self.assertIn('no line', explain_request('r3', self.texts).cause)
 
