Convict sooner what alone had just begun when servers ended

Whether its answer had begun was read from the first bytes, which a server sends before it ends; now an answer has begun once an event or a piece was passed on to the caller.

A request that was the only one not begun is now convicted after two endings. It must explain half of the endings meanwhile, so that servers that end whatever runs there convict nobody.

--- a/jackdawfield/gateway/servers/blame.py
+++ b/jackdawfield/gateway/servers/blame.py
@@ -9,11 +9,15 @@
 from jackdawfield.messages.fleet_quarantine import ServerStart
 
 # Moments at which servers ended under a request, until it is quarantined:
-# before they had sent a part of its answer; at any time; and though another
-# request was beside it each time.
+# before its answer had begun, as the only such request there, or not; at any
+# time; and though another request was beside it each time.
+ALONE_TO_CONVICT = 2
 EARLY_TO_CONVICT = 3
 ENDINGS_TO_CONVICT = 4
 ENDINGS_TO_CONVICT_ALL = 5
+# Share of the moments meanwhile that a request explains. Where servers end
+# all the time, whatever runs there, it explains few.
+MIN_EXPLAINED_SHARE = 0.5
 # Servers that end within this time have a common cause and count once.
 MOMENT_S = 0.2
 
@@ -39,6 +43,11 @@
     at_s: float
     marks: dict[RequestDigest, Mark] = field(default_factory=dict)
 
+    @property
+    def early_count(self) -> int:
+        """Return how many requests ran there whose answer had not begun."""
+        return sum(not mark.had_begun for mark in self.marks.values())
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class _Weight:
@@ -47,10 +56,20 @@
     The last counts more where fewer others were running beside it.
     """
 
+    alone_moments: int
     early_moments: int
     moments: int
     share_of_blame: float
 
+    @property
+    def is_enough(self) -> bool:
+        """Return whether a request without a rival is convicted."""
+        return (
+            self.alone_moments >= ALONE_TO_CONVICT
+            or self.early_moments >= EARLY_TO_CONVICT
+            or self.moments >= ENDINGS_TO_CONVICT
+        )
+
 
 def most_suspected(
     endings: Mapping[ServerStart, Ending],
@@ -66,9 +85,8 @@
         weight = weights[digest]
         if weight.moments >= ENDINGS_TO_CONVICT_ALL:
             return digest
-        if (
-            weight.early_moments < EARLY_TO_CONVICT
-            and weight.moments < ENDINGS_TO_CONVICT
+        if not weight.is_enough or not _explains_enough(
+            endings, starts_by_digest, digest
         ):
             continue
         has_rival = any(
@@ -85,13 +103,34 @@
 
 def _weight(digest: RequestDigest, endings: list[Ending]) -> _Weight:
     early = [e for e in endings if not e.marks[digest].had_begun]
+    alone = [e for e in early if e.early_count == 1]
     return _Weight(
+        moment_count(alone),
         moment_count(early),
         moment_count(endings),
         sum(1 / len(ending.marks) for ending in endings),
     )
 
 
+def _explains_enough(
+    endings: Mapping[ServerStart, Ending],
+    starts_by_digest: Mapping[RequestDigest, set[ServerStart]],
+    digest: RequestDigest,
+) -> bool:
+    """Return whether a request explains most of what ended meanwhile."""
+    own = [endings[start] for start in starts_by_digest[digest]]
+    first_s = min(ending.at_s for ending in own)
+    last_s = max(ending.at_s for ending in own)
+    starts = set().union(*starts_by_digest.values())
+    meanwhile = [
+        endings[start]
+        for start in starts
+        if first_s <= endings[start].at_s <= last_s
+    ]
+    share = moment_count(own) / moment_count(meanwhile)
+    return share >= MIN_EXPLAINED_SHARE
+
+
 def _is_rival(
     starts: set[ServerStart],
     weight: _Weight,
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -264,7 +264,7 @@
             self._guard.record_broken(
                 response.call,
                 response.server,
-                had_begun=response.first_piece_s is not None,
+                had_begun=response.has_begun,
             )
         self._exchange.release(response, end)
 
--- a/jackdawfield/gateway/servers/exchange.py
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -70,6 +70,8 @@
     sent_at_s: float = 0.0
     # Time until the first piece of the body, None before it arrived.
     first_piece_s: float | None = None
+    # Whether a part of the answer that its caller can use was passed on.
+    has_begun: bool = False
 
     async def next_part(self) -> bytes | BodyEnd:
         """Return the next piece of the body, after the last one its end."""
@@ -85,6 +87,7 @@
         while True:
             match await self.next_part():
                 case bytes(piece):
+                    self.has_begun = True
                     if not await write(piece):
                         return None
                 case BodyEnd() as end:
--- a/jackdawfield/gateway/streams/relay.py
+++ b/jackdawfield/gateway/streams/relay.py
@@ -116,6 +116,7 @@
             for action in self._progress.on(event):
                 match action:
                     case PassOn(data, events):
+                        self._sent.response.has_begun = True
                         if not await self._write(data, events):
                             return self._relayed(None)
                     case Resume():
