Judge endings sooner and hold a suspect back until then

While its second ending was settling, the request still reached a server or two, and endings 0.15 s apart counted as one. Endings settle in 0.15 s, those 0.1 s apart are two, and a request with two endings is refused, as not run, until these are judged.

--- a/jackdawfield/gateway/servers/blame.py
+++ b/jackdawfield/gateway/servers/blame.py
@@ -19,7 +19,7 @@
 # all the time, whatever runs there, it explains few.
 MIN_EXPLAINED_SHARE = 0.5
 # Servers that end within this time have a common cause and count once.
-MOMENT_S = 0.2
+MOMENT_S = 0.1
 
 
 @dataclass(slots=True)
--- a/jackdawfield/gateway/servers/guard.py
+++ b/jackdawfield/gateway/servers/guard.py
@@ -18,6 +18,8 @@
 QUARANTINED = 'quarantined'
 WATCHED = 'suspected, and running already'
 WATCHED_RETRY_S = 1.0
+UNDECIDED = 'suspected, not decided yet'
+UNDECIDED_RETRY_S = 0.3
 # Servers that may have ended under one request before it is sent no more.
 MAX_BROKEN = 2
 
@@ -43,6 +45,8 @@
         match self._quarantine.verdict(digest, now_s):
             case Verdict.FREE:
                 return None
+            case Verdict.UNDECIDED:
+                return Refusal(STATUS_REFUSED, UNDECIDED, UNDECIDED_RETRY_S)
             case Verdict.WATCHED:
                 running = self._watched_calls.get(digest, call.request_id)
                 if running == call.request_id:
--- a/jackdawfield/gateway/servers/quarantine.py
+++ b/jackdawfield/gateway/servers/quarantine.py
@@ -24,7 +24,7 @@
 # From this many on, an instance runs the request at one server at a time.
 ENDINGS_TO_WATCH = 2
 # Time in which the instances report who else was running on a server.
-SETTLE_S = 0.3
+SETTLE_S = 0.15
 QUARANTINE_S = 600.0
 # Time after a quarantine in which a single ending brings the next one.
 PROBATION_S = 3600.0
@@ -39,6 +39,7 @@
     """Names how a request is treated."""
 
     FREE = 'free'
+    UNDECIDED = 'undecided'
     WATCHED = 'watched'
     QUARANTINED = 'quarantined'
 
@@ -126,9 +127,17 @@
         if self._counts is None:
             self._counts = self._open_counts()
         if self._counts.get(digest, 0) >= ENDINGS_TO_WATCH:
-            return Verdict.WATCHED
+            is_settled = self._is_settled(digest, now_s)
+            return Verdict.WATCHED if is_settled else Verdict.UNDECIDED
         return Verdict.FREE
 
+    def _is_settled(self, digest: RequestDigest, now_s: float) -> bool:
+        """Return whether all endings of a request can be judged."""
+        return all(
+            self._endings[start].at_s + SETTLE_S <= now_s
+            for start in self._open_starts(digest)
+        )
+
     def ending_count(self, digest: RequestDigest) -> int:
         """Return how many servers ended while a request ran there."""
         return len(self._open_starts(digest))
--- a/tests/gateway/servers/test_quarantine.py
+++ b/tests/gateway/servers/test_quarantine.py
@@ -67,6 +67,14 @@
             found, [Verdict.FREE, Verdict.WATCHED, Verdict.QUARANTINED]
         )
 
+    def test_request_waits_until_its_endings_are_judged(self) -> None:
+        for number in range(2):
+            other = RequestDigest(b'other %d' % number)
+            self.end_server(early(POISON, other))
+        verdict = self.quarantine.verdict(POISON, self.now_s)
+        self.assertIs(verdict, Verdict.UNDECIDED)
+        self.assertIs(self.verdict(), Verdict.WATCHED)
+
     def test_second_server_convicts_what_alone_had_just_begun(self) -> None:
         found = []
         for number in range(2):
@@ -375,7 +383,11 @@
     def _send(self, digest: RequestDigest, tries_left: int) -> None:
         number = self.random.randrange(INSTANCES)
         quarantine = self.instances[number].quarantine
-        if quarantine.verdict(digest, self.now_s) is Verdict.QUARANTINED:
+        verdict = quarantine.verdict(digest, self.now_s)
+        if verdict is Verdict.UNDECIDED and tries_left:
+            at_s = self.now_s + self.random.uniform(0.3, 0.6)
+            self.waiting.append((at_s, digest, tries_left))
+        if verdict in (Verdict.QUARANTINED, Verdict.UNDECIDED):
             return
         up = [s for s, at_s in self.up_at_s.items() if at_s <= self.now_s]
         if not up:
