--- a/jackdawfield/gateway/servers/blame.py
+++ b/jackdawfield/gateway/servers/blame.py
@@ -76,9 +76,14 @@
     starts_by_digest: Mapping[RequestDigest, set[ServerStart]],
 ) -> RequestDigest | None:
     """Return the request to convict first, None if there is none."""
+    repeated = {
+        digest: starts
+        for digest, starts in starts_by_digest.items()
+        if len(starts) >= ALONE_TO_CONVICT
+    }
     weights = {
         digest: _weight(digest, [endings[start] for start in starts])
-        for digest, starts in starts_by_digest.items()
+        for digest, starts in repeated.items()
     }
     ranked = sorted(weights, key=lambda d: (weights[d], d), reverse=True)
     for digest in ranked:
@@ -91,10 +96,8 @@
             continue
         has_rival = any(
             other != digest
-            and _is_rival(
-                starts_by_digest[digest], weight, starts, weights[other]
-            )
-            for other, starts in starts_by_digest.items()
+            and _is_rival(repeated[digest], weight, starts, weights[other])
+            for other, starts in repeated.items()
         )
         if not has_rival:
             return digest
