--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -61,6 +61,18 @@
         self.assertIn('planned stop', cause)
         self.assertIn('answer', cause)
 
+    def test_cause_of_a_quarantine_names_the_servers(self) -> None:
+        text = (
+            'at=1 instance=a event=request_quarantined request=r4 digest=2b '
+            'servers=i-1,i-2,i-3'
+        )
+        refused = (
+            'at=2 instance=a event=call_refused request=r4 status=503 '
+            'reason=quarantined'
+        )
+        cause = explain_request('r4', [text, refused]).cause
+        self.assertIn('i-1,i-2,i-3', cause)
+
     def test_cause_of_a_request_without_lines(self) -> None:
         self.assertIn('no line', explain_request('r3', self.texts).cause)
 
