--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -141,13 +141,8 @@
             refusal = Refusal(503, 'route without service')
             self._refuse(call.request_id, call, refusal, reply)
             return
-        outcome: Refusal | Failure | None = self._dispatcher.check(call)
-        if outcome is not None:
-            pass
-        elif call.route.kind is CallKind.STREAM:
-            outcome = await self._stream_calls.serve(call, service, reply)
-        else:
-            outcome = await self._forward(call, service, reply)
+        refusal = self._dispatcher.check(call)
+        outcome = refusal or await self._send(call, service, reply)
         match outcome:
             case Refusal():
                 self._refuse(call.request_id, call, outcome, reply)
@@ -163,6 +158,13 @@
                 )
                 reply.send(status, reason)
 
+    async def _send(
+        self, call: Call, service: ServiceName, reply: Reply
+    ) -> Refusal | Failure | None:
+        if call.route.kind is CallKind.STREAM:
+            return await self._stream_calls.serve(call, service, reply)
+        return await self._forward(call, service, reply)
+
     async def _forward(
         self, call: Call, service: ServiceName, reply: Reply
     ) -> Refusal | Failure | None:
