--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -141,8 +141,8 @@
             refusal = Refusal(503, 'route without service')
             self._refuse(call.request_id, call, refusal, reply)
             return
-        refusal = self._dispatcher.check(call)
-        outcome = refusal or await self._send(call, service, reply)
+        suspected = self._dispatcher.check(call)
+        outcome = suspected or await self._send(call, service, reply)
         match outcome:
             case Refusal():
                 self._refuse(call.request_id, call, outcome, reply)
