--- a/tests/gateway/programs/test_overdraft.py
+++ b/tests/gateway/programs/test_overdraft.py
@@ -8,6 +8,7 @@
 import unittest
 from unittest import mock
 
+from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.fleet.ownership import Ownership
 from jackdawfield.gateway.programs.overdraft import MIN_UPTIME_S
 from jackdawfield.gateway.programs.overdraft import OverdraftLender
@@ -73,7 +74,11 @@
             )
             gateway.overdraft_lender._started_at_s -= MIN_UPTIME_S + 1
             # As if the members had not changed for a while.
-            gateway.rate_owner.ownership._serving_changed_at_s -= 60
+            ownership = gateway.rate_owner.ownership
+            ownership._serving_changed_at_s -= 60
+            await self.fleet.wait_until(
+                lambda o=ownership: o._is_settled(boot_time_s())
+            )
         self.number = 0
 
     async def call(self, gateway: int, budget: int) -> Answer:
