--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -70,7 +70,9 @@
         seed = 0
         while not found and seed < MAX_SEEDS_PER_VARIANT:
             seed += 1
-            report = run_seed(seed, options.seconds, variant, logs)
+            report = run_seed(
+                seed, options.seconds, variant, logs, options.ending_request
+            )
             found = {violation.promise for violation in report.violations}
         names = ', '.join(sorted(found))
         text = f'found at seed {seed}: {names}' if found else 'NOT FOUND'
@@ -101,7 +103,8 @@
     )
     parser.add_argument(
         '--ending-request',
-        action='store_true',
+        action=argparse.BooleanOptionalAction,
+        default=True,
         help='send a request that ends the servers which run it',
     )
     options = parser.parse_args()
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -23,6 +23,7 @@
 from jackdawfield.gateway.rates.admission import Admission
 from jackdawfield.gateway.servers.dispatch import Dispatcher
 from jackdawfield.gateway.servers.exchange import ServerExchange
+from jackdawfield.gateway.servers.guard import CallGuard
 from jackdawfield.gateway.storage.measured import MeasuredStore
 from jackdawfield.gateway.storage.rows import RowConflict
 from jackdawfield.gateway.streams.progress import StreamProgress
@@ -163,6 +164,12 @@
     _patch(Gateway, 'stop', Gateway.close)
 
 
+def ignore_endings() -> None:
+    """Send requests to servers whatever they did to others."""
+    _patch(CallGuard, 'check', lambda *_: None)
+    _patch(CallGuard, 'may_send_again', lambda *_: True)
+
+
 def drop_requests() -> None:
     """Close some connections without an answer to the request."""
     serve = CallHandler.serve
@@ -210,5 +217,6 @@
     'go-back': go_back,
     'cut-at-stop': cut_at_stop,
     'drop-requests': drop_requests,
+    'ignore-endings': ignore_endings,
     'give-store-up': give_store_up,
 }
