--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -26,6 +26,7 @@
 from jackdawfield.gateway.fleet.table_sharing import SharedTables
 from jackdawfield.gateway.fleet.table_sharing import TableSharing
 from jackdawfield.gateway.http.caller_exchange import IncomingRequest
+from jackdawfield.gateway.http.drain import drain
 from jackdawfield.gateway.http.listener import HttpListener
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.http.reply import Reply
@@ -72,13 +73,6 @@
 CACHE_SHARE = 0.15
 CHECK_INTERVAL_S = 0.25
 EXPIRY_INTERVAL_S = 5.0
-# The load balancer checks the health once a second and removes an instance
-# after two failed checks; new connections arrive until then.
-LISTEN_AFTER_STOP_S = 3.0
-# Time for a request to be read on a connection that was just accepted.
-LAST_REQUEST_S = 0.1
-# Time for the last answers to be written before their connections close.
-LAST_ANSWERS_S = 0.1
 # Time for answers to requests of other instances that were taken before.
 PEER_GRACE_S = 0.3
 # End of the grace period, reserved for the last answers and for closing.
@@ -446,22 +440,13 @@
         self.detector.is_leaving = True
         self.rate_owner.hand_over_all()
         await self.seat_holder.leave()
-        listen_until_s = started_s + LISTEN_AFTER_STOP_S
-        await asyncio.sleep(max(0.0, listen_until_s - time.monotonic()))
-        self.call_handler.ends_at_s = drain_until_s
-        self.caller_listener.stop_listening()
-        # The last connections that were accepted carry a request already.
-        await asyncio.sleep(LAST_REQUEST_S)
-        self.caller_listener.close_idle()
-        while (
-            self.caller_listener.is_busy and time.monotonic() < drain_until_s
-        ):
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            self.caller_listener.close_idle()
+        await drain(
+            self.caller_listener,
+            started_s,
+            drain_until_s,
+            self.call_handler.refuse_what_ends_after,
+        )
         log_event(LOG, 'stopped', in_flight=self.caller_listener.in_flight)
-        if self.caller_listener.is_busy:
-            self.caller_listener.cancel_requests()
-            await asyncio.sleep(LAST_ANSWERS_S)
         await self.close()
 
     async def close(self) -> None:
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -52,7 +52,11 @@
         self._admission = admission
         self.configuration: FleetConfiguration | None = None
         # End of the last calls, by the monotonic clock, None unless stopping.
-        self.ends_at_s: float | None = None
+        self._ends_at_s: float | None = None
+
+    def refuse_what_ends_after(self, ends_at_s: float) -> None:
+        """Refuse the calls from now on whose deadline is after a time."""
+        self._ends_at_s = ends_at_s
 
     async def serve(
         self, request: IncomingRequest, headers: CallHeaders, reply: Reply
@@ -121,7 +125,7 @@
         if headers.time_left_s is not None:
             time_left_s = min(time_left_s, headers.time_left_s)
         deadline_s = request.arrived_at_s + time_left_s
-        if self.ends_at_s is not None and deadline_s > self.ends_at_s:
+        if self._ends_at_s is not None and deadline_s > self._ends_at_s:
             return Refusal(503, 'instance stops', RETRY_AT_STOP_S)
         return Call(
             request_id=headers.request_id,
--- a/jackdawfield/gateway/fleet/failure_detector.py
+++ b/jackdawfield/gateway/fleet/failure_detector.py
@@ -17,8 +17,8 @@
 from jackdawfield.gateway.fleet.member_rows import MemberRow
 from jackdawfield.gateway.fleet.member_rows import MEMBERS_TABLE
 from jackdawfield.gateway.fleet.members import Members
-from jackdawfield.gateway.fleet.ownership import MemberView
-from jackdawfield.gateway.fleet.ownership import roles_digest
+from jackdawfield.gateway.fleet.ownership_records import MemberView
+from jackdawfield.gateway.fleet.ownership_records import roles_digest
 from jackdawfield.gateway.fleet.seats import SeatId
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import RowStore
--- a/jackdawfield/gateway/fleet/ownership.py
+++ b/jackdawfield/gateway/fleet/ownership.py
@@ -14,12 +14,14 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
-from dataclasses import dataclass
-from hashlib import blake2b
 
 from jackdawfield.decisions.placement import choose_owner
 from jackdawfield.gateway.fleet.member_rows import MemberRow
 from jackdawfield.gateway.fleet.member_rows import no_takeover_pending
+from jackdawfield.gateway.fleet.ownership_records import LostOwnership
+from jackdawfield.gateway.fleet.ownership_records import MemberView
+from jackdawfield.gateway.fleet.ownership_records import OtherOwners
+from jackdawfield.gateway.fleet.ownership_records import roles_digest
 from jackdawfield.gateway.fleet.seats import SeatId
 from jackdawfield.messages.fleet_rates import RolesDigest
 from jackdawfield.model import OrganisationId
@@ -30,65 +32,6 @@
 VIEW_VALID_S = 1.5
 CLOCK_MARGIN_S = 0.3
 TAKEOVER_WAIT_S = VIEW_VALID_S + CLOCK_MARGIN_S
-ROLES_DIGEST_BYTES = 8
-
-
-@dataclass(frozen=True, slots=True)
-class LostOwnership:
-    """Names an ownership that this instance lost or released.
-
-    The new owner is the holder of another seat, by the view of a version.
-    `leaving` is this instance's incarnation if it stops, so that it is never
-    the owner again, and else empty.
-    """
-
-    organisation_id: OrganisationId
-    new_owner: SeatId
-    version: int
-    leaving: str = ''
-
-
-@dataclass(slots=True)
-class _OtherOwners:
-    """Holds the newest versions at which other instances were the owner.
-
-    `earlier_version` is that of owners other than the latest incarnation.
-    """
-
-    incarnation: str = ''
-    version: int = -1
-    earlier_version: int = -1
-
-    def record(self, incarnation: str, version: int) -> None:
-        """Record the owner by a view of a version."""
-        if incarnation != self.incarnation:
-            self.earlier_version = self.version
-            self.incarnation = incarnation
-        self.version = version
-
-    def newest_version(self, leaving: str) -> int:
-        """Return the newest version, without that of a leaving owner."""
-        if leaving and leaving == self.incarnation:
-            return self.earlier_version
-        return self.version
-
-
-@dataclass(frozen=True, slots=True)
-class MemberView:
-    """Holds the version of a member's view, and a digest of its roles."""
-
-    version: int
-    roles: RolesDigest
-
-
-def roles_digest(members_by_id: Mapping[SeatId, MemberRow]) -> RolesDigest:
-    """Return a digest of which incarnations hold the seats and serve."""
-    roles = [
-        (seat_id, row.incarnation, row.is_serving, row.left)
-        for seat_id, row in sorted(members_by_id.items())
-    ]
-    digest = blake2b(repr(roles).encode(), digest_size=ROLES_DIGEST_BYTES)
-    return RolesDigest(digest.digest())
 
 
 class Ownership:
@@ -109,7 +52,7 @@
         # Members that have released their ownerships and will own none again.
         self._leaving_incarnations: set[str] = set()
         self._other_owners_by_organisation: dict[
-            OrganisationId, _OtherOwners
+            OrganisationId, OtherOwners
         ] = {}
         # The newest version at which a member's incarnation or state changed.
         self._role_change_version = 0
@@ -488,7 +431,7 @@
     ) -> None:
         row = self._members_by_id[owner] if owner is not None else None
         others = self._other_owners_by_organisation.setdefault(
-            organisation_id, _OtherOwners()
+            organisation_id, OtherOwners()
         )
         others.record(row.incarnation if row else '', self.version)
 
--- a/jackdawfield/gateway/rates/owner.py
+++ b/jackdawfield/gateway/rates/owner.py
@@ -13,8 +13,8 @@
 from jackdawfield.gateway.fleet.failure_detector import FailureDetector
 from jackdawfield.gateway.fleet.failure_detector import PolledView
 from jackdawfield.gateway.fleet.members import Members
-from jackdawfield.gateway.fleet.ownership import LostOwnership
 from jackdawfield.gateway.fleet.ownership import Ownership
+from jackdawfield.gateway.fleet.ownership_records import LostOwnership
 from jackdawfield.gateway.fleet.seat_holder import SeatHolder
 from jackdawfield.gateway.fleet.seats import SeatId
 from jackdawfield.gateway.model import FleetConfiguration
--- a/tests/gateway/fleet/test_ownership.py
+++ b/tests/gateway/fleet/test_ownership.py
@@ -17,10 +17,10 @@
 from jackdawfield.gateway.fleet.member_rows import mark_suspended
 from jackdawfield.gateway.fleet.member_rows import MemberRow
 from jackdawfield.gateway.fleet.member_rows import no_takeover_pending
-from jackdawfield.gateway.fleet.ownership import LostOwnership
-from jackdawfield.gateway.fleet.ownership import MemberView
 from jackdawfield.gateway.fleet.ownership import Ownership
 from jackdawfield.gateway.fleet.ownership import TAKEOVER_WAIT_S
+from jackdawfield.gateway.fleet.ownership_records import LostOwnership
+from jackdawfield.gateway.fleet.ownership_records import MemberView
 from jackdawfield.gateway.fleet.seats import SeatId
 from jackdawfield.model import DomainId
 from jackdawfield.model import InstanceId
