--- a/jackdawfield/drivers/listening.py
+++ b/jackdawfield/drivers/listening.py
@@ -1,6 +1,5 @@
 """Serve an application over HTTP, and end its connections at a stop."""
 
-import logging
 import socket
 import time
 from typing import Any
@@ -15,10 +14,9 @@
 from tornado.ioloop import PeriodicCallback
 from tornado.netutil import bind_sockets
 
-from jackdawfield.logs import log_event
+from jackdawfield.sockets import accept_waiting
 from jackdawfield.sockets import has_unread_input
 
-LOG = logging.getLogger(__name__)
 IDLE_LIMIT_S = 3600.0
 UNLIMITED_S = 1e9
 SWEEPS_PER_LIMIT = 4
@@ -138,26 +136,13 @@
         Closing the socket would reset those that wait to be accepted.
         """
         for sock in self._listening:
-            self._accept_waiting(sock)
+            for connection, address in accept_waiting(sock):
+                connection.setblocking(False)
+                self._handle_connection(connection, address)
         self._listening = []
         self._sweep.stop()
         self.stop()
 
-    def _accept_waiting(self, sock: socket.socket) -> None:
-        while True:
-            try:
-                connection, address = sock.accept()
-            except ConnectionAbortedError:
-                # Its caller has left; others may wait behind it.
-                continue
-            except BlockingIOError:
-                return
-            except OSError as error:
-                log_event(LOG, 'accept_failed', reason=error)
-                return
-            connection.setblocking(False)
-            self._handle_connection(connection, address)
-
     def close_idle(self, min_idle_s: float = 0.0) -> None:
         """Close the connections on which no request has arrived.
 
--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -21,6 +21,7 @@
 from jackdawfield.gateway.http.caller_stream import CallerStream
 from jackdawfield.gateway.http.caller_stream import CloseReason
 from jackdawfield.logs import log_event
+from jackdawfield.sockets import accept_waiting
 
 LOG = logging.getLogger(__name__)
 # Tornado closes a connection whose body is larger; exchanges accept less.
@@ -109,24 +110,12 @@
         for stop_accepting in self._stop_accepting:
             stop_accepting()
         for sock in self._sockets:
-            self._accept_waiting(sock)
+            for connection, address in accept_waiting(sock):
+                self._serve_connection(connection, address)
             sock.close()
         self._stop_accepting.clear()
         self._sockets.clear()
 
-    def _accept_waiting(self, sock: socket.socket) -> None:
-        while True:
-            try:
-                connection, address = sock.accept()
-            except ConnectionAbortedError:
-                # Its caller has left; others may wait behind it.
-                continue
-            except OSError as error:
-                if not isinstance(error, BlockingIOError):
-                    log_event(LOG, 'accept_failed', reason=error)
-                return
-            self._serve_connection(connection, address)
-
     def close_idle(self) -> None:
         """Close the connections on which nothing of a request has arrived.
 
--- a/jackdawfield/sockets.py
+++ b/jackdawfield/sockets.py
@@ -1,7 +1,15 @@
-"""Look at sockets without reading from them."""
+"""Look at sockets without reading, and accept what waits in them."""
 
+from collections.abc import Iterator
+import logging
 from select import poll
 from select import POLLIN
+import socket
+from typing import Any
+
+from jackdawfield.logs import log_event
+
+LOG = logging.getLogger(__name__)
 
 
 def has_unread_input(file_number: int) -> bool:
@@ -12,3 +20,22 @@
     poller = poll()
     poller.register(file_number, POLLIN)
     return bool(poller.poll(0))
+
+
+def accept_waiting(sock: socket.socket) -> Iterator[tuple[socket.socket, Any]]:
+    """Yield the connections that wait in a listening socket, and addresses.
+
+    Closing the socket would reset them.
+    """
+    while True:
+        try:
+            connection, address = sock.accept()
+        except ConnectionAbortedError:
+            # Its caller has left; others may wait behind it.
+            continue
+        except BlockingIOError:
+            return
+        except OSError as error:
+            log_event(LOG, 'accept_failed', reason=error)
+            return
+        yield connection, address
