--- a/jackdawfield/gateway/servers/blame.py
+++ b/jackdawfield/gateway/servers/blame.py
@@ -8,26 +8,30 @@
 from jackdawfield.messages.fleet_quarantine import RequestDigest
 from jackdawfield.messages.fleet_quarantine import ServerStart
 
-# Moments at which servers ended under a request, until it is quarantined:
-# before its answer had begun, as the only such request there, or not; at any
-# time; and though another request was beside it each time.
-ALONE_TO_CONVICT = 2
-EARLY_TO_CONVICT = 3
-ENDINGS_TO_CONVICT = 4
-ENDINGS_TO_CONVICT_ALL = 5
-# Share of the moments meanwhile that a request explains. Where servers end
-# all the time, whatever runs there, it explains few.
-MIN_EXPLAINED_SHARE = 0.5
-# Servers that end within this time have a common cause and count once.
+# Servers that end within this time have a common cause and count as one
+# moment.
 MOMENT_S = 0.1
+# A request is convicted once servers ended under it at as many moments:
+# before its answer had begun, with the answers of all others there begun;
+ALONE_MOMENTS_TO_CONVICT = 2
+# before its answer had begun;
+EARLY_MOMENTS_TO_CONVICT = 3
+# at any time;
+MOMENTS_TO_CONVICT = 4
+# at any time, also with a rival and below the share that follows.
+MOMENTS_TO_CONVICT_DESPITE_RIVAL = 5
+# Least share that a request's moments have of all moments between its first
+# and its last. Where servers end whatever runs there, that share is low.
+MIN_EXPLAINED_SHARE = 0.5
 
 
 @dataclass(slots=True)
 class Mark:
     """Holds one request's suspicion at one ending.
 
-    `version` is that of the last change; `is_relayed` tells that it came from
-    an instance which also told the others.
+    `had_begun` tells that the server had sent a part of the answer. `version`
+    is that of the quarantine at the last change; `is_relayed` tells that it
+    came from an instance which also told the others.
     """
 
     had_begun: bool
@@ -53,7 +57,8 @@
 class _Weight:
     """Holds how much points to a request, the most telling first.
 
-    The last counts more where fewer others were running beside it.
+    `share_of_blame` adds up, over its endings, one part in as many as there
+    are suspects.
     """
 
     alone_moments: int
@@ -65,9 +70,9 @@
     def is_enough(self) -> bool:
         """Return whether a request without a rival is convicted."""
         return (
-            self.alone_moments >= ALONE_TO_CONVICT
-            or self.early_moments >= EARLY_TO_CONVICT
-            or self.moments >= ENDINGS_TO_CONVICT
+            self.alone_moments >= ALONE_MOMENTS_TO_CONVICT
+            or self.early_moments >= EARLY_MOMENTS_TO_CONVICT
+            or self.moments >= MOMENTS_TO_CONVICT
         )
 
 
@@ -75,11 +80,14 @@
     endings: Mapping[ServerStart, Ending],
     starts_by_digest: Mapping[RequestDigest, set[ServerStart]],
 ) -> RequestDigest | None:
-    """Return the request to convict first, None if there is none."""
+    """Return the request to convict first, None if there is none.
+
+    `starts_by_digest` holds the endings that each request may have caused.
+    """
     repeated = {
         digest: starts
         for digest, starts in starts_by_digest.items()
-        if len(starts) >= ALONE_TO_CONVICT
+        if len(starts) >= ALONE_MOMENTS_TO_CONVICT
     }
     weights = {
         digest: _weight(digest, [endings[start] for start in starts])
@@ -88,7 +96,7 @@
     ranked = sorted(weights, key=lambda d: (weights[d], d), reverse=True)
     for digest in ranked:
         weight = weights[digest]
-        if weight.moments >= ENDINGS_TO_CONVICT_ALL:
+        if weight.moments >= MOMENTS_TO_CONVICT_DESPITE_RIVAL:
             return digest
         if not weight.is_enough or not _explains_enough(
             endings, starts_by_digest, digest
@@ -140,14 +148,18 @@
     other_starts: set[ServerStart],
     other_weight: _Weight,
 ) -> bool:
-    """Return whether another request may be to blame instead of one."""
+    """Return whether another request may be to blame instead of one.
+
+    That is one that shares all its endings and has as many early moments, or
+    that shares some of them and has more endings in all.
+    """
     if starts <= other_starts:
         return other_weight.early_moments >= weight.early_moments
     return len(other_starts) > len(starts) and bool(starts & other_starts)
 
 
 def moment_count(endings: Iterable[Ending]) -> int:
-    """Return the number of endings that are apart in time."""
+    """Return the number of moments at which servers ended."""
     count = 0
     last_s = 0.0
     for at_s in sorted(ending.at_s for ending in endings):
--- a/jackdawfield/gateway/servers/choice.py
+++ b/jackdawfield/gateway/servers/choice.py
@@ -61,7 +61,7 @@
     avoid_until_s: float = 0.0
     full_until_s: float = 0.0
     missing_since_s: float | None = None
-    # A server that has ended is not chosen until then.
+    # A server that has ended is chosen only in place of none until then.
     absent_until_s: float = 0.0
     ejection: EjectionState = field(default_factory=EjectionState)
     concurrency_limit: ConcurrencyLimit = field(
@@ -160,7 +160,7 @@
     def mark_ended(
         self, server_id: ServerId, started_ms: int, now_s: float
     ) -> None:
-        """Stop choosing a server that ended, while its entry is listed."""
+        """Choose others before a server that ended, while it is listed."""
         state = self.by_id.get(server_id)
         if state is not None and state.entry.started_ms == started_ms:
             state.absent_until_s = now_s + ENDED_LISTED_S
--- a/jackdawfield/gateway/servers/endings.py
+++ b/jackdawfield/gateway/servers/endings.py
@@ -124,7 +124,7 @@
                 del self._broken_by_start[start]
 
     def learn(self, starts: list[ServerStart]) -> None:
-        """Take over which servers have ended from another instance."""
+        """Take note of servers that ended, as another instance reports."""
         for start in starts:
             self._servers.mark_ended(
                 start.server_id, start.started_ms, time.monotonic()
@@ -143,13 +143,16 @@
             self._confirm(start)
 
     def _confirm(self, start: ServerStart) -> None:
+        """Record that a server has ended, and its suspects."""
         broken = self._broken_by_start[start]
+        # What is recorded here is not recorded again at the next report.
         suspects, broken.had_begun_by_digest = broken.had_begun_by_digest, {}
         if not suspects:
             return
         now_s = time.monotonic()
         self._servers.mark_ended(start.server_id, start.started_ms, now_s)
-        self.ended_count += not self._quarantine.has_ended(start)
+        if not self._quarantine.has_ended(start):
+            self.ended_count += 1
         self._quarantine.record_ending(start, suspects, now_s)
         log_event(
             LOG,
--- a/jackdawfield/gateway/servers/guard.py
+++ b/jackdawfield/gateway/servers/guard.py
@@ -15,6 +15,7 @@
 
 LOG = logging.getLogger(__name__)
 STATUS_REFUSED = 503
+# Reasons that callers get, and their Retry-After.
 QUARANTINED = 'quarantined'
 WATCHED = 'suspected, and running already'
 WATCHED_RETRY_S = 1.0
@@ -33,8 +34,8 @@
     def __init__(self, quarantine: Quarantine, ended: EndedServers) -> None:
         self._quarantine = quarantine
         self._ended = ended
-        # Suspected requests under way here: one at a time of each content.
-        self._watched_calls: dict[RequestDigest, str] = {}
+        # Request id of the suspected call that is under way here.
+        self._watched_id_by_digest: dict[RequestDigest, str] = {}
 
     def check(self, call: Call) -> Refusal | None:
         """Return a refusal if a call must not be sent now."""
@@ -48,8 +49,8 @@
             case Verdict.UNDECIDED:
                 return Refusal(STATUS_REFUSED, UNDECIDED, UNDECIDED_RETRY_S)
             case Verdict.WATCHED:
-                running = self._watched_calls.get(digest, call.request_id)
-                if running == call.request_id:
+                running_id = self._watched_id_by_digest.get(digest)
+                if running_id in (None, call.request_id):
                     return None
                 return Refusal(STATUS_REFUSED, WATCHED, WATCHED_RETRY_S)
             case Verdict.QUARANTINED:
@@ -84,15 +85,15 @@
         digest = digest_of(call)
         verdict = self._quarantine.verdict(digest, time.monotonic())
         if verdict is Verdict.WATCHED:
-            self._watched_calls[digest] = call.request_id
+            self._watched_id_by_digest[digest] = call.request_id
 
     def end(self, call: Call) -> None:
         """Record that a call is no longer at a server."""
-        if not self._watched_calls:
+        if not self._watched_id_by_digest:
             return
         digest = digest_of(call)
-        if self._watched_calls.get(digest) == call.request_id:
-            del self._watched_calls[digest]
+        if self._watched_id_by_digest.get(digest) == call.request_id:
+            del self._watched_id_by_digest[digest]
 
     def record_broken(
         self, call: Call, server: ServerState, had_begun: bool
--- a/jackdawfield/gateway/servers/quarantine_sharing.py
+++ b/jackdawfield/gateway/servers/quarantine_sharing.py
@@ -52,9 +52,10 @@
         self._tasks = BackgroundTasks()
         self._changed = asyncio.Event()
         # The version that each peer has confirmed, and peers being told.
-        self._told_by_address: dict[str, int] = {}
+        self._told_version_by_address: dict[str, int] = {}
         self._telling: set[str] = set()
-        self._logged: dict[RequestDigest, int] = {}
+        # Terms of the quarantines that were logged and still hold.
+        self._logged_term_by_digest: dict[RequestDigest, int] = {}
 
     def register(self, server: PeerServer, ended: EndedServers) -> None:
         """Handle the messages of the other instances."""
@@ -89,13 +90,16 @@
         quarantine.judge(now_s)
         self._log_convictions(now_s)
         for address, unrelayed_only in self._peers().items():
-            told = self._told_by_address.get(address, 0)
+            told = self._told_version_by_address.get(address, 0)
             if told < quarantine.version and address not in self._telling:
                 self._telling.add(address)
                 self._tasks.spawn(self._tell(address, told, unrelayed_only))
 
     def _peers(self) -> dict[str, bool]:
-        """Return whom to tell, and whether only what is not relayed yet."""
+        """Return whom to tell, and whether only what is not relayed yet.
+
+        Without a seat of its own, an instance tells the nearest member.
+        """
         members = self._members
         if members.own_seat is None:
             seat_id = members.nearest_seat()
@@ -108,15 +112,15 @@
         return peers
 
     async def _tell(
-        self, address: str, told: int, unrelayed_only: bool
+        self, address: str, told_version: int, unrelayed_only: bool
     ) -> None:
         quarantine = self._quarantine
         version = quarantine.version
         evidence = quarantine.evidence_since(
-            told,
+            told_version,
             time.monotonic(),
             unrelayed_only,
-            self._members.own_seat is not None,
+            is_relayed=self._members.own_seat is not None,
         )
         try:
             is_noted = not evidence
@@ -126,7 +130,7 @@
                 )
                 is_noted = isinstance(answer, Ok)
             if is_noted:
-                self._told_by_address[address] = version
+                self._told_version_by_address[address] = version
         finally:
             self._telling.discard(address)
         if is_noted and version < quarantine.version:
@@ -169,7 +173,10 @@
     def _log_convictions(self, now_s: float) -> None:
         quarantined = self._quarantine.quarantined(now_s)
         for conviction in quarantined:
-            if self._logged.get(conviction.digest) == conviction.term:
+            if (
+                self._logged_term_by_digest.get(conviction.digest)
+                == conviction.term
+            ):
                 continue
             log_event(
                 LOG,
@@ -181,9 +188,9 @@
                 left_s=round(conviction.left_s),
             )
         logged = {c.digest: c.term for c in quarantined}
-        for digest in self._logged.keys() - logged.keys():
+        for digest in self._logged_term_by_digest.keys() - logged.keys():
             log_event(LOG, 'quarantine_over', digest=digest.hex())
-        self._logged = logged
+        self._logged_term_by_digest = logged
 
     def close(self) -> None:
         """Cancel the messages under way."""
--- a/tests/gateway/servers/test_quarantine.py
+++ b/tests/gateway/servers/test_quarantine.py
@@ -10,7 +10,7 @@
 import random
 import unittest
 
-from jackdawfield.gateway.servers.blame import ENDINGS_TO_CONVICT
+from jackdawfield.gateway.servers.blame import MOMENTS_TO_CONVICT
 from jackdawfield.gateway.servers.quarantine import EVIDENCE_KEPT_S
 from jackdawfield.gateway.servers.quarantine import MAX_CONVICTIONS
 from jackdawfield.gateway.servers.quarantine import MAX_ENDINGS
@@ -141,7 +141,7 @@
     def test_request_that_ends_servers_amid_its_answer_is_convicted(
         self,
     ) -> None:
-        for _ in range(ENDINGS_TO_CONVICT):
+        for _ in range(MOMENTS_TO_CONVICT):
             self.assertIsNot(self.verdict(), Verdict.QUARANTINED)
             self.end_server({POISON: True})
         self.assertIs(self.verdict(), Verdict.QUARANTINED)
