--- a/jackdawfield/drivers/listening.py
+++ b/jackdawfield/drivers/listening.py
@@ -18,13 +18,15 @@
 from jackdawfield.sockets import has_unread_input
 
 IDLE_LIMIT_S = 3600.0
+# Longer than any instance runs: Tornado's own timer never ends.
 UNLIMITED_S = 1e9
+# Checks for idle connections in the time of the limit.
 SWEEPS_PER_LIMIT = 4
 MS_PER_S = 1000
 
 
-class Message(HTTPMessageDelegate):
-    """Passes a connection's next request on once its head has arrived."""
+class TrackedRequest(HTTPMessageDelegate):
+    """Passes a connection's next request on, and tells if it has begun."""
 
     def __init__(
         self, connection: HTTP1ServerConnection, delegate: HTTPMessageDelegate
@@ -71,7 +73,7 @@
 
     @property
     def idle_s(self) -> float:
-        """Return how long the connection has waited, if it is idle."""
+        """Return the seconds since the wait for the request began."""
         return time.monotonic() - self._awaited_since_s
 
     def close_connection(self) -> None:
@@ -98,7 +100,8 @@
             limit_s / SWEEPS_PER_LIMIT * MS_PER_S,
         )
         self._listening: list[socket.socket] = []
-        self._messages_by_connection: dict[object, Message] = {}
+        # The present or next request of each open connection.
+        self._requests_by_connection: dict[object, TrackedRequest] = {}
 
     def listen_at(self, host: str, port: int) -> None:
         """Listen on an address."""
@@ -112,19 +115,19 @@
         """Return the delegate of a connection's next request."""
         assert isinstance(server_conn, HTTP1ServerConnection)
         delegate = super().start_request(server_conn, request_conn)
-        message = Message(server_conn, delegate)
-        self._messages_by_connection[server_conn] = message
-        return message
+        request = TrackedRequest(server_conn, delegate)
+        self._requests_by_connection[server_conn] = request
+        return request
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection that is closed."""
-        self._messages_by_connection.pop(server_conn, None)
+        self._requests_by_connection.pop(server_conn, None)
         super().on_close(server_conn)
 
     @property
     def connection_count(self) -> int:
         """Return the number of open connections."""
-        return len(self._messages_by_connection)
+        return len(self._requests_by_connection)
 
     def disable_keep_alive(self) -> None:
         """Close each connection after the answer to its next request."""
@@ -148,9 +151,9 @@
 
         Those that were idle for less than the minimum are left open.
         """
-        for message in list(self._messages_by_connection.values()):
-            if message.idle_s >= min_idle_s and message.is_idle:
-                message.close_connection()
+        for request in list(self._requests_by_connection.values()):
+            if request.idle_s >= min_idle_s and request.is_idle:
+                request.close_connection()
 
     def _close_long_idle(self) -> None:
         self.close_idle(self._idle_limit_s)
--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -36,8 +36,8 @@
 # An open connection can stop carrying data while new ones work.
 TIMEOUTS_TO_REOPEN = 3
 MAX_FRAME_BYTES = 64 * 1024 * 1024
-# Exchange number of a frame about the link itself. Its body is the number of
-# the last exchange that the peer has taken before it stops.
+# Exchange number of the frame by which a peer announces its stop; exchanges
+# count from 1. Its body is the number of the last exchange that it has taken.
 STOPPING_EXCHANGE = 0
 # Name of a failed frame for an exchange that the peer has not taken.
 NOT_TAKEN = 'not taken'
@@ -264,7 +264,8 @@
     """Holds a peer's stream to this instance and its exchanges."""
 
     def __init__(self) -> None:
-        self.last_taken = STOPPING_EXCHANGE
+        # Number of the last exchange, below the first one's before any.
+        self.last_taken = 0
         self.tasks_by_exchange: dict[int, asyncio.Task[None]] = {}
         # None ends the stream.
         self.outgoing: asyncio.Queue[bytes | None] = asyncio.Queue()
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -444,7 +444,7 @@
             self.caller_listener,
             started_s,
             drain_until_s,
-            self.call_handler.refuse_what_ends_after,
+            self.call_handler.refuse_calls_due_after,
         )
         log_event(LOG, 'stopped', in_flight=self.caller_listener.in_flight)
         await self.close()
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -51,12 +51,15 @@
         self._stream_calls = stream_calls
         self._admission = admission
         self.configuration: FleetConfiguration | None = None
-        # End of the last calls, by the monotonic clock, None unless stopping.
-        self._ends_at_s: float | None = None
+        # Calls that are due later are refused; None unless stopping.
+        self._latest_deadline_s: float | None = None
 
-    def refuse_what_ends_after(self, ends_at_s: float) -> None:
-        """Refuse the calls from now on whose deadline is after a time."""
-        self._ends_at_s = ends_at_s
+    def refuse_calls_due_after(self, deadline_s: float) -> None:
+        """Refuse from now on the calls whose deadline is after a time.
+
+        Both are by the monotonic clock.
+        """
+        self._latest_deadline_s = deadline_s
 
     async def serve(
         self, request: IncomingRequest, headers: CallHeaders, reply: Reply
@@ -75,6 +78,7 @@
             if reply.closed_by is not None:
                 self._record_caller_left(checked, reply)
                 raise
+            # The connection is open: a planned stop has cancelled the task.
             self._answer_stop(checked, reply)
         self._metrics.count_call(checked, reply.status)
         log_event(
@@ -125,7 +129,8 @@
         if headers.time_left_s is not None:
             time_left_s = min(time_left_s, headers.time_left_s)
         deadline_s = request.arrived_at_s + time_left_s
-        if self._ends_at_s is not None and deadline_s > self._ends_at_s:
+        latest_s = self._latest_deadline_s
+        if latest_s is not None and deadline_s > latest_s:
             return Refusal(503, 'instance stops', RETRY_AT_STOP_S)
         return Call(
             request_id=headers.request_id,
@@ -142,11 +147,11 @@
     async def _run(self, call: Call, reply: Reply) -> None:
         service = choose_service(call.route, call.request_id)
         if service is None:
-            refusal = Refusal(503, 'route without service')
-            self._refuse(call.request_id, call, refusal, reply)
+            unrouted = Refusal(503, 'route without service')
+            self._refuse(call.request_id, call, unrouted, reply)
             return
-        suspected = self._dispatcher.check(call)
-        outcome = suspected or await self._send(call, service, reply)
+        refusal = self._dispatcher.check(call)
+        outcome = refusal or await self._send(call, service, reply)
         match outcome:
             case Refusal():
                 self._refuse(call.request_id, call, outcome, reply)
@@ -236,7 +241,11 @@
         reply.send(504, 'timeout')
 
     def _answer_stop(self, call: Call, reply: Reply) -> None:
-        """Answer a call that a planned stop ends, as far as is possible."""
+        """Answer a call that a planned stop ends.
+
+        Status 503 says that it was not run, 502 that it may have been. An
+        answer that has begun is aborted.
+        """
         log_event(
             LOG,
             'call_ended_by_stop',
--- a/jackdawfield/gateway/fleet/ownership.py
+++ b/jackdawfield/gateway/fleet/ownership.py
@@ -256,22 +256,28 @@
         return self._active_from_s_by_organisation[organisation_id]
 
     def is_stale(
-        self, organisation_id: OrganisationId, version: int, leaving: str = ''
+        self,
+        organisation_id: OrganisationId,
+        version: int,
+        leaving_incarnation: str = '',
     ) -> bool:
         """Return whether another became the owner after a version.
 
-        A leaving owner stays it in views that are newer than the one by which
-        it handed over.
+        A leaving owner, if named, does not count: until its row says that it
+        leaves, newer views than the one by which it handed over have it as
+        the owner.
         """
         others = self._other_owners_by_organisation.get(organisation_id)
-        return others is not None and version < others.newest_version(leaving)
+        return others is not None and version < others.newest_version(
+            leaving_incarnation
+        )
 
     def take_over(
         self,
         organisation_id: OrganisationId,
         version: int,
         now_s: float,
-        leaving: str = '',
+        leaving_incarnation: str = '',
     ) -> bool:
         """Activate an ownership that was handed over by a view's version.
 
@@ -280,7 +286,7 @@
         """
         if self.owner_of(organisation_id) != self._own_id:
             return False
-        if self.is_stale(organisation_id, version, leaving):
+        if self.is_stale(organisation_id, version, leaving_incarnation):
             return False
         self._active_from_s_by_organisation[organisation_id] = now_s
         self._pending_by_organisation.pop(organisation_id, None)
--- a/jackdawfield/gateway/fleet/ownership_records.py
+++ b/jackdawfield/gateway/fleet/ownership_records.py
@@ -1,4 +1,4 @@
-"""Define views of the members and what ownerships are lost by."""
+"""Define views of the members, and the records of lost ownerships."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -31,7 +31,9 @@
 class OtherOwners:
     """Holds the newest versions at which other instances were the owner.
 
-    `earlier_version` is that of owners other than the latest incarnation.
+    `incarnation` is that of the last of them, and `version` the newest at
+    which it was the owner; `earlier_version` is the newest of the others. A
+    version is -1 if there was none.
     """
 
     incarnation: str = ''
@@ -45,9 +47,12 @@
             self.incarnation = incarnation
         self.version = version
 
-    def newest_version(self, leaving: str) -> int:
-        """Return the newest version, without that of a leaving owner."""
-        if leaving and leaving == self.incarnation:
+    def newest_version(self, leaving_incarnation: str) -> int:
+        """Return the newest version, without that of a leaving owner.
+
+        The incarnation is empty if no owner is leaving.
+        """
+        if leaving_incarnation and leaving_incarnation == self.incarnation:
             return self.earlier_version
         return self.version
 
--- a/jackdawfield/gateway/fleet/seat_holder.py
+++ b/jackdawfield/gateway/fleet/seat_holder.py
@@ -286,7 +286,7 @@
         """Record that this instance has ended all its ownerships."""
         self.is_leaving = True
         for seat_id in self._members.own_seats:
-            # It may have gone to another instance since.
+            # Another instance may have taken it during the last write.
             if seat_id not in self._members.own_seats:
                 continue
             row = self._members.rows_by_seat[seat_id]
--- a/jackdawfield/gateway/http/caller_exchange.py
+++ b/jackdawfield/gateway/http/caller_exchange.py
@@ -98,7 +98,8 @@
         self._request_line = start_line
         self._raw_headers = list(headers.get_all())
         if self._connection.params.no_keep_alive:
-            # Tornado would promise a caller of HTTP/1.0 to keep it open.
+            # Without the header, Tornado does not promise a caller of
+            # HTTP/1.0 to keep the connection open.
             headers.pop('Connection', None)
         self._arrived_at_s = time.monotonic()
         self._state.in_flight += 1
@@ -177,7 +178,7 @@
         return self._stream.awaits_request
 
     def close_expired(self, now_s: float) -> None:
-        """End a request that arrives too slowly, or a connection without."""
+        """End a request that arrives too slowly, or an idle connection."""
         stream = self._stream
         first_read_at_s = stream.first_read_at_s
         if self._request_line is not None:
@@ -190,6 +191,10 @@
             self.close(CloseReason.IDLE_LIMIT)
 
     def _refuse_slow_body(self, now_s: float) -> None:
+        """Refuse a body that is incomplete at its limit.
+
+        The stream awaits more only once what it has read is parsed.
+        """
         is_receiving = self._task is None and not self._is_refused
         is_late = now_s - self._arrived_at_s > BODY_TIMEOUT_S
         if is_receiving and is_late and self._stream.reading():
@@ -205,7 +210,7 @@
         self._stream.close_for(reason)
 
     def cancel_handler(self) -> None:
-        """Cancel the handler of a request in flight.
+        """Cancel the handler of a request in flight, once it has started.
 
         A task that is cancelled before its first step could not respond.
         """
--- a/jackdawfield/gateway/http/caller_stream.py
+++ b/jackdawfield/gateway/http/caller_stream.py
@@ -22,9 +22,10 @@
 class CallerStream(IOStream):
     """Represents a caller's connection, on which requests follow each other.
 
-    `received_bytes` counts what was read of the present request and after
-    it, `first_read_at_s` is when it was first counted, by the monotonic clock.
-    `idle_since_s` is when the wait for the request began.
+    `received_bytes` counts what was read since the last request, also what
+    belongs to later ones; `first_read_at_s` is when its first byte was
+    counted, and `idle_since_s` when the wait for it began, both by the
+    monotonic clock.
     """
 
     received_bytes = 0
@@ -34,7 +35,7 @@
 
     def begin_request(self) -> None:
         """Count anew, for the next request on the connection."""
-        # Read together with the request before it.
+        # What was read together with the request before belongs to this one.
         self.received_bytes = self._read_buffer_size
         self.idle_since_s = time.monotonic()
         self.first_read_at_s = (
--- a/jackdawfield/gateway/rates/admission.py
+++ b/jackdawfield/gateway/rates/admission.py
@@ -278,7 +278,10 @@
     async def _ask_successor(
         self, ask: AskTokens, left_id: SeatId, granted: TokensGranted
     ) -> TokensGranted | None:
-        """Ask the next owner in place of one that stops."""
+        """Ask the next owner in place of one that stops.
+
+        Return the grant of the one that stops if no other is the owner.
+        """
         self._rate_owner.mark_leaving(granted.leaving)
         owner_id = self._rate_owner.ownership.owner_of(ask.organisation_id)
         if owner_id == left_id:
--- a/jackdawfield/gateway/rates/owner.py
+++ b/jackdawfield/gateway/rates/owner.py
@@ -290,12 +290,16 @@
         )
         if message.leaving:
             self.mark_leaving(message.leaving)
+        # Unless it was applied just above.
         if message.organisation_id in self._received_by_organisation:
             self._apply_hand_over(message.organisation_id, now_s)
         return HandedOver()
 
     def mark_leaving(self, incarnation: str) -> None:
-        """Ask a stopping member's successors for tokens from now on."""
+        """Ask a stopping member's successors for tokens from now on.
+
+        If this instance is one, hand-overs that wait for it are applied.
+        """
         now_s = boot_time_s()
         self._send_hand_overs(self.ownership.mark_leaving(incarnation, now_s))
         for organisation_id in list(self._received_by_organisation):
@@ -316,16 +320,7 @@
         is_late = now_s >= received.valid_until_s
         if is_late or contract is None or is_stale:
             del self._received_by_organisation[organisation_id]
-            log_event(
-                LOG,
-                'hand_over_discarded',
-                organisation=organisation_id,
-                sender=received.message.sender,
-                version=version,
-                own_version=self.ownership.version,
-                stale=is_stale,
-                late=is_late,
-            )
+            self._log_discarded(received.message, is_stale, is_late)
             return
         tokens = received.message.tokens
         if self.ownership.may_grant(organisation_id, now_s):
@@ -344,3 +339,21 @@
         log_event(
             LOG, 'rate_owned', organisation=organisation_id, tokens=tokens
         )
+
+    def _log_discarded(
+        self, message: HandOver, is_stale: bool, is_late: bool
+    ) -> None:
+        """Log a hand-over that is not applied, and why.
+
+        If it is neither stale nor late, the organisation has no rate limit.
+        """
+        log_event(
+            LOG,
+            'hand_over_discarded',
+            organisation=message.organisation_id,
+            sender=message.sender,
+            version=message.version,
+            own_version=self.ownership.version,
+            stale=is_stale,
+            late=is_late,
+        )
