--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -81,8 +81,7 @@
     return undetected
 
 
-def main() -> int:
-    """Run the command line; return 1 for a violation or a missed variant."""
+def _parse_options() -> argparse.Namespace:
     parser = argparse.ArgumentParser(prog='soak', description=__doc__)
     parser.add_argument('--seed', type=int, default=1, help='the first seed')
     parser.add_argument('--seeds', type=int, default=1, help='number of seeds')
@@ -107,7 +106,12 @@
         default=True,
         help='send a request that ends the servers which run it',
     )
-    options = parser.parse_args()
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run the command line; return 1 for a violation or a missed variant."""
+    options = _parse_options()
     # The record holds everything that the stand-ins' access logs report.
     logging.getLogger('tornado.access').setLevel(logging.CRITICAL)
     logs = options.logs or Path(tempfile.mkdtemp(prefix='soak-'))
--- a/soak/backend.py
+++ b/soak/backend.py
@@ -45,7 +45,7 @@
         self.server_id = server_id
         self.runs = runs
         self.misbehaviours: set[Misbehaviour] = set()
-        # Ends the server, None while no request does.
+        # Called for a request that ends its server; None while none does.
         self.end: Callable[[], None] | None = None
         super().__init__(r'/([a-z]+)/.*', _Handler, backend=self)
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -47,9 +47,10 @@
     kind.value for kind in FaultKind if kind.value.startswith('store')
 )
 KILL_KINDS = frozenset((FaultKind.KILL.value, FaultKind.KILL_MOST.value))
-# Part of the grace period in which each request must be answered.
+# Share of the grace period, from its start, in which a request must not be
+# dropped.
 GRACE_SHARE = 5 / 6
-# Only these keep an instance from what the others tell it.
+# Only these keep an instance from hearing what the others know.
 PROCESS_FAULT_KINDS = frozenset(
     kind.value
     for kind in (
@@ -343,8 +344,9 @@
 def find_runs_of_known_request(record: Record) -> Details:
     """Find runs of a request that is known to end servers.
 
-    Counted are those sent by instances in touch with the others, once the
-    servers that it may end until it is known have ended.
+    Counted are those sent through instances that have heard what the others
+    know, later than IN_TOUCH_S after the request has ended ENDS_UNTIL_KNOWN
+    servers.
     """
     if len(record.server_ends) < ENDS_UNTIL_KNOWN:
         return
@@ -377,7 +379,7 @@
 
 
 def find_wrong_quarantines(record: Record) -> Details:
-    """Find calls that were taken for one that ends servers."""
+    """Find calls that were quarantined and end no servers."""
     for outcome in record.outcomes:
         is_quarantined = outcome.body.strip() == QUARANTINED_TEXT
         if is_quarantined and not outcome.ends_servers:
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -33,16 +33,17 @@
 RECOVERY_LIMIT_S = 2.0
 # A server that a request ended is back after this time.
 SERVER_RESTART_S = 1.0
-# An instance without a fault for this long is in touch with the others.
+# An instance without a fault for this long has heard what the others know.
 IN_TOUCH_S = 4.0
-# Servers that a request may end before it is known, and retries of it that
-# may still reach a server later than IN_TOUCH_S after that.
+# Servers that a request may end before all instances must know it.
 ENDS_UNTIL_KNOWN = 3
+# Runs of it that are tolerated later than IN_TOUCH_S after the last of these.
 MAX_RUNS_ONCE_KNOWN = 3
 # Body of the request that ends the servers that run it, and of one that is
 # sent along with it.
 ENDING_BODY = b'ends its server'
 BESIDE_BODY = b'runs beside it'
+# Body of the refusal of a quarantined request.
 QUARANTINED_TEXT = b'quarantined'
 UNLIMITED_KEY = 'free-key'
 LIMITED_KEY = 'limited-key'
