--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -116,7 +116,7 @@
         self._add_gauges()
         self.caller_listener = HttpListener(self._serve)
         self._health_listener = HttpListener(self._answer_health)
-        self._metrics_listener = HttpListener(self._answer_metrics)
+        self._metrics_listener = HttpListener(self._answer_operators)
 
     def _build_store(self) -> None:
         settings = self.settings
@@ -420,9 +420,10 @@
             200 if self.is_ready else 503, 'ready' if self.is_ready else ''
         )
 
-    async def _answer_metrics(
+    async def _answer_operators(
         self, request: IncomingRequest, reply: Reply
     ) -> None:
+        """Answer with the quarantine's page, or else with the metrics."""
         answer = self.quarantine_page.answer(request.method, request.target)
         if answer is not None:
             reply.send(answer.status, answer.text)
--- a/jackdawfield/gateway/servers/blame.py
+++ b/jackdawfield/gateway/servers/blame.py
@@ -29,9 +29,9 @@
 class Mark:
     """Holds one request's suspicion at one ending.
 
-    `had_begun` tells that the server had sent a part of the answer. `version`
-    is that of the quarantine at the last change; `is_relayed` tells that it
-    came from an instance which also told the others.
+    `had_begun` tells that a part of the answer was passed on to the caller.
+    `version` is that of the quarantine at the last change; `is_relayed` tells
+    that it came from an instance which also told the others.
     """
 
     had_begun: bool
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -128,7 +128,7 @@
                 return server
             if server is None or isinstance(server, Refusal):
                 break
-            # What is known of the request may have changed meanwhile.
+            # The request may have been suspected while the call was queued.
             refusal = self._guard.check(call)
             if refusal is not None:
                 self._slot_queue.release(server)
@@ -240,15 +240,7 @@
         if isinstance(outcome, ResponseLost) and outcome.is_closed_by_server:
             self._guard.record_broken(call, server, had_begun=False)
         if not isinstance(outcome, ResponseStream):
-            log_event(
-                LOG,
-                'attempt_failed',
-                logging.WARNING,
-                request=call.request_id,
-                server=server_id,
-                run='unknown' if isinstance(outcome, ResponseLost) else 'no',
-                reason=outcome.reason,
-            )
+            _log_failed_attempt(attempt, outcome)
         return outcome
 
     def release(self, response: ResponseStream, end: BodyEnd | None) -> None:
@@ -287,3 +279,17 @@
         ATTEMPT_TIMEOUT_FACTOR * call.route.target_latency_s,
     )
     return min(left_s, timeout_s)
+
+
+def _log_failed_attempt(
+    attempt: Attempt, outcome: Unreached | NotRun | ResponseLost
+) -> None:
+    log_event(
+        LOG,
+        'attempt_failed',
+        logging.WARNING,
+        request=attempt.call.request_id,
+        server=attempt.server.entry.server_id,
+        run='unknown' if isinstance(outcome, ResponseLost) else 'no',
+        reason=outcome.reason,
+    )
--- a/jackdawfield/gateway/servers/endings.py
+++ b/jackdawfield/gateway/servers/endings.py
@@ -86,7 +86,7 @@
         """Record that a server closed the connection of a running request.
 
         A server that is leaving or not listed any more may do so. `had_begun`
-        tells that a part of the answer had come.
+        tells that a part of the answer was passed on.
         """
         if not self._servers.is_usable(server):
             return
@@ -113,7 +113,7 @@
         ]
         return len(unsure) + self._quarantine.ending_count(digest)
 
-    def check(self) -> None:
+    def confirm_restarted(self) -> None:
         """Confirm the servers that are listed anew; forget old ones."""
         now_s = time.monotonic()
         for start, broken in list(self._broken_by_start.items()):
--- a/jackdawfield/gateway/servers/guard.py
+++ b/jackdawfield/gateway/servers/guard.py
@@ -100,7 +100,7 @@
     ) -> None:
         """Record that a server closed the connection of a running call.
 
-        `had_begun` tells that a part of the answer had come.
+        `had_begun` tells that a part of the answer was passed on.
         """
         self._ended.record_broken(digest_of(call), server, had_begun)
 
--- a/jackdawfield/gateway/servers/quarantine_sharing.py
+++ b/jackdawfield/gateway/servers/quarantine_sharing.py
@@ -81,7 +81,7 @@
             self._check()
 
     def _check(self) -> None:
-        self._ended.check()
+        self._ended.confirm_restarted()
         quarantine = self._quarantine
         if quarantine.is_empty:
             return
--- a/jackdawfield/messages/fleet_quarantine.py
+++ b/jackdawfield/messages/fleet_quarantine.py
@@ -22,9 +22,9 @@
 class Suspicion:
     """States that a request ran on a server that ended.
 
-    `age_s` is the time since then; `had_begun` tells that the server had sent
-    a part of the answer. A suspicion is cleared once the same request has
-    ended whole.
+    `age_s` is the time since then; `had_begun` tells that a part of the answer
+    was passed on to the caller. A suspicion is cleared once the same request
+    has ended whole.
     """
 
     start: ServerStart
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -136,10 +136,11 @@
         self._record = record
         self._counter = itertools.count(1)
         self._pool = CallerPool()
+        # Class of the request that ends servers.
         self._ending_class = random.Random(f'{seed} ending').choice(
             list(CallClass)
         )
-        # The newest whole turn of the unlimited organisation and its text.
+        # The unlimited organisation's newest whole turn and conversation.
         self._newest_turn = ('', b'')
         self.is_stopping = False
 
@@ -345,7 +346,10 @@
     async def _attempt_on(
         self, connection: Connection, instance: Instance, ask: Ask
     ) -> tuple[Outcome | None, float]:
-        """Make one attempt on an open connection."""
+        """Make one attempt on an open connection.
+
+        Return its outcome, None if nothing was sent, and the Retry-After.
+        """
         assert isinstance(connection, CallerConnection)
         request_id = self._next_id('r')
         started_s = time.monotonic()
