Log and count responses that end with their connection

The logs did not tell how a server framed its answer nor what ended its connection, so the three hypotheses looked alike. No logic changes.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -226,6 +226,7 @@
             lambda: self.caller_listener.open_connections,
         )
         add_gauge('servers_listed', lambda: len(self.servers.by_id))
+        add_gauge('unframed_responses', lambda: self.dispatcher.unframed_count)
         add_gauge('members_known', lambda: len(self.members.rows_by_seat))
         add_gauge('seats_held', lambda: len(self.members.own_seats))
         add_gauge(
--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -31,6 +31,7 @@
 # An idle connection is closed this long before the server would close it.
 IDLE_MARGIN_S = 0.7
 READ_PAUSE_BYTES = 262144
+STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
 class Fault(Enum):
@@ -64,13 +65,23 @@
     echo_value: str = ''
 
 
+class Framing(Enum):
+    """Names what marks the end of a response's body."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    # The end of the connection, as that of a server that crashed.
+    CONNECTION = 'connection'
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
-    """Holds the status and the headers of a response."""
+    """Holds the status, the headers and the framing of a response."""
 
     status: int
     reason: str
     headers: tuple[tuple[str, str], ...]
+    framing: Framing = Framing.LENGTH
 
     def get(self, name: str) -> str | None:
         """Return a header's value by its lower-case name, None if absent."""
@@ -188,16 +199,18 @@
             self._transport.pause_reading()
 
     def _handle_head(self, event: h11.Response) -> None:
+        request = self._request
+        assert request is not None
+        headers = tuple(
+            (name.decode('latin-1'), value.decode('latin-1'))
+            for name, value in event.headers.raw_items()
+        )
         head = ResponseHead(
             event.status_code,
             event.reason.decode('latin-1'),
-            tuple(
-                (name.decode('latin-1'), value.decode('latin-1'))
-                for name, value in event.headers.raw_items()
-            ),
+            headers,
+            framing_of(request.method, event.status_code, headers),
         )
-        request = self._request
-        assert request is not None
         if request.echo_header:
             echoed = head.get(request.echo_header)
             if echoed is None and self._is_reused:
@@ -342,6 +355,20 @@
     sock.setsockopt(tcp, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
 
 
+def framing_of(
+    method: str, status: int, headers: tuple[tuple[str, str], ...]
+) -> Framing:
+    """Return what marks the end of a response's body."""
+    if method == 'HEAD' or status in STATUSES_WITHOUT_BODY:
+        return Framing.LENGTH
+    names = {name.lower() for name, _ in headers}
+    if 'transfer-encoding' in names:
+        return Framing.CHUNKED
+    if 'content-length' in names:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def encode_request(parser: h11.Connection, request: OutgoingRequest) -> bytes:
     """Return a request's bytes and prepare the parser for its response."""
     headers = [
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -13,6 +13,7 @@
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.connection import Framing
 from jackdawfield.gateway.servers.call_queue import needs_slot
 from jackdawfield.gateway.servers.choice import ServerCriteria
 from jackdawfield.gateway.servers.choice import ServerState
@@ -97,6 +98,8 @@
         self._slot_queue = slot_queue
         self._exchange = exchange
         self._guard = guard
+        # Responses whose end only the end of their connection marked.
+        self.unframed_count = 0
 
     def check(self, call: Call) -> Refusal | None:
         """Return a refusal if a call must not be sent to any server now."""
@@ -250,6 +253,9 @@
         """
         self._slot_queue.release(response.server)
         self._guard.end(response.call)
+        if response.head.framing is Framing.CONNECTION:
+            self.unframed_count += 1
+            _log_unframed(response, end)
         if end is BodyEnd.WHOLE:
             self._guard.record_whole(response.call)
         elif response.connection.is_closed_by_server:
@@ -293,3 +299,14 @@
         run='unknown' if isinstance(outcome, ResponseLost) else 'no',
         reason=outcome.reason,
     )
+
+
+def _log_unframed(response: ResponseStream, end: BodyEnd | None) -> None:
+    log_event(
+        LOG,
+        'unframed_response_ended',
+        request=response.call.request_id,
+        server=response.server.entry.server_id,
+        end=end.value if end is not None else 'caller left',
+        connection=response.connection.lost_reason,
+    )
