End a stream that stops inside an event as broken off

Cause: a server that answers without a length and crashes closes its connection with a FIN, which is the end of such an answer for the parser. StreamProgress took that end for proof, passed the rest of the parser on and completed the caller's answer with its last chunk; the turn was kept.

Evidence: a scripted server that answers without a length and closes in the third event.

Change: bytes of an unfinished event at the end of an answer mean that it has broken off, whatever framed it. It is resumed where the route allows it, else the answer ends as incomplete, its turn is not kept, and the tokens count by what was handed over.

--- a/jackdawfield/gateway/streams/progress.py
+++ b/jackdawfield/gateway/streams/progress.py
@@ -127,9 +127,7 @@
             case PieceArrived(data, now_s):
                 return self._on_piece(data, now_s)
             case StreamEnded(is_whole, now_s):
-                if is_whole:
-                    return self._on_whole_end()
-                return (self._resume_or_fail('cut', now_s),)
+                return (self._on_end(is_whole, now_s),)
             case TimePassed(now_s):
                 return self._on_time_passed(now_s)
 
@@ -227,11 +225,14 @@
             self._ids_are_consecutive = False
         self.last_event_id = event.event_id
 
-    def _on_whole_end(self) -> tuple[StreamAction, ...]:
-        rest = self._parser.rest if self._parser is not None else b''
-        if not rest:
-            return (Complete(),)
-        return PassOn(rest), Complete()
+    def _on_end(
+        self, is_whole: bool, now_s: float
+    ) -> Complete | Resume | Fail:
+        if not is_whole:
+            return self._resume_or_fail('cut', now_s)
+        if self._parser is not None and self._parser.rest:
+            return self._resume_or_fail('ended inside an event', now_s)
+        return Complete()
 
     def _on_time_passed(self, now_s: float) -> tuple[StreamAction, ...]:
         gap_s = now_s - self._progress_at_s
--- a/tests/gateway/streams/test_progress.py
+++ b/tests/gateway/streams/test_progress.py
@@ -86,6 +86,20 @@
                 self.assertEqual(self.passed, event(0))
                 self.assertNotIsInstance(action, Complete)
 
+    # Guards against half an event that reaches a caller in a complete answer.
+    def test_stream_that_ends_inside_an_event_has_broken_off(self) -> None:
+        for limits in (RESUMABLE, NOT_RESUMABLE):
+            for size in range(1, len(event(1))):
+                self.begin(limits)
+                self.piece(event(0) + event(1)[:size])
+                (action,) = self.end()
+                self.assertEqual(self.passed, event(0))
+                if limits is RESUMABLE:
+                    assert isinstance(action, Resume), action
+                    self.assertEqual(action.last_event_id, b'0')
+                else:
+                    self.assertEqual(action, Fail('ended inside an event'))
+
     def test_stream_that_may_not_be_resumed_fails(self) -> None:
         self.begin(NOT_RESUMABLE)
         self.piece(event(0))
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -68,6 +68,29 @@
     received.writer.close()
 
 
+def send_unframed_head(received: ReceivedRequest) -> None:
+    """Begin a response that only the end of its connection ends."""
+    request_id = received.header('x-jackdawfield-request-id')
+    received.writer.write(
+        (
+            f'HTTP/1.1 200 OK\r\n{PREFIX}Request-Id: {request_id}\r\n'
+            f'{PREFIX}Server-Stamp: unframed\r\n'
+            'Content-Type: text/event-stream\r\n\r\n'
+        ).encode()
+    )
+
+
+async def crash_inside_an_event(received: ReceivedRequest) -> None:
+    """Close an unframed response in an event, once resumed go on."""
+    if received.header('last-event-id'):
+        await whole_stream(received)
+        return
+    send_unframed_head(received)
+    received.writer.write(event(0) + event(1) + event(2)[:9])
+    await received.writer.drain()
+    received.writer.close()
+
+
 async def trickle(received: ReceivedRequest) -> None:
     """Send an event, then a byte now and then without end."""
     send_head(received)
@@ -181,6 +204,53 @@
         self.assertEqual(answer.body, event(0) + event(1))
         self.assertEqual(len(self.server.requests), 1)
 
+    # Guards against an unframed stream that broke off with its server and
+    # reached the caller as complete, half an event at its end.
+    async def test_unframed_stream_that_ends_inside_an_event_is_incomplete(
+        self,
+    ) -> None:
+        self.server.script = crash_inside_an_event
+        answer = await self.fleet.turn(self.first, 't1', b'input')
+        self.assertFalse(answer.whole)
+        self.assertEqual(answer.body, event(0) + event(1))
+        self.assertEqual(len(self.server.requests), 1)
+
+    async def test_turn_that_broke_off_inside_an_event_is_not_kept(
+        self,
+    ) -> None:
+        self.server.script = crash_inside_an_event
+        await self.fleet.turn(self.first, 't1', b'input')
+        self.server.script = whole_stream
+        answer = await self.fleet.turn(self.first, 't2', b'next', 't1')
+        self.assertEqual(answer.status, 404)
+
+    async def test_tokens_of_a_turn_that_broke_off_in_an_event_count(
+        self,
+    ) -> None:
+        self.server.script = crash_inside_an_event
+        given = 0
+        for number in range(12):
+            answer = await self.fleet.turn(
+                self.fleet.gateways[number % 2],
+                f't{number}',
+                b'input',
+                Token_Usage=f'10,{MOST}',
+                Token_Budget=str(2 * MOST),
+            )
+            given += answer.body.count(b'data:') * TOKENS_PER_EVENT
+        self.assertGreater(given, 0)
+        self.assertLessEqual(given, 2 * MOST)
+        self.assertEqual(answer.status, 402)
+
+    async def test_unframed_stream_is_resumed_where_the_route_allows_it(
+        self,
+    ) -> None:
+        self.server.script = crash_inside_an_event
+        answer = await self.stream()
+        self.assertEqual(answer.body, WHOLE)
+        resumed = self.server.requests[-1]
+        self.assertEqual(resumed.header('last-event-id'), '1')
+
     async def test_refused_resumption_ends_as_incomplete(self) -> None:
         async def refuse_to_resume(received: ReceivedRequest) -> None:
             if received.header('last-event-id'):
