State no more about the end of an answer than its server did

A broken answer to a caller of HTTP/1.0 was closed with a FIN, which ends it as whole; a whole one in chunks never ended at all on a kept HTTP/1.0 connection.

Cause: BodyEnd had no word for an end that only the connection marks, and the caller's framing did not follow the server's.

Change: BodyEnd.UNCONFIRMED; such an answer is passed on unframed, with Connection: close. Its connection is set to be reset at close until the answer is finished, so an abort or the end of this process is no end of the answer. After a resumption, an answer in chunks needs a confirmed end. The turn is kept: what is kept is what the caller has.

--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -195,10 +195,10 @@
             end = await response.forward_body(reply.write)
         finally:
             self._dispatcher.release(response, end)
-        if end is BodyEnd.WHOLE:
-            reply.finish()
-            return None
-        return reply.end_incomplete(end)
+        if end in (None, BodyEnd.CUT):
+            return reply.end_incomplete(end)
+        reply.finish()
+        return None
 
     def _refuse(
         self,
--- a/jackdawfield/gateway/http/caller_exchange.py
+++ b/jackdawfield/gateway/http/caller_exchange.py
@@ -225,7 +225,11 @@
             return
         line = self._request_line
         assert line is not None
-        reply = Reply(self._connection, has_body=line.method != 'HEAD')
+        reply = Reply(
+            self._connection,
+            has_body=line.method != 'HEAD',
+            accepts_chunks=line.version != 'HTTP/1.0',
+        )
         request = IncomingRequest(
             line.method,
             line.path,
--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -95,6 +95,8 @@
     """States how the body of a response ended."""
 
     WHOLE = 'whole'
+    # Its connection ended it: it may be whole, or its server has crashed.
+    UNCONFIRMED = 'unconfirmed'
     CUT = 'cut'
 
 
@@ -117,6 +119,7 @@
         self._is_paused = False
         self._waiter: asyncio.Future[None] | None = None
         self._request: OutgoingRequest | None = None
+        self._framing = Framing.LENGTH
         self._is_late_response = False
         self._skipped_responses = 0
         # Whether an earlier request was carried.
@@ -222,6 +225,7 @@
                 self._is_late_response = True
                 self._skip_response()
                 return
+        self._framing = head.framing
         self._idle_limit_s = idle_limit_s(head)
         self._push(head)
 
@@ -234,7 +238,8 @@
     def _handle_end(self) -> None:
         if not self._is_late_response:
             self._has_ended = True
-            self._push(BodyEnd.WHOLE)
+            is_confirmed = self._framing is not Framing.CONNECTION
+            self._push(BodyEnd.WHOLE if is_confirmed else BodyEnd.UNCONFIRMED)
             return
         rest, closed = self._parser.trailing_data
         self._is_late_response = False
--- a/jackdawfield/gateway/http/reply.py
+++ b/jackdawfield/gateway/http/reply.py
@@ -17,7 +17,10 @@
 from jackdawfield.gateway.http.caller_stream import CallerStream
 from jackdawfield.gateway.http.caller_stream import CloseReason
 from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.connection import Framing
 from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.connection import STATUSES_WITHOUT_BODY
+from jackdawfield.sockets import reset_at_close
 
 LOG = logging.getLogger(__name__)
 PHRASES_BY_STATUS = responses
@@ -28,14 +31,24 @@
 
     The head is written together with the first piece of the body. A response
     has ended once it was finished or aborted.
+
+    A body without a length is sent in chunks, the last of which states that
+    it is complete. One whose end is not confirmed by its server, or whose
+    caller does not accept chunks, is unframed: it ends with its connection,
+    which is reset unless the response was finished.
     """
 
     def __init__(
-        self, connection: HTTP1Connection, has_body: bool = True
+        self,
+        connection: HTTP1Connection,
+        has_body: bool = True,
+        accepts_chunks: bool = True,
     ) -> None:
         self._connection = connection
         # Whether a response to the request's method has a body.
         self._has_body = has_body
+        self._accepts_chunks = accepts_chunks
+        self._is_unframed = False
         assert isinstance(connection.stream, CallerStream)
         self._stream = connection.stream
         # The head that was set and is not yet written.
@@ -62,6 +75,7 @@
         if retry_after_s is not None:
             headers['Retry-After'] = f'{retry_after_s:.3f}'
         self._head = _start_line(status), headers
+        self._is_unframed = False
         self.status = status
         ignore_write_error(self._write(body if self._has_body else b''))
         self.finish()
@@ -76,11 +90,21 @@
             if name.lower() not in CONNECTION_HEADERS:
                 headers.add(name, value)
         self._head = _start_line(head.status), headers
+        self._is_unframed = self._needs_no_framing(head)
         self.status = head.status
 
+    def _needs_no_framing(self, head: ResponseHead) -> bool:
+        if not self._has_body or head.status in STATUSES_WITHOUT_BODY:
+            return False
+        if head.framing is Framing.LENGTH:
+            return False
+        return head.framing is Framing.CONNECTION or not self._accepts_chunks
+
     def _write(self, piece: bytes) -> Awaitable[None]:
         head, self._head = self._head, None
         self.has_written = True
+        if self._is_unframed:
+            return self._write_unframed(head, piece)
         if head is None:
             return self._connection.write(piece)
         line, headers = head
@@ -88,6 +112,21 @@
             headers['Connection'] = 'close'
         return self._connection.write_headers(line, headers, piece)
 
+    def _write_unframed(
+        self, head: tuple[ResponseStartLine, HTTPHeaders] | None, piece: bytes
+    ) -> Awaitable[None]:
+        """Write past Tornado, which would send the body in chunks."""
+        if head is None:
+            return self._stream.write(piece)
+        if not self._stream.closed():
+            reset_at_close(self._stream.socket, True)
+        line, headers = head
+        headers['Connection'] = 'close'
+        lines = [f'{line.version} {line.code} {line.reason}']
+        lines += [f'{name}: {value}' for name, value in headers.get_all()]
+        encoded = '\r\n'.join([*lines, '', '']).encode('latin-1')
+        return self._stream.write(encoded + piece)
+
     async def write(self, piece: bytes) -> bool:
         """Write a piece of the body; False if the caller disconnected."""
         try:
@@ -99,6 +138,9 @@
     def finish(self) -> None:
         """Complete the response."""
         self.has_ended = True
+        if self._is_unframed:
+            self._finish_unframed()
+            return
         if self._connection.params.no_keep_alive:
             # Tornado closes the connection once the response is written.
             self._stream.close_reason = CloseReason.LAST_RESPONSE
@@ -109,6 +151,18 @@
         except HTTPOutputError:
             LOG.warning('event=answer_shorter_than_announced')
 
+    def _finish_unframed(self) -> None:
+        if self._stream.closed():
+            return
+        self._stream.close_reason = CloseReason.LAST_RESPONSE
+
+        def close(written: asyncio.Future[None]) -> None:
+            if not written.cancelled() and written.exception() is None:
+                reset_at_close(self._stream.socket, False)
+            self._connection.close()
+
+        asyncio.ensure_future(self._write(b'')).add_done_callback(close)
+
     def abort(self) -> None:
         """Close the connection without completing the response."""
         self.has_ended = True
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -234,7 +234,7 @@
         self, stream: _StreamCall, relayed: Relayed, reply: Reply
     ) -> Failure | None:
         call = stream.call
-        if relayed.end is not BodyEnd.WHOLE:
+        if relayed.end in (None, BodyEnd.CUT):
             if relayed.reason:
                 log_event(
                     LOG,
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -258,7 +258,10 @@
             _log_unframed(response, end)
         if end is BodyEnd.WHOLE:
             self._guard.record_whole(response.call)
-        elif response.connection.is_closed_by_server:
+        elif (
+            end is not BodyEnd.UNCONFIRMED
+            and response.connection.is_closed_by_server
+        ):
             self._guard.record_broken(
                 response.call,
                 response.server,
--- a/jackdawfield/gateway/storage/path.py
+++ b/jackdawfield/gateway/storage/path.py
@@ -209,7 +209,7 @@
             case bytes(piece):
                 pieces.append(piece)
                 size += len(piece)
-            case BodyEnd.WHOLE:
+            case BodyEnd.WHOLE | BodyEnd.UNCONFIRMED:
                 return StoreReply(head.status, b''.join(pieces))
             case _:
                 return None
--- a/jackdawfield/gateway/streams/relay.py
+++ b/jackdawfield/gateway/streams/relay.py
@@ -12,6 +12,7 @@
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.connection import Framing
 from jackdawfield.gateway.http.connection import ResponseHead
 from jackdawfield.gateway.servers.dispatch import Dispatcher
 from jackdawfield.gateway.servers.dispatch import SentCall
@@ -123,9 +124,12 @@
                         failure = await self._resume(action)
                         if failure is not None:
                             return self._relayed(BodyEnd.CUT, failure.reason)
-                    case Complete():
-                        self._release(BodyEnd.WHOLE)
-                        return self._relayed(BodyEnd.WHOLE)
+                    case Complete(is_confirmed):
+                        end = BodyEnd.WHOLE
+                        if not is_confirmed:
+                            end = BodyEnd.UNCONFIRMED
+                        self._release(end)
+                        return self._relayed(end)
                     case Fail(reason):
                         self._release(BodyEnd.CUT)
                         return self._relayed(BodyEnd.CUT, reason)
@@ -143,7 +147,11 @@
             self._first_piece_s = response.first_piece_s
         if isinstance(part, bytes):
             return PieceArrived(part, time.monotonic())
-        return StreamEnded(part is BodyEnd.WHOLE, time.monotonic())
+        return StreamEnded(
+            part is not BodyEnd.CUT,
+            time.monotonic(),
+            is_confirmed=part is BodyEnd.WHOLE,
+        )
 
     async def _resume(self, action: Resume) -> Failure | None:
         self._release(BodyEnd.CUT)
@@ -187,4 +195,7 @@
 def _head_event(head: ResponseHead) -> HeadArrived:
     content_type = (head.get('content-type') or '').lower()
     is_event_stream = content_type.startswith(EVENT_STREAM_TYPE)
-    return HeadArrived(head.status == STATUS_OK and is_event_stream)
+    return HeadArrived(
+        head.status == STATUS_OK and is_event_stream,
+        head.framing is not Framing.CONNECTION,
+    )
--- a/jackdawfield/sockets.py
+++ b/jackdawfield/sockets.py
@@ -5,6 +5,7 @@
 from select import poll
 from select import POLLIN
 import socket
+import struct
 from typing import Any
 
 from jackdawfield.logs import log_event
@@ -22,6 +23,12 @@
     return bool(poller.poll(0))
 
 
+def reset_at_close(sock: socket.socket, is_reset: bool) -> None:
+    """Set whether a close resets the connection, as does a process's end."""
+    linger = struct.pack('ii', is_reset, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def accept_waiting(sock: socket.socket) -> Iterator[tuple[socket.socket, Any]]:
     """Yield the connections that wait in a listening socket, and addresses.
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -144,6 +144,7 @@
     status: int = 0
     body: bytes = b''
     whole: bool = False
+    end: BodyEnd | None = None
     headers: dict[str, str] = field(default_factory=dict)
 
 
@@ -241,6 +242,7 @@
                         answer.body += piece
                     case BodyEnd() as end:
                         answer.whole = end is BodyEnd.WHOLE
+                        answer.end = end
                         break
         connection.abort('done')
         return answer
--- a/tests/gateway/streams/test_progress.py
+++ b/tests/gateway/streams/test_progress.py
@@ -100,6 +100,28 @@
                 else:
                     self.assertEqual(action, Fail('ended inside an event'))
 
+    def test_end_that_is_not_confirmed_stays_so_for_the_caller(self) -> None:
+        self.progress = StreamProgress(NOT_RESUMABLE, None, 0.0)
+        self.on(HeadArrived(True, is_framed=False))
+        self.passed = b''
+        self.piece(event(0))
+        self.assertEqual(
+            self.on(StreamEnded(True, 0.0, is_confirmed=False)),
+            [Complete(is_confirmed=False)],
+        )
+
+    # Guards against a last chunk that says more than the server did.
+    def test_framed_answer_needs_a_confirmed_end(self) -> None:
+        unconfirmed = StreamEnded(True, 0.0, is_confirmed=False)
+        self.begin(RESUMABLE)
+        self.piece(event(0))
+        (action,) = self.cut()
+        self.assertIsInstance(action, Resume)
+        self.on(HeadArrived(True, is_framed=False))
+        self.piece(event(1))
+        self.assertEqual(self.resume(self.on(unconfirmed)), b'1')
+        self.assertEqual(self.end(), [Complete()])
+
     def test_stream_that_may_not_be_resumed_fails(self) -> None:
         self.begin(NOT_RESUMABLE)
         self.piece(event(0))
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -91,6 +91,21 @@
     received.writer.close()
 
 
+async def unframed_stream(received: ReceivedRequest) -> None:
+    send_unframed_head(received)
+    received.writer.write(WHOLE)
+    await received.writer.drain()
+    received.writer.close()
+
+
+async def reset_between_events(received: ReceivedRequest) -> None:
+    send_unframed_head(received)
+    received.writer.write(event(0) + event(1))
+    await received.writer.drain()
+    await asyncio.sleep(0.05)
+    received.reset()
+
+
 async def trickle(received: ReceivedRequest) -> None:
     """Send an event, then a byte now and then without end."""
     send_head(received)
@@ -251,6 +266,73 @@
         resumed = self.server.requests[-1]
         self.assertEqual(resumed.header('last-event-id'), '1')
 
+    # Guards against an answer that states more about its end than its server
+    # did: a last chunk after the close of a server that may have crashed.
+    async def test_end_of_an_unframed_stream_is_not_confirmed(self) -> None:
+        self.server.script = unframed_stream
+        answer = await self.fleet.turn(
+            self.first, 't1', b'input', Token_Usage=f'10,{MOST}'
+        )
+        self.assertEqual(answer.body, WHOLE)
+        self.assertIs(answer.end, BodyEnd.UNCONFIRMED)
+        self.assertEqual(answer.headers['connection'], 'close')
+        self.assertNotIn('transfer-encoding', answer.headers)
+
+    async def test_turn_whose_end_is_not_confirmed_is_kept(self) -> None:
+        self.server.script = unframed_stream
+        await self.fleet.turn(
+            self.first, 't1', b'input', Token_Usage=f'10,{MOST}'
+        )
+        answer = await self.fleet.turn(self.second, 't2', b'next', 't1')
+        self.assertEqual(answer.status, 200)
+        texts = b''.join(b'text %d\n' % n for n in range(EVENT_COUNT))
+        self.assertEqual(
+            self.server.requests[-1].body, b'input' + texts + b'next'
+        )
+
+    # Guards against a close that makes a broken unframed answer look whole.
+    async def test_broken_unframed_answer_is_reset(self) -> None:
+        self.server.script = reset_between_events
+        answer = await self.fleet.turn(
+            self.first, 't1', b'input', Token_Usage=f'10,{MOST}'
+        )
+        self.assertEqual(answer.body, event(0) + event(1))
+        self.assertIs(answer.end, BodyEnd.CUT)
+
+    # Guards against a close that makes a broken answer look whole to a caller
+    # that knows no chunks.
+    async def test_broken_answer_to_a_caller_of_http_1_0_is_reset(
+        self,
+    ) -> None:
+        self.server.script = half_an_event
+        with self.assertRaises(ConnectionResetError):
+            await self.read_as_http_1_0()
+
+    async def test_whole_answer_to_a_caller_of_http_1_0_is_closed(
+        self,
+    ) -> None:
+        self.server.script = whole_stream
+        answer = await self.read_as_http_1_0()
+        self.assertTrue(answer.endswith(b'\r\n\r\n' + WHOLE))
+
+    async def read_as_http_1_0(self) -> bytes:
+        """Send a turn in HTTP/1.0 and read until its connection ends."""
+        reader, writer = await asyncio.open_connection(
+            HOST, self.first.settings.caller_port
+        )
+        writer.write(
+            (
+                'POST /turns/x HTTP/1.0\r\nHost: h.example\r\n'
+                'Connection: keep-alive\r\nContent-Length: 0\r\n'
+                f'{PREFIX}Request-Id: r1\r\n{PREFIX}Credential: key\r\n\r\n'
+            ).encode()
+        )
+        try:
+            async with asyncio.timeout(2.0):
+                return await reader.read()
+        finally:
+            writer.close()
+
     async def test_refused_resumption_ends_as_incomplete(self) -> None:
         async def refuse_to_resume(received: ReceivedRequest) -> None:
             if received.header('last-event-id'):
