Ask a server whether it lives after an answer that its close ended

Cause: the end of an unframed answer was used at once, though the server itself can still tell a crash from an end: a process that has ended refuses connections.

Change: such an end is looked at once more, 20 ms later, with a new connection, unless the server is leaving. A refusal means that the answer was cut; a connection that is taken stays in the pool, so steady traffic opens no more connections than before. EndedServers uses the same probe of the pool.

Evidence: of the new tests three failed with the look's verdict taken out (idempotent retry, cut body, cut stream between events).

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -162,7 +162,10 @@
             self.quarantine, self.quarantine_sharing
         )
         self.ended_servers = EndedServers(
-            self.servers, self.quarantine, self.quarantine_sharing.notify
+            self.servers,
+            self.server_pool,
+            self.quarantine,
+            self.quarantine_sharing.notify,
         )
         exchange = ServerExchange(
             self.servers,
--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -43,10 +43,14 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeError:
-    """Describes why a request has no complete response."""
+    """Describes why a request has no complete response.
+
+    `is_refused` tells that nothing listened at the server's address.
+    """
 
     fault: Fault
     reason: str
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -337,9 +341,13 @@
         self._request = None
         self._parts.clear()
         self._is_reused = True
-        self.idle_until_s = time.monotonic() + self._idle_limit_s
+        self.wait_for_use()
         return True
 
+    def wait_for_use(self) -> None:
+        """Set how long the connection may stay idle."""
+        self.idle_until_s = time.monotonic() + self._idle_limit_s
+
     def abort(self, reason: str) -> None:
         """Close the connection at once, which cancels its request."""
         self._mark_lost(reason)
--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -1,6 +1,7 @@
 """Pool idle connections by address and open new ones."""
 
 import asyncio
+from enum import Enum
 import time
 
 from result import Err
@@ -14,6 +15,14 @@
 SWEEP_INTERVAL_S = 1.0
 
 
+class Listening(Enum):
+    """Names what a connection attempt tells about a server."""
+
+    YES = 'yes'
+    NO = 'no'
+    UNKNOWN = 'unknown'
+
+
 class ConnectionPool:
     """Holds idle connections by address, the last used first."""
 
@@ -51,13 +60,26 @@
                 )
         except (OSError, TimeoutError) as error:
             reason = f'{type(error).__name__} {error}'.strip()
-            return Err(ExchangeError(Fault.NOT_SENT, reason))
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return Err(ExchangeError(Fault.NOT_SENT, reason, is_refused))
         return Ok(connection)
 
+    async def probe(self, host: str, port: int, timeout_s: float) -> Listening:
+        """Return whether anything listens; its connection is kept as idle."""
+        match await self.open(host, port, timeout_s):
+            case Ok(connection):
+                connection.wait_for_use()
+                self._keep(host, port, connection)
+                return Listening.YES
+            case Err(error):
+                return Listening.NO if error.is_refused else Listening.UNKNOWN
+
     def release(self, host: str, port: int, connection: Connection) -> None:
         """Return a connection to the pool if it can be reused."""
-        if not connection.reset_for_reuse():
-            return
+        if connection.reset_for_reuse():
+            self._keep(host, port, connection)
+
+    def _keep(self, host: str, port: int, connection: Connection) -> None:
         idle = self._idle_by_address.setdefault((host, port), [])
         idle.append(connection)
         if self._sweep_timer is None:
--- a/jackdawfield/gateway/servers/endings.py
+++ b/jackdawfield/gateway/servers/endings.py
@@ -8,11 +8,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
-from enum import Enum
 import logging
 import time
 
 from jackdawfield.background import BackgroundTasks
+from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.http.pool import Listening
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.quarantine import Quarantine
@@ -28,14 +29,6 @@
 RESTART_LISTED_S = 10.0
 
 
-class Listening(Enum):
-    """Names what a connection attempt tells about a server."""
-
-    YES = 'yes'
-    NO = 'no'
-    UNKNOWN = 'unknown'
-
-
 @dataclass(slots=True)
 class _BrokenCalls:
     """Holds the requests whose connections to a server broke."""
@@ -48,32 +41,18 @@
     is_listening: bool = False
 
 
-async def probe(host: str, port: int) -> Listening:
-    """Return whether anything listens at an address."""
-    loop = asyncio.get_running_loop()
-    try:
-        async with asyncio.timeout(PROBE_TIMEOUT_S):
-            transport, _ = await loop.create_connection(
-                asyncio.Protocol, host, port
-            )
-    except ConnectionRefusedError:
-        return Listening.NO
-    except (OSError, TimeoutError):
-        return Listening.UNKNOWN
-    transport.abort()
-    return Listening.YES
-
-
 class EndedServers:
     """Finds the servers that ended while calls ran there."""
 
     def __init__(
         self,
         servers: Servers,
+        pool: ConnectionPool,
         quarantine: Quarantine,
         on_change: Callable[[], None],
     ) -> None:
         self._servers = servers
+        self._pool = pool
         self._quarantine = quarantine
         self._on_change = on_change
         self._broken_by_start: dict[ServerStart, _BrokenCalls] = {}
@@ -134,7 +113,7 @@
 
     async def _probe(self, start: ServerStart, host: str, port: int) -> None:
         await asyncio.sleep(PROBE_DELAY_S)
-        listening = await probe(host, port)
+        listening = await self._pool.probe(host, port, PROBE_TIMEOUT_S)
         broken = self._broken_by_start.get(start)
         if broken is None:
             return
--- a/jackdawfield/gateway/servers/exchange.py
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -17,6 +17,7 @@
 from jackdawfield.gateway.http.connection import OutgoingRequest
 from jackdawfield.gateway.http.connection import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.http.pool import Listening
 from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.servers.choice import HANG_S
 from jackdawfield.gateway.servers.choice import record_failure
@@ -30,6 +31,11 @@
 CONNECT_TIMEOUT_S = 0.4
 # Limit for reading the rest of a refusal, so that its connection is reused.
 REFUSAL_TIMEOUT_S = 0.1
+# After an unframed response the server is asked for a connection: after a
+# delay, as a process that ends closes its sockets one after another, and
+# within a limit.
+END_CHECK_DELAY_S = 0.02
+END_CHECK_TIMEOUT_S = 0.15
 STATUS_MISDIRECTED = 421
 STATUS_FULL = 503
 STATUS_SERVER_ERROR = 500
@@ -59,12 +65,17 @@
 
 @dataclass(slots=True)
 class ResponseStream:
-    """Holds a call whose response has begun and reads the response's body."""
+    """Holds a call whose response has begun and reads the response's body.
+
+    `confirm_end` looks whether the server's end explains that of an unframed
+    response.
+    """
 
     call: Call
     server: ServerState
     connection: Connection
     head: ResponseHead
+    confirm_end: Callable[[ServerState], Awaitable[BodyEnd]]
     pieces: list[bytes] = field(default_factory=list)
     end: BodyEnd | None = None
     sent_at_s: float = 0.0
@@ -107,9 +118,18 @@
             return self.pieces.pop(0)
         if self.end is not None:
             return self.end
+        return await self.read_part()
+
+    async def read_part(self) -> bytes | BodyEnd:
+        """Read the next piece from the connection, after the last its end."""
         part = await self.connection.next_part()
         assert not isinstance(part, ResponseHead)
-        return part
+        if part is not BodyEnd.UNCONFIRMED:
+            return part
+        # The end stays unconfirmed if the caller's timeout ends the look.
+        self.end = part
+        self.end = await self.confirm_end(self.server)
+        return self.end
 
 
 @dataclass(frozen=True, slots=True)
@@ -263,6 +283,7 @@
             attempt.server,
             connection,
             head,
+            self._confirm_end,
             sent_at_s=sent_at_s,
         )
         if self._is_not_run(head):
@@ -274,6 +295,22 @@
             await _buffer_body(response)
         return None if response.end is BodyEnd.CUT else response
 
+    async def _confirm_end(self, server: ServerState) -> BodyEnd:
+        """Return the end of an unframed response: cut if its server ended.
+
+        A server that leaves may end after its last response.
+        """
+        if not self._servers.is_usable(server):
+            return BodyEnd.UNCONFIRMED
+        await asyncio.sleep(END_CHECK_DELAY_S)
+        entry = server.entry
+        listening = await self._pool.probe(
+            entry.host, entry.port, END_CHECK_TIMEOUT_S
+        )
+        if listening is Listening.NO:
+            return BodyEnd.CUT
+        return BodyEnd.UNCONFIRMED
+
     def _is_not_run(self, head: ResponseHead) -> bool:
         if head.status == STATUS_MISDIRECTED:
             return True
@@ -341,7 +378,7 @@
     pieces: list[bytes] = []
     size = 0
     while size < RETRY_BUFFER_BYTES:
-        match await response.connection.next_part():
+        match await response.read_part():
             case bytes(piece):
                 pieces.append(piece)
                 size += len(piece)
--- a/tests/gateway/servers/test_dispatch.py
+++ b/tests/gateway/servers/test_dispatch.py
@@ -113,6 +113,14 @@
     received.writer.close()
 
 
+async def end_unframed(received: ReceivedRequest, sent: bytes) -> None:
+    """Send a part of an unframed response and close the connection."""
+    head = f'HTTP/1.1 200 OK\r\nX-Id: {received.header("x-id")}\r\n'
+    received.writer.write(f'{head}X-Sign: s\r\n\r\n'.encode() + sent)
+    await received.writer.drain()
+    received.writer.close()
+
+
 async def unsigned(received: ReceivedRequest) -> None:
     head = f'HTTP/1.1 200 OK\r\nX-Id: {received.header("x-id")}\r\n'
     received.writer.write(f'{head}Content-Length: 2\r\n\r\nno'.encode())
@@ -158,7 +166,7 @@
             servers, self.pool, HEADER_FORMAT, self.reported.append
         )
         quarantine = Quarantine()
-        ended = EndedServers(servers, quarantine, lambda: None)
+        ended = EndedServers(servers, self.pool, quarantine, lambda: None)
         self.addCleanup(ended.close)
         guard = CallGuard(quarantine, ended)
         self.dispatcher = Dispatcher(slot_queue, exchange, guard)
@@ -208,6 +216,55 @@
                 )
                 self.assertEqual(self.request_counts, [1, 1])
 
+    # Guards against half a body of a server that crashed, served as whole
+    # though the call may be repeated.
+    async def test_idempotent_call_is_retried_after_its_server_ended(
+        self,
+    ) -> None:
+        async def crash(received: ReceivedRequest) -> None:
+            await self.servers[0].stop()
+            await end_unframed(received, b'ha')
+
+        call = make_call(CallKind.IDEMPOTENT)
+        outcome = await self.dispatch(call, [crash, complete])
+        assert isinstance(outcome, SentCall)
+        self.assertEqual(await outcome.response.next_part(), b'ok')
+        self.assertEqual(self.request_counts, [1, 1])
+
+    async def test_unframed_response_of_a_server_that_lives_is_used(
+        self,
+    ) -> None:
+        connections: list[int] = []
+
+        async def unframed(received: ReceivedRequest) -> None:
+            connections.append(self.servers[0].connections)
+            await end_unframed(received, b'whole')
+
+        for kind in CallKind:
+            with self.subTest(kind=kind):
+                outcome = await self.dispatch(make_call(kind), [unframed])
+                assert isinstance(outcome, SentCall)
+                response = outcome.response
+                self.assertEqual(await response.next_part(), b'whole')
+                self.assertIs(await response.next_part(), BodyEnd.UNCONFIRMED)
+                # The look at the server has left a connection for later.
+                await self.dispatcher.start(
+                    make_call(kind), SERVICE, b'', None
+                )
+                self.assertEqual(connections[-2:], [1, 2])
+
+    async def test_unframed_response_is_cut_if_its_server_ended(self) -> None:
+        async def crash(received: ReceivedRequest) -> None:
+            await self.servers[0].stop()
+            await end_unframed(received, b'ha')
+
+        call = make_call(CallKind.AT_MOST_ONCE)
+        outcome = await self.dispatch(call, [crash, complete])
+        assert isinstance(outcome, SentCall)
+        self.assertEqual(await outcome.response.next_part(), b'ha')
+        self.assertIs(await outcome.response.next_part(), BodyEnd.CUT)
+        self.assertEqual(self.request_counts, [1, 0])
+
     async def test_lost_stream_is_not_refused_for_want_of_a_slot(self) -> None:
         call = make_call(CallKind.STREAM)
         route = replace(call.route, is_resumable=True)
--- a/tests/gateway/servers/test_guard.py
+++ b/tests/gateway/servers/test_guard.py
@@ -7,6 +7,7 @@
 
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Refusal
+from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.servers.endings import EndedServers
 from jackdawfield.gateway.servers.guard import CallGuard
@@ -46,7 +47,9 @@
     def setUp(self) -> None:
         self.quarantine = Quarantine()
         self.servers = server_list(3)
-        ended = EndedServers(self.servers, self.quarantine, lambda: None)
+        ended = EndedServers(
+            self.servers, ConnectionPool(), self.quarantine, lambda: None
+        )
         self.guard = CallGuard(self.quarantine, ended)
 
     def end_servers(self, call: Call, count: int) -> None:
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -278,6 +278,20 @@
         self.assertEqual(answer.headers['connection'], 'close')
         self.assertNotIn('transfer-encoding', answer.headers)
 
+    # Guards against a crash between two events that looks like an end.
+    async def test_unframed_stream_is_cut_if_its_server_ended(self) -> None:
+        async def crash(received: ReceivedRequest) -> None:
+            await self.server.stop()
+            send_unframed_head(received)
+            received.writer.write(event(0) + event(1))
+            await received.writer.drain()
+            received.writer.close()
+
+        self.server.script = crash
+        answer = await self.fleet.turn(self.first, 't1', b'input')
+        self.assertEqual(answer.body, event(0) + event(1))
+        self.assertIs(answer.end, BodyEnd.CUT)
+
     async def test_turn_whose_end_is_not_confirmed_is_kept(self) -> None:
         self.server.script = unframed_stream
         await self.fleet.turn(
