Take an answer of the store that only its close ended as lost

The store's path took the end of a response without a length for its end, so the first half of an object, or of rows that still parse, would be read as a whole one if the store's process ended.

Change: such a response is lost: a write is in doubt, a read is made again or by a relay. The store sends lengths, so nothing changes while it is sound. The new test failed before.

--- a/jackdawfield/gateway/storage/path.py
+++ b/jackdawfield/gateway/storage/path.py
@@ -198,7 +198,10 @@
 
 
 async def read_reply(connection: Connection) -> StoreReply | None:
-    """Read a complete response; return None if it was cut or too large."""
+    """Read a complete response.
+
+    Return None if it was cut, may have been cut, or is too large.
+    """
     head = await connection.next_part()
     if not isinstance(head, ResponseHead):
         return None
@@ -209,7 +212,7 @@
             case bytes(piece):
                 pieces.append(piece)
                 size += len(piece)
-            case BodyEnd.WHOLE | BodyEnd.UNCONFIRMED:
+            case BodyEnd.WHOLE:
                 return StoreReply(head.status, b''.join(pieces))
             case _:
                 return None
--- a/tests/gateway/storage/test_path.py
+++ b/tests/gateway/storage/test_path.py
@@ -6,6 +6,7 @@
 from jackdawfield.decisions.table import OutcomeUnknown
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.http.connection import Fault
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.storage.path import StorePath
 from jackdawfield.gateway.storage.rows import RowKey
@@ -16,6 +17,8 @@
 from jackdawfield.standins.row_store import StoreFault
 from tests.gateway.harness import free_port
 from tests.gateway.harness import HOST
+from tests.gateway.scripted_server import ReceivedRequest
+from tests.gateway.scripted_server import ScriptedServer
 
 KEY = RowKey('table', 'part', 'key')
 
@@ -65,6 +68,20 @@
         self.assertIsInstance(outcome, OutcomeUnknown)
         self.assertEqual(self.rows.rows_by_key[KEY].value, b'value')
 
+    # Guards against half a body of the store that is read as a whole one.
+    async def test_answer_that_may_be_cut_is_none(self) -> None:
+        async def unframed(received: ReceivedRequest) -> None:
+            received.writer.write(b'HTTP/1.1 200 OK\r\n\r\nhalf')
+            await received.writer.drain()
+            received.writer.close()
+
+        server = await ScriptedServer(unframed).start()
+        self.addAsyncCleanup(server.stop)
+        path = StorePath(self.pool, HOST, server.port, self.links, lambda: [])
+        found = await path.call('GET', '/object', b'', 1.0)
+        assert isinstance(found, Err), found
+        self.assertIs(found.err_value.fault, Fault.LOST)
+
     async def test_direct_path_is_used_without_relays(self) -> None:
         self.rows.put(KEY, b'value')
         found = (await self.store.read('table', 'part')).unwrap()
