Take a plain answer that only its close ended as lost in the daemon

Its HTTP client took the FIN of a crashed service for the end of an answer without a length, so half a body was kept as an effect's outcome.

Change: a plain request with such an answer is lost; a stream of events still ends by its own marker, which incomplete_stream_error asks for. test_answer_without_length_ends_with_its_connection held the old view that a FIN proves the end; it is replaced by the same check for close and reset (failed before) and by one for streams.

--- a/jackdawfield/drivers/http.py
+++ b/jackdawfield/drivers/http.py
@@ -63,8 +63,15 @@
         self._handle_exception(type(error), error, None)
 
     def finish(self) -> None:
-        """Return the answer, or fail if a reset may have broken it off."""
-        if self._ends_with_connection() and self.stream.error is not None:
+        """Return the answer, or fail if it may have been broken off.
+
+        A stream of events has an end marker of its own, which a reset may
+        have cut off.
+        """
+        has_own_end = self.request.streaming_callback is not None
+        if self._ends_with_connection() and (
+            not has_own_end or self.stream.error is not None
+        ):
             self.on_connection_close()
             return
         super().finish()
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -75,16 +75,25 @@
         for end in (close, reset):
             self.assert_lost(await self.answer(HEAD, end))
 
-    async def test_answer_without_length_ends_with_its_connection(
+    # Guards against half an answer that counts as a whole one: a server that
+    # crashes closes its connections like one that has ended its answer.
+    async def test_answer_without_length_is_lost(self) -> None:
+        for end in (close, reset):
+            self.assert_lost(await self.answer(HEAD + b'\r\nok', end))
+
+    async def test_stream_without_length_ends_with_its_connection(
         self,
     ) -> None:
-        result = await self.answer(HEAD + b'\r\nok', close)
-        assert isinstance(result, Ok), result
-        self.assertEqual(result.ok_value.body, b'ok')
-
-    # Guards against half an answer that counts as a whole one.
-    async def test_answer_without_length_that_is_reset_is_lost(self) -> None:
-        self.assert_lost(await self.answer(HEAD + b'\r\nok', reset))
+        data = HEAD + b'\r\ndata: [DONE]\n\n'
+        server = await ScriptedServer(script_of(data, close)).start()
+        self.addAsyncCleanup(server.stop)
+        chunks: list[bytes] = []
+        url = f'http://127.0.0.1:{server.port}/'
+        result = await self.client.request(
+            'POST', url, b'{}', on_chunk=chunks.append
+        )
+        self.assertIsInstance(result, Ok)
+        self.assertEqual(chunks, [b'data: [DONE]\n\n'])
 
     async def test_refused_connection_is_not_sent(self) -> None:
         result = await self.request(free_port())
