--- a/soak/backend.py
+++ b/soak/backend.py
@@ -36,6 +36,7 @@
     REFUSING = 'refuses every call'
     TRUNCATING = 'cuts its answers'
     EXTRA_RESPONSES = 'sends answers that nobody asked for'
+    UNFRAMED = 'ends its answers with the connection, some early'
 
 
 class Backend(FreePortServer):
@@ -88,6 +89,9 @@
         if self.request.body.endswith(ENDING_BODY) and self.backend.end:
             await self._end_server(run)
             return
+        if self._is_active(Misbehaviour.UNFRAMED):
+            await self._answer_unframed(run)
+            return
         if run.call_class in STREAM_CLASSES:
             await self._stream_events(run)
         else:
@@ -103,6 +107,37 @@
                 return
             self._send_extra_response()
 
+    async def _answer_unframed(self, run: Run) -> None:
+        """Answer without a length; by its id it ends whole, early or cut."""
+        is_stream = run.call_class in STREAM_CLASSES
+        parts = [plain_body(run.request_id)]
+        if is_stream:
+            parts = [
+                f'id: {index}\ndata: {event}\n\n'.encode()
+                for index, event in enumerate(turn_events(run.request_id))
+            ]
+            last_id = self.request.headers.get('Last-Event-Id')
+            parts = parts[int(last_id) + 1 if last_id else 0 :]
+        match sum(run.request_id.encode()) % 3:
+            case 0:
+                parts = parts[:-1]
+            case 1:
+                parts[-1:] = [part[: len(part) // 2] for part in parts[-1:]]
+        content_type = 'text/event-stream' if is_stream else 'text/plain'
+        head = (
+            f'HTTP/1.1 200 OK\r\n{HEADER_PREFIX}Request-Id:'
+            f' {run.request_id}\r\n{HEADER_PREFIX}Server-Stamp:'
+            f' {self.backend.server_id}\r\nContent-Type:'
+            f' {content_type}\r\n\r\n'
+        )
+        for part in [head.encode(), *parts]:
+            if self._io_stream.closed():
+                return
+            await self._io_stream.write(part)
+            run.events += is_stream and part.endswith(b'\n\n')
+            await asyncio.sleep(EVENT_INTERVAL_S)
+        self._close_connection()
+
     async def _end_server(self, run: Run) -> None:
         """Begin to answer a stream, then end the server."""
         if run.call_class in STREAM_CLASSES:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -355,9 +355,7 @@
         started_s = time.monotonic()
         if isinstance(connection.send(_build_request(ask, request_id)), Err):
             return None, 0.0
-        status, body, whole, retry_after_s = await _receive_response(
-            connection
-        )
+        status, body, end, retry_after_s = await _receive_response(connection)
         is_stream = ask.call_class in STREAM_CLASSES
         expected_body = (stream_body if is_stream else plain_body)(request_id)
         outcome = Outcome(
@@ -369,12 +367,13 @@
             started_s,
             time.monotonic(),
             status,
-            whole,
+            end is BodyEnd.WHOLE,
             body,
             expected_body,
             short_digest(ask.prompt),
             ask.previous_request_id,
             ask.key,
+            end is BodyEnd.UNCONFIRMED,
             ask.body == ENDING_BODY,
             status == 0 and connection.is_closed_in_order,
         )
@@ -408,8 +407,8 @@
 
 async def _receive_response(
     connection: Connection,
-) -> tuple[int, bytes, bool, float]:
-    """Return status, body, whether it is complete, and retry delay in s."""
+) -> tuple[int, bytes, BodyEnd, float]:
+    """Return status, body, how it ended, and retry delay in s."""
     status = 0
     body = b''
     retry_after_s = 0.0
@@ -423,11 +422,6 @@
                     case bytes(chunk):
                         body += chunk
                     case BodyEnd() as end:
-                        return (
-                            status,
-                            body,
-                            end is BodyEnd.WHOLE,
-                            (retry_after_s),
-                        )
+                        return status, body, end, retry_after_s
     except TimeoutError:
-        return status, body, False, retry_after_s
+        return status, body, BodyEnd.CUT, retry_after_s
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -99,7 +99,8 @@
 def find_wrong_responses(record: Record) -> Details:
     """Find internal errors and responses that differ from the server's.
 
-    An incomplete response must be a prefix of what the server sends.
+    An incomplete response must be a prefix of what the server sends. One
+    whose end is not confirmed must not end inside an event either.
     """
     for outcome in record.outcomes:
         if outcome.status == 500:
@@ -110,10 +111,17 @@
         is_expected = expected.startswith(outcome.body)
         if outcome.whole:
             is_expected = outcome.body == expected
+        elif outcome.is_unconfirmed and outcome.call_class in STREAM_CLASSES:
+            is_expected = is_expected and ends_between_events(outcome.body)
         if not is_expected:
             yield f'{outcome.request_id} got the body {outcome.body[:80]!r}'
 
 
+def ends_between_events(body: bytes) -> bool:
+    """Return whether a stream of events ends after a whole one."""
+    return not body or body.endswith(b'\n\n')
+
+
 def find_lost_turns(record: Record) -> Details:
     """Find completed turns that are missing and prompts that differ.
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -54,6 +54,7 @@
     FaultKind.SERVER_REFUSING: Misbehaviour.REFUSING,
     FaultKind.SERVER_TRUNCATING: Misbehaviour.TRUNCATING,
     FaultKind.SERVER_EXTRA_RESPONSES: Misbehaviour.EXTRA_RESPONSES,
+    FaultKind.SERVER_UNFRAMED: Misbehaviour.UNFRAMED,
 }
 
 
@@ -98,6 +99,7 @@
             FaultKind.SERVER_REFUSING: self._make_server_misbehave,
             FaultKind.SERVER_TRUNCATING: self._make_server_misbehave,
             FaultKind.SERVER_EXTRA_RESPONSES: self._make_server_misbehave,
+            FaultKind.SERVER_UNFRAMED: self._make_server_misbehave,
             FaultKind.SERVER_DRAINING: self._remove_server,
             FaultKind.SERVER_ENDING: self._let_request_end_servers,
             FaultKind.STOP_SERIES: self._stop_in_series,
--- a/soak/record.py
+++ b/soak/record.py
@@ -61,6 +61,8 @@
     expected_prompt_digest: str
     previous_request_id: str = ''
     key: str = ''
+    # Only the end of the connection marked that of the body.
+    is_unconfirmed: bool = False
     # The request ends the servers that run it.
     ends_servers: bool = False
     # The instance read the request and closed the connection, in order and
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -35,13 +35,18 @@
     SERVER_EXTRA_RESPONSES = 'server sending extra answers'
     SERVER_DRAINING = 'server leaving'
     SERVER_ENDING = 'server ended by a request'
+    SERVER_UNFRAMED = 'server ends answers with the connection'
     STOP_SERIES = 'planned stops in series'
     KEY_WITHDRAWN = 'key withdrawn'
     CONFIGURATION = 'configuration'
 
 
 # These are not drawn by weight.
-SEPARATE_KINDS = (FaultKind.SERVER_ENDING, FaultKind.STOP_SERIES)
+SEPARATE_KINDS = (
+    FaultKind.SERVER_ENDING,
+    FaultKind.SERVER_UNFRAMED,
+    FaultKind.STOP_SERIES,
+)
 # Relative frequency of each other kind in a schedule.
 WEIGHTS_BY_KIND = {
     kind: 2 for kind in FaultKind if kind not in SEPARATE_KINDS
@@ -54,6 +59,8 @@
 }
 # Share of runs with a series of planned stops.
 STOP_SERIES_SHARE = 0.5
+# Longest time in which servers end their answers with the connection.
+MAX_UNFRAMED_S = 4.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +93,10 @@
         at_s = rng.uniform(FIRST_FAULT_S, faults_end_s / 2)
         series = Fault(FaultKind.STOP_SERIES, at_s, 0.0, rng.randrange(1000))
         faults.append(series)
+    at_s = rng.uniform(FIRST_FAULT_S, faults_end_s)
+    lasts_s = min(MAX_UNFRAMED_S, faults_end_s - at_s)
+    kind = FaultKind.SERVER_UNFRAMED
+    faults.append(Fault(kind, at_s, lasts_s, rng.randrange(1000)))
     if has_ending_request:
         lasts_s = faults_end_s - FIRST_FAULT_S - SERVER_RESTART_S
         kind = FaultKind.SERVER_ENDING
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -26,6 +26,9 @@
 from jackdawfield.gateway.servers.guard import CallGuard
 from jackdawfield.gateway.storage.measured import MeasuredStore
 from jackdawfield.gateway.storage.rows import RowConflict
+from jackdawfield.gateway.streams.progress import Complete
+from jackdawfield.gateway.streams.progress import PassOn
+from jackdawfield.gateway.streams.progress import StreamEnded
 from jackdawfield.gateway.streams.progress import StreamProgress
 
 # One in this many body chunks is dropped.
@@ -101,6 +104,19 @@
     _patch(StreamProgress, '_is_repeated', lambda *_: False)
 
 
+def complete_unfinished_events() -> None:
+    """Pass on what is left of an event when its connection has ended."""
+    on = StreamProgress.on
+
+    def changed(self: Any, event: Any) -> object:
+        rest = self._parser.rest if self._parser else b''
+        if isinstance(event, StreamEnded) and event.is_whole and rest:
+            return PassOn(rest), Complete(event.is_confirmed)
+        return on(self, event)
+
+    _patch(StreamProgress, 'on', changed)
+
+
 def keep_turns_in_memory() -> None:
     """Keep turns only in the memory of the instance that served them."""
 
@@ -210,6 +226,7 @@
     'take-any-answer': take_any_answer,
     'drop-pieces': drop_pieces,
     'repeat-events': repeat_events,
+    'complete-unfinished-events': complete_unfinished_events,
     'keep-turns-in-memory': keep_turns_in_memory,
     'ignore-budgets': ignore_budgets,
     'ignore-rates': ignore_rates,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -118,6 +118,21 @@
         truncated = outcome('r', body=b'done')
         self.assert_violated(record((truncated,)), 'whole and own answers')
 
+    def test_unconfirmed_stream_must_end_between_events(self) -> None:
+        body = b'id: 0\ndata: r:0\n\n'
+        for size, is_broken in ((0, False), (5, True), (len(body), False)):
+            unconfirmed = outcome(
+                'r',
+                call_class=CallClass.TURN,
+                whole=False,
+                is_unconfirmed=True,
+                body=body[:size],
+                expected_body=body * 2,
+            )
+            found = find_violations(record((unconfirmed,)))
+            promises = {violation.promise for violation in found}
+            self.assertEqual('whole and own answers' in promises, is_broken)
+
     def test_incomplete_response_may_be_a_prefix(self) -> None:
         interrupted = outcome('r', body=b'done', whole=False)
         self.assertEqual(find_violations(record((interrupted,))), [])
