Call servers through a peer while the own paths are lost

Cause: a failure marked the server and not the path, and all servers are used again once all are marked; each call tried server after server for 0.4 s each until its caller left.

Change: ServerPaths connects by the way that is open. Cut, or refused here alone, a call goes over the link to a member that reaches the server: the peer opens the connection before the request follows, so a peer that can't has provably sent nothing; then the parts come as they arrive, within a window of 256 KiB. Only direct connections are relayed, at most 64 at once, and their slots count at the peer. Lost paths are tried again each 0.5 s. A server is not blamed for a lost path: failures are reported only if a server is heard or the path is found sound, and a refused connection is the end of a server only if peers are refused, too. A request without an answer for 0.3 s while no server is heard makes an instance ask for a connection.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -57,6 +57,10 @@
 from jackdawfield.gateway.servers.quarantine import Quarantine
 from jackdawfield.gateway.servers.quarantine_page import QuarantinePage
 from jackdawfield.gateway.servers.quarantine_sharing import QuarantineSharing
+from jackdawfield.gateway.servers.reachability import Reachability
+from jackdawfield.gateway.servers.relay_client import RelayClient
+from jackdawfield.gateway.servers.relay_server import RelayServer
+from jackdawfield.gateway.servers.server_paths import ServerPaths
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.storage.follower import TableFollower
 from jackdawfield.gateway.storage.measured import MeasuredStore
@@ -151,6 +155,7 @@
         )
         self.server_pool = ConnectionPool()
         self.slot_queue = SlotQueue(self.servers, self.metrics)
+        self._build_server_paths()
         self.failure_reports = FailureReports(
             self.servers, self.members, self.table_sharing, self.links
         )
@@ -163,13 +168,14 @@
         )
         self.ended_servers = EndedServers(
             self.servers,
-            self.server_pool,
+            self.server_paths,
             self.quarantine,
             self.quarantine_sharing.notify,
         )
         exchange = ServerExchange(
             self.servers,
             self.server_pool,
+            self.server_paths,
             self._adapter.header_format,
             self.failure_reports.report,
         )
@@ -190,6 +196,24 @@
             self.dispatcher, self.stream_calls, self.admission, self.metrics
         )
 
+    def _build_server_paths(self) -> None:
+        self.reachability = Reachability()
+        self.relay_client = RelayClient(
+            self.links, self.members.peer_addresses
+        )
+        self.relay_server = RelayServer(
+            self.slot_queue,
+            self.server_pool,
+            self.reachability,
+            lambda: self.is_stopping,
+        )
+        self.server_paths = ServerPaths(
+            self.servers,
+            self.server_pool,
+            self.reachability,
+            self.relay_client,
+        )
+
     def _build_programs(self) -> None:
         settings = self.settings
         cache = TurnCache(int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE))
@@ -230,6 +254,16 @@
         )
         add_gauge('servers_listed', lambda: len(self.servers.by_id))
         add_gauge('unframed_responses', lambda: self.dispatcher.unframed_count)
+        add_gauge(
+            'cut_from_servers',
+            lambda: self.reachability.cut_since_s is not None,
+        )
+        add_gauge(
+            'server_paths_lost', lambda: self.reachability.lost_path_count
+        )
+        add_gauge('calls_by_peers', lambda: self.relay_client.opened_count)
+        add_gauge('calls_for_peers', lambda: self.relay_server.relayed_count)
+        add_gauge('calls_for_peers_open', lambda: self.relay_server.open_count)
         add_gauge('members_known', lambda: len(self.members.rows_by_seat))
         add_gauge('seats_held', lambda: len(self.members.own_seats))
         add_gauge(
@@ -292,6 +326,7 @@
         self.failure_reports.register(self.peers)
         self.quarantine_sharing.register(self.peers, self.ended_servers)
         self.table_sharing.register(self.peers)
+        self.relay_server.register(self.peers)
         self.overdraft_lender.register(self.peers)
         self.unused_tokens.register(self.peers, self.accounts)
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
@@ -305,6 +340,7 @@
         self._tasks.spawn(self._remove_expired())
         self._tasks.spawn(self.rate_owner.poll_views())
         self._tasks.spawn(self.quarantine_sharing.run())
+        self._tasks.spawn(self.server_paths.run_trials())
         log_event(
             LOG,
             'started',
@@ -458,6 +494,7 @@
         """Cancel the background tasks and close all connections."""
         self._tasks.cancel()
         self.ended_servers.close()
+        self.server_paths.close()
         self.quarantine_sharing.close()
         for listener in (
             self.caller_listener,
--- a/jackdawfield/gateway/fleet/members.py
+++ b/jackdawfield/gateway/fleet/members.py
@@ -106,6 +106,22 @@
         seats = self.seats_in_own_domain() or in_region
         return seats[0] if seats else None
 
+    def peer_addresses(self) -> list[str]:
+        """Return other members, those of the own domain and region first.
+
+        Different instances get them in different orders.
+        """
+        settings = self.settings
+        rows = self.other_rows_by_seat
+        ranked = sorted(
+            self._rank(rows),
+            key=lambda seat_id: (
+                rows[seat_id].region_id != settings.region_id,
+                rows[seat_id].domain_id != settings.domain_id,
+            ),
+        )
+        return [rows[seat_id].address for seat_id in ranked]
+
     def _rank(self, seats: Iterable[SeatId]) -> list[SeatId]:
         own_id = str(self.own_id)
         return sorted(
--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -35,6 +35,13 @@
         self, host: str, port: int, timeout_s: float
     ) -> Result[Connection, ExchangeError]:
         """Return an idle connection or open one within the timeout."""
+        idle = self.take_idle(host, port)
+        if idle is not None:
+            return Ok(idle)
+        return await self.open(host, port, timeout_s)
+
+    def take_idle(self, host: str, port: int) -> Connection | None:
+        """Return an idle connection that can be used, None without one."""
         now_s = time.monotonic()
         idle = self._idle_by_address.get((host, port), [])
         while idle:
@@ -44,8 +51,8 @@
             elif connection.has_unread_input:
                 connection.abort('closed by the server, or late bytes')
             else:
-                return Ok(connection)
-        return await self.open(host, port, timeout_s)
+                return connection
+        return None
 
     async def open(
         self, host: str, port: int, timeout_s: float
--- a/jackdawfield/gateway/servers/endings.py
+++ b/jackdawfield/gateway/servers/endings.py
@@ -12,11 +12,12 @@
 import time
 
 from jackdawfield.background import BackgroundTasks
-from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.http.pool import Listening
+from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.quarantine import Quarantine
+from jackdawfield.gateway.servers.server_paths import ServerPaths
 from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_quarantine import RequestDigest
 from jackdawfield.messages.fleet_quarantine import ServerStart
@@ -47,12 +48,12 @@
     def __init__(
         self,
         servers: Servers,
-        pool: ConnectionPool,
+        paths: ServerPaths,
         quarantine: Quarantine,
         on_change: Callable[[], None],
     ) -> None:
         self._servers = servers
-        self._pool = pool
+        self._paths = paths
         self._quarantine = quarantine
         self._on_change = on_change
         self._broken_by_start: dict[ServerStart, _BrokenCalls] = {}
@@ -75,7 +76,7 @@
         if broken is None:
             broken = _BrokenCalls(time.monotonic())
             self._broken_by_start[start] = broken
-            self._tasks.spawn(self._probe(start, entry.host, entry.port))
+            self._tasks.spawn(self._probe(start, entry))
         began_before = broken.had_begun_by_digest.get(digest, True)
         broken.had_begun_by_digest[digest] = had_begun and began_before
         if self._quarantine.has_ended(start):
@@ -111,9 +112,9 @@
             if start in self._broken_by_start:
                 self._confirm(start)
 
-    async def _probe(self, start: ServerStart, host: str, port: int) -> None:
+    async def _probe(self, start: ServerStart, entry: ServerEntry) -> None:
         await asyncio.sleep(PROBE_DELAY_S)
-        listening = await self._pool.probe(host, port, PROBE_TIMEOUT_S)
+        listening = await self._paths.probe(entry, PROBE_TIMEOUT_S)
         broken = self._broken_by_start.get(start)
         if broken is None:
             return
--- a/jackdawfield/gateway/servers/exchange.py
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
+from functools import partial
 import logging
 import time
 
@@ -25,10 +26,13 @@
 from jackdawfield.gateway.servers.choice import record_success
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.choice import ServerState
+from jackdawfield.gateway.servers.reachability import SILENCE_S
+from jackdawfield.gateway.servers.relay_client import RelayedConnection
+from jackdawfield.gateway.servers.server_paths import ServerConnection
+from jackdawfield.gateway.servers.server_paths import ServerPaths
 from jackdawfield.logs import log_event
 
 LOG = logging.getLogger(__name__)
-CONNECT_TIMEOUT_S = 0.4
 # Limit for reading the rest of a refusal, so that its connection is reused.
 REFUSAL_TIMEOUT_S = 0.1
 # After an unframed response the server is asked for a connection: after a
@@ -68,14 +72,15 @@
     """Holds a call whose response has begun and reads the response's body.
 
     `confirm_end` looks whether the server's end explains that of an unframed
-    response.
+    response; `record_heard` records that the server was heard.
     """
 
     call: Call
     server: ServerState
-    connection: Connection
+    connection: ServerConnection
     head: ResponseHead
     confirm_end: Callable[[ServerState], Awaitable[BodyEnd]]
+    record_heard: Callable[[], None]
     pieces: list[bytes] = field(default_factory=list)
     end: BodyEnd | None = None
     sent_at_s: float = 0.0
@@ -124,6 +129,8 @@
         """Read the next piece from the connection, after the last its end."""
         part = await self.connection.next_part()
         assert not isinstance(part, ResponseHead)
+        if isinstance(part, bytes):
+            self.record_heard()
         if part is not BodyEnd.UNCONFIRMED:
             return part
         # The end stays unconfirmed if the caller's timeout ends the look.
@@ -175,26 +182,27 @@
         self,
         servers: Servers,
         pool: ConnectionPool,
+        paths: ServerPaths,
         header_format: HeaderFormat,
         report_failure: Callable[[ServerState], None],
     ) -> None:
         self._servers = servers
         self._pool = pool
+        self._paths = paths
         self._header_format = header_format
         self._report_failure = report_failure
 
     async def start(self, attempt: Attempt) -> ExchangeOutcome:
         """Send a request once and return its outcome."""
         call, server = attempt.call, attempt.server
-        entry = server.entry
-        acquired = await self._pool.acquire(
-            entry.host, entry.port, CONNECT_TIMEOUT_S
-        )
+        connected = await self._paths.connect(server.entry)
         now_s = time.monotonic()
-        if isinstance(acquired, Err):
-            self._record_failure(server, now_s, acquired.err_value.reason)
-            return Unreached(acquired.err_value.reason)
-        connection = acquired.ok_value
+        if isinstance(connected, Err):
+            error = connected.err_value
+            if error.is_server_fault:
+                self._record_failure(server, now_s, error.reason)
+            return Unreached(error.reason)
+        connection = connected.ok_value
         left_s = call.deadline_s - now_s
         if left_s < MIN_TIME_LEFT_S:
             connection.abort('too late to send')
@@ -202,13 +210,14 @@
         if isinstance(connection.send(self._request(attempt, left_s)), Err):
             return Unreached(connection.lost_reason)
         outcome: ExchangeOutcome | None = None
-        hang_timer = self._watch_for_hang(server)
+        timers = self._watch(server, connection)
         if call.route.kind is CallKind.STREAM:
             server.awaiting_since_s_by_connection[id(connection)] = now_s
         try:
             outcome = await self._await_response(attempt, connection, now_s)
         finally:
-            hang_timer.cancel()
+            for timer in timers:
+                timer.cancel()
             # ResponseStream records the first piece once a response has begun.
             if not isinstance(outcome, ResponseStream):
                 server.awaiting_since_s_by_connection.pop(id(connection), None)
@@ -234,17 +243,28 @@
             call.request_id,
         )
 
-    def _watch_for_hang(self, server: ServerState) -> asyncio.TimerHandle:
-        """Schedule a report in case this server alone does not respond."""
+    def _watch(
+        self, server: ServerState, connection: ServerConnection
+    ) -> list[asyncio.TimerHandle]:
+        """Schedule what is done in case a server does not respond.
+
+        If it alone does not, it is reported; if none is heard any more, it is
+        asked for a connection.
+        """
 
         def report_if_hanging() -> None:
             if self._servers.others_respond(server, time.monotonic()):
-                self._report_failure(server)
+                self._report(server)
 
-        return asyncio.get_running_loop().call_later(HANG_S, report_if_hanging)
+        loop = asyncio.get_running_loop()
+        timers = [loop.call_later(HANG_S, report_if_hanging)]
+        if isinstance(connection, Connection):
+            watch = partial(self._paths.watch_for_silence, server.entry)
+            timers.append(loop.call_later(SILENCE_S, watch))
+        return timers
 
     async def _await_response(
-        self, attempt: Attempt, connection: Connection, sent_at_s: float
+        self, attempt: Attempt, connection: ServerConnection, sent_at_s: float
     ) -> ExchangeOutcome:
         server = attempt.server
         try:
@@ -259,6 +279,9 @@
         except asyncio.CancelledError:
             connection.abort('caller left')
             raise
+        if isinstance(connection, RelayedConnection) and connection.is_unsent:
+            connection.abort('not sent')
+            return Unreached(connection.lost_reason)
         if response is None:
             self._record_failure(server, time.monotonic(), 'answer lost')
             connection.abort('answer lost')
@@ -272,18 +295,20 @@
         return response
 
     async def _read_response_start(
-        self, attempt: Attempt, connection: Connection, sent_at_s: float
+        self, attempt: Attempt, connection: ServerConnection, sent_at_s: float
     ) -> ResponseStream | None:
         """Read the response's start; return None if it is lost or invalid."""
         head = await connection.next_part()
         if not isinstance(head, ResponseHead):
             return None
+        self._record_heard(attempt.server, connection)
         response = ResponseStream(
             attempt.call,
             attempt.server,
             connection,
             head,
             self._confirm_end,
+            partial(self._record_heard, attempt.server, connection),
             sent_at_s=sent_at_s,
         )
         if self._is_not_run(head):
@@ -295,6 +320,12 @@
             await _buffer_body(response)
         return None if response.end is BodyEnd.CUT else response
 
+    def _record_heard(
+        self, server: ServerState, connection: ServerConnection
+    ) -> None:
+        if isinstance(connection, Connection):
+            self._paths.record_heard(server.entry)
+
     async def _confirm_end(self, server: ServerState) -> BodyEnd:
         """Return the end of an unframed response: cut if its server ended.
 
@@ -303,10 +334,7 @@
         if not self._servers.is_usable(server):
             return BodyEnd.UNCONFIRMED
         await asyncio.sleep(END_CHECK_DELAY_S)
-        entry = server.entry
-        listening = await self._pool.probe(
-            entry.host, entry.port, END_CHECK_TIMEOUT_S
-        )
+        listening = await self._paths.probe(server.entry, END_CHECK_TIMEOUT_S)
         if listening is Listening.NO:
             return BodyEnd.CUT
         return BodyEnd.UNCONFIRMED
@@ -317,9 +345,11 @@
         return head.get(self._header_format.not_run) is not None
 
     async def _handle_refusal(
-        self, server: ServerState, connection: Connection, head: ResponseHead
+        self,
+        server: ServerState,
+        connection: ServerConnection,
+        head: ResponseHead,
     ) -> None:
-        entry = server.entry
         if head.status == STATUS_FULL:
             record_full(server, time.monotonic())
         else:
@@ -333,7 +363,18 @@
         except TimeoutError:
             connection.abort('refusal without end')
             return
-        self._pool.release(entry.host, entry.port, connection)
+        self._give_back(server, connection)
+
+    def _give_back(
+        self, server: ServerState, connection: ServerConnection
+    ) -> None:
+        """Return a connection to the pool; a relayed one just ends."""
+        entry = server.entry
+        match connection:
+            case Connection():
+                self._pool.release(entry.host, entry.port, connection)
+            case RelayedConnection():
+                connection.abort('done')
 
     def release(self, response: ResponseStream, end: BodyEnd | None) -> None:
         """Return a response's connection to the pool, or close it.
@@ -356,13 +397,17 @@
             self._record_failure(server, time.monotonic(), reason)
         else:
             record_success(server)
-        entry = server.entry
-        self._pool.release(entry.host, entry.port, response.connection)
+        self._give_back(server, response.connection)
+
+    def _report(self, server: ServerState) -> None:
+        """Report a failure to the others unless the path is at fault."""
+        report = partial(self._report_failure, server)
+        self._paths.run_if_path_is_sound(server.entry, report)
 
     def _record_failure(
         self, server: ServerState, now_s: float, reason: str
     ) -> None:
-        self._report_failure(server)
+        self._report(server)
         if record_failure(server, now_s):
             log_event(
                 LOG,
--- a/tests/gateway/servers/test_dispatch.py
+++ b/tests/gateway/servers/test_dispatch.py
@@ -34,6 +34,7 @@
 from tests.gateway.scripted_server import ReceivedRequest
 from tests.gateway.scripted_server import Script
 from tests.gateway.scripted_server import ScriptedServer
+from tests.gateway.servers.paths import lone_paths
 
 SERVICE = ServiceName('service')
 DOMAIN = DomainId('domain')
@@ -162,11 +163,13 @@
             servers.by_id[entry.server_id].in_flight = number
         self.reported: list[ServerState] = []
         slot_queue = SlotQueue(servers, GatewayMetrics('i'))
+        paths = lone_paths(servers, self.pool)
+        self.addCleanup(paths.close)
         exchange = ServerExchange(
-            servers, self.pool, HEADER_FORMAT, self.reported.append
+            servers, self.pool, paths, HEADER_FORMAT, self.reported.append
         )
         quarantine = Quarantine()
-        ended = EndedServers(servers, self.pool, quarantine, lambda: None)
+        ended = EndedServers(servers, paths, quarantine, lambda: None)
         self.addCleanup(ended.close)
         guard = CallGuard(quarantine, ended)
         self.dispatcher = Dispatcher(slot_queue, exchange, guard)
@@ -304,6 +307,11 @@
                 outcome = await self.dispatch(call, [script])
                 if isinstance(outcome, SentCall):
                     self.dispatcher.release(outcome.response, BodyEnd.WHOLE)
+                # Its path is looked at first, as no server was heard yet.
+                async with asyncio.timeout(1.0):
+                    while not self.reported:
+                        await asyncio.sleep(0.01)
+                await asyncio.sleep(0.05)
                 ids = [state.entry.server_id for state in self.reported]
                 self.assertEqual(ids, ['s0'])
 
--- a/tests/gateway/servers/test_guard.py
+++ b/tests/gateway/servers/test_guard.py
@@ -17,6 +17,7 @@
 from jackdawfield.messages.fleet_quarantine import ServerStart
 from jackdawfield.model import OrganisationId
 from jackdawfield.model import ServerId
+from tests.gateway.servers.paths import lone_paths
 from tests.gateway.servers.test_dispatch import make_call
 from tests.gateway.servers.test_failures import server_list
 
@@ -48,7 +49,10 @@
         self.quarantine = Quarantine()
         self.servers = server_list(3)
         ended = EndedServers(
-            self.servers, ConnectionPool(), self.quarantine, lambda: None
+            self.servers,
+            lone_paths(self.servers, ConnectionPool()),
+            self.quarantine,
+            lambda: None,
         )
         self.guard = CallGuard(self.quarantine, ended)
 
--- /dev/null
+++ b/tests/gateway/test_relays.py
@@ -0,0 +1,311 @@
+"""Test instances that lost their paths to the servers.
+
+The pattern: some instances, also most of them, reach no server, while their
+callers, the store and the other instances still reach them.
+"""
+
+import asyncio
+import json
+import time
+import unittest
+
+from result import Err
+from result import Result
+
+from jackdawfield.gateway.daemon import Gateway
+from jackdawfield.gateway.http.connection import Connection
+from jackdawfield.gateway.http.connection import ExchangeError
+from jackdawfield.gateway.http.connection import Fault
+from jackdawfield.gateway.http.connection import OutgoingRequest
+from jackdawfield.gateway.servers.reachability import Path
+from jackdawfield.gateway.servers.relay_server import MAX_RELAYED
+from jackdawfield.gateway.storage.rows import RowKey
+from tests.gateway.harness import engine
+from tests.gateway.harness import Fleet
+from tests.gateway.harness import HOST
+from tests.gateway.harness import PREFIX
+from tests.gateway.scripted_server import ReceivedRequest
+from tests.gateway.scripted_server import Script
+from tests.gateway.scripted_server import ScriptedServer
+
+MODEL_SERVERS = 2
+
+
+class RelaysTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet = Fleet()
+        self.addAsyncCleanup(self.fleet.stop)
+        await self.fleet.start(3)
+        self.first, self.second, self.third = self.fleet.gateways
+        other = await ScriptedServer(engine).start()
+        self.addAsyncCleanup(other.stop)
+        self.servers = [self.fleet.server, other]
+        entry = {
+            'service': 'model',
+            'address': f'{HOST}:{other.port}',
+            'zone': 'a',
+            'slots': 4,
+            'state': 'ready',
+        }
+        key = RowKey('servers', '', 'i-2')
+        self.fleet.rows.put(key, json.dumps(entry).encode())
+        for gateway in self.fleet.gateways:
+            await self.fleet.wait_until(
+                lambda g=gateway: (
+                    len(g.servers.by_id) == MODEL_SERVERS
+                    and len(g.members.peer_addresses()) == 2
+                )
+            )
+
+    def script_all(self, script: Script) -> None:
+        for server in self.servers:
+            server.script = script
+
+    @property
+    def request_count(self) -> int:
+        return sum(len(server.requests) for server in self.servers)
+
+    def cut(self, gateway: Gateway, is_refused: bool) -> None:
+        """Let an instance's new connections to servers hang or be refused."""
+
+        async def fail(
+            _: str, __: int, timeout_s: float
+        ) -> Result[Connection, ExchangeError]:
+            if not is_refused:
+                await asyncio.sleep(timeout_s)
+            return Err(ExchangeError(Fault.NOT_SENT, 'cut', is_refused))
+
+        gateway.server_pool.open = fail
+        if not is_refused:
+            # Kept connections hang, too; here they are not used.
+            gateway.server_pool.take_idle = lambda _, __: None
+
+    def heal(self, gateway: Gateway) -> None:
+        del gateway.server_pool.open
+        vars(gateway.server_pool).pop('take_idle', None)
+
+    async def lose_all_paths(self, *gateways: Gateway) -> None:
+        """Cut instances and let them know it."""
+        for number, gateway in enumerate(gateways):
+            self.cut(gateway, is_refused=False)
+            for turn in range(4):
+                await self.fleet.call(
+                    gateway, f'lost-{number}-{turn}', '/open/x', key=None
+                )
+            await self.fleet.wait_until(
+                lambda g=gateway: g.reachability.cut_since_s is not None
+            )
+
+    # Guards against callers of a cut instance who are served far worse than
+    # those of the others: each call tried server after server in vain.
+    async def test_calls_of_a_cut_instance_are_served_through_a_peer(
+        self,
+    ) -> None:
+        for is_refused in (False, True):
+            with self.subTest(is_refused=is_refused):
+                self.cut(self.first, is_refused)
+                for number in range(4):
+                    name = f'r-{is_refused}-{number}'
+                    answer = await self.fleet.turn(self.first, name, b'in')
+                    self.assertEqual(
+                        (answer.status, answer.whole), (200, True)
+                    )
+                    answer = await self.fleet.call(
+                        self.first, f't{name}', '/tool/x'
+                    )
+                    self.assertEqual(
+                        (answer.status, answer.body), (200, b'ok')
+                    )
+                self.heal(self.first)
+                await self.fleet.wait_until(
+                    lambda: (
+                        self.first.reachability.cut_since_s is None
+                        and not self.first.reachability.lost_path_count
+                    )
+                )
+        self.assertEqual(self.request_count, 16)
+
+    async def test_cut_instance_is_served_at_once_when_most_are_cut(
+        self,
+    ) -> None:
+        await self.lose_all_paths(self.first, self.second)
+        relayed_before = self.second.relay_server.relayed_count
+        started_s = time.monotonic()
+        for number in range(5):
+            answer = await self.fleet.call(self.first, f'r{number}', '/tool/x')
+            self.assertEqual(answer.status, 200)
+        self.assertLess(time.monotonic() - started_s, 1.0)
+        self.assertGreater(self.third.relay_server.relayed_count, 0)
+        # Never two relays in a row.
+        self.assertEqual(
+            self.second.relay_server.relayed_count, relayed_before
+        )
+
+    async def test_nobody_reaches_a_server_so_calls_are_refused_at_once(
+        self,
+    ) -> None:
+        await self.lose_all_paths(*self.fleet.gateways)
+        before = self.request_count
+        started_s = time.monotonic()
+        answer = await self.fleet.call(self.first, 'r', '/tool/x')
+        self.assertLess(time.monotonic() - started_s, 0.3)
+        self.assertEqual(answer.status, 503)
+        self.assertIn('retry-after', answer.headers)
+        self.assertEqual(self.request_count, before)
+
+    async def test_events_are_relayed_as_they_arrive(self) -> None:
+        await self.lose_all_paths(self.first)
+        may_go_on = asyncio.Event()
+
+        async def paused(received: ReceivedRequest) -> None:
+            self.send_head(received)
+            received.writer.write(b'f\r\nid: 0\ndata: a\n\n\r\n')
+            await may_go_on.wait()
+            received.writer.write(b'f\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n')
+
+        self.script_all(paused)
+        connection = await self.send_turn('r1')
+        await connection.next_part()
+        self.assertEqual(await connection.next_part(), b'id: 0\ndata: a\n\n')
+        may_go_on.set()
+        self.assertEqual(await connection.next_part(), b'id: 1\ndata: b\n\n')
+        connection.abort('done')
+
+    async def test_caller_who_leaves_cancels_the_relayed_call(self) -> None:
+        await self.lose_all_paths(self.first)
+        lost_before = sum(server.lost for server in self.servers)
+
+        async def endless(received: ReceivedRequest) -> None:
+            self.send_head(received)
+            while True:
+                received.writer.write(b'f\r\nid: 0\ndata: a\n\n\r\n')
+                await received.writer.drain()
+                await asyncio.sleep(0.01)
+
+        self.script_all(endless)
+        connection = await self.send_turn('r1')
+        await connection.next_part()
+        connection.abort('caller leaves')
+        await self.fleet.wait_until(
+            lambda: sum(s.lost for s in self.servers) > lost_before
+        )
+        for gateway in self.fleet.gateways:
+            await self.fleet.wait_until(
+                lambda g=gateway: not g.relay_server.open_count
+            )
+
+    # Guards against a call that runs twice because a relay was lost.
+    async def test_call_is_not_repeated_when_its_relay_is_lost(self) -> None:
+        await self.lose_all_paths(self.first)
+        self.fleet.server.requests.clear()
+        before = self.request_count
+
+        async def lose_relays(_: ReceivedRequest) -> None:
+            for gateway in (self.second, self.third):
+                await gateway.peers.stop(0)
+            await asyncio.sleep(5.0)
+
+        self.script_all(lose_relays)
+        answer = await self.fleet.call(self.first, 'r', '/tool/x')
+        self.assertEqual(answer.status, 502)
+        self.assertEqual(self.request_count, before + 1)
+
+    async def test_relayed_calls_are_limited(self) -> None:
+        await self.lose_all_paths(self.first)
+        for gateway in (self.second, self.third):
+            relays = gateway.relay_server._relays_by_id
+            relays.update({-n: None for n in range(1, MAX_RELAYED + 1)})
+        answer = await self.fleet.call(self.first, 'r', '/tool/x')
+        self.assertEqual(answer.status, 503)
+
+    async def test_slots_of_relayed_calls_count_where_they_are_taken(
+        self,
+    ) -> None:
+        await self.lose_all_paths(self.first)
+        in_flight: list[int] = []
+
+        async def count(received: ReceivedRequest) -> None:
+            in_flight.append(
+                sum(
+                    state.in_flight
+                    for gateway in (self.second, self.third)
+                    for state in gateway.servers.by_id.values()
+                )
+            )
+            await engine(received)
+
+        self.script_all(count)
+        await self.fleet.call(self.first, 'r', '/tool/x')
+        self.assertEqual(in_flight, [1])
+        for gateway in self.fleet.gateways:
+            for state in gateway.servers.by_id.values():
+                self.assertEqual(state.in_flight, 0)
+
+    # Guards against sound servers that are ejected by reports of an instance
+    # which does not reach them.
+    async def test_cut_instance_ejects_no_server(self) -> None:
+        await self.lose_all_paths(self.first)
+        for number in range(6):
+            await self.fleet.call(self.first, f'r{number}', '/tool/x')
+        now_s = time.monotonic()
+        for gateway in self.fleet.gateways:
+            for state in gateway.servers.by_id.values():
+                self.assertFalse(state.ejection.is_ejected(now_s))
+
+    # Guards against innocent requests that are quarantined, as the servers
+    # that refuse a cut instance look ended to it.
+    async def test_reset_and_refused_connections_are_no_end_of_a_server(
+        self,
+    ) -> None:
+        self.cut(self.first, is_refused=True)
+
+        async def broken(received: ReceivedRequest) -> None:
+            received.writer.close()
+
+        self.script_all(broken)
+        for number in range(6):
+            await self.fleet.call(self.first, f'r{number}', '/tool/x')
+        await asyncio.sleep(0.3)
+        for gateway in self.fleet.gateways:
+            self.assertEqual(gateway.ended_servers.ended_count, 0)
+            self.assertTrue(gateway.quarantine.is_empty)
+            for state in gateway.servers.by_id.values():
+                self.assertEqual(state.absent_until_s, 0.0)
+
+    async def test_path_that_comes_back_is_used(self) -> None:
+        await self.lose_all_paths(self.first)
+        self.heal(self.first)
+        await self.fleet.wait_until(
+            lambda: self.first.reachability.cut_since_s is None
+        )
+        for state in self.first.servers.by_id.values():
+            address = (state.entry.host, state.entry.port)
+            self.assertIs(self.first.reachability.path(address), Path.DIRECT)
+        opened = self.first.relay_client.opened_count
+        await self.fleet.call(self.first, 'r', '/tool/x')
+        self.assertEqual(self.first.relay_client.opened_count, opened)
+
+    def send_head(self, received: ReceivedRequest) -> None:
+        request_id = received.header('x-jackdawfield-request-id')
+        received.writer.write(
+            (
+                f'HTTP/1.1 200 OK\r\n{PREFIX}Request-Id: {request_id}\r\n'
+                f'{PREFIX}Server-Stamp: stamp\r\n'
+                'Content-Type: text/event-stream\r\n'
+                'Transfer-Encoding: chunked\r\n\r\n'
+            ).encode()
+        )
+
+    async def send_turn(self, request_id: str) -> Connection:
+        """Send a turn to the first instance without reading its answer."""
+        found = await self.fleet.pool.open(
+            HOST, self.first.settings.caller_port, 1.0
+        )
+        connection = found.unwrap()
+        headers = (
+            ('Host', 'h.example'),
+            (f'{PREFIX}Request-Id', request_id),
+            (f'{PREFIX}Credential', 'key'),
+        )
+        connection.send(OutgoingRequest('POST', '/turns/x', headers)).unwrap()
+        return connection
