--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -7,6 +7,7 @@
 from collections import deque
 from dataclasses import dataclass
 from enum import Enum
+import errno
 import socket
 import time
 from typing import cast
@@ -31,6 +32,10 @@
 # An idle connection is closed this long before the server would close it.
 IDLE_MARGIN_S = 0.7
 READ_PAUSE_BYTES = 262144
+# Errors by which the kernel gives up on a peer.
+UNREACHED_ERRORS = frozenset(
+    (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
+)
 STATUSES_WITHOUT_BODY = frozenset((204, 304))
 
 
@@ -161,8 +166,15 @@
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Mark a response in progress as cut."""
-        if not self._is_lost:
+        """Mark a response in progress as cut.
+
+        A connection on which nothing gets through ends by the kernel's
+        timeouts, and not by the server.
+        """
+        has_timed_out = isinstance(exc, TimeoutError) or (
+            isinstance(exc, OSError) and exc.errno in UNREACHED_ERRORS
+        )
+        if not self._is_lost and not has_timed_out:
             self.is_closed_by_server = True
         self._mark_lost(str(exc) if exc else 'closed')
 
--- a/tests/gateway/http/test_connection.py
+++ b/tests/gateway/http/test_connection.py
@@ -1,4 +1,5 @@
 import asyncio
+import errno
 import unittest
 
 from result import Err
@@ -175,6 +176,21 @@
         _, _, end = await self.exchange(server, 'a')
         self.assertIs(end, BodyEnd.CUT)
 
+    # Guards against servers that seem to have ended, and requests that are
+    # blamed for it, because nothing got through to them.
+    async def test_timeout_of_the_kernel_is_no_close_by_the_server(
+        self,
+    ) -> None:
+        for error, is_closed in (
+            (TimeoutError(errno.ETIMEDOUT, 'timed out'), False),
+            (OSError(errno.EHOSTUNREACH, 'no route'), False),
+            (ConnectionResetError(errno.ECONNRESET, 'reset'), True),
+            (None, True),
+        ):
+            connection = Connection()
+            connection.connection_lost(error)
+            self.assertIs(connection.is_closed_by_server, is_closed)
+
     async def test_malformed_response_counts_as_cut(self) -> None:
         async def script(received: ReceivedRequest) -> None:
             received.writer.write(b'\x00\x01garbage\r\n\r\n')
