--- a/jackdawfield/gateway/servers/relay_client.py
+++ b/jackdawfield/gateway/servers/relay_client.py
@@ -1,7 +1,6 @@
 """Call backend servers through instances that reach them."""
 
 import asyncio
-from collections import deque
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import time
@@ -65,8 +64,7 @@
         self._links = links
         self._relay_id = relay_id
         self._tasks = tasks
-        self._parts: deque[Part] = deque()
-        self._waiter: asyncio.Future[None] | None = None
+        self._parts: asyncio.Queue[Part] = asyncio.Queue()
         self._unreported_bytes = 0
         self._has_ended = False
         self.lost_reason = ''
@@ -100,11 +98,11 @@
             match answer:
                 case Ok(RelayHead(status, reason, headers, framing)):
                     pairs = tuple((name, value) for name, value in headers)
-                    self._push(
+                    self._parts.put_nowait(
                         ResponseHead(status, reason, pairs, Framing(framing))
                     )
                 case Ok(RelayPiece(data)):
-                    self._push(data)
+                    self._parts.put_nowait(data)
                 case Ok(RelayEnd() as end):
                     self.lost_reason = end.reason
                     self.is_unsent = end.is_unsent
@@ -118,19 +116,11 @@
 
     def _end(self, end: BodyEnd) -> None:
         self._has_ended = True
-        self._push(end)
-
-    def _push(self, part: Part) -> None:
-        self._parts.append(part)
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
+        self._parts.put_nowait(end)
 
     async def next_part(self) -> Part:
         """Return the response's head, next its body's pieces, last its end."""
-        while not self._parts:
-            self._waiter = asyncio.get_running_loop().create_future()
-            await self._waiter
-        part = self._parts.popleft()
+        part = await self._parts.get()
         if isinstance(part, bytes):
             self._report_consumed(len(part))
         return part
