--- a/soak/faults.py
+++ b/soak/faults.py
@@ -100,6 +100,7 @@
             FaultKind.SERVER_TRUNCATING: self._make_server_misbehave,
             FaultKind.SERVER_EXTRA_RESPONSES: self._make_server_misbehave,
             FaultKind.SERVER_UNFRAMED: self._make_server_misbehave,
+            FaultKind.SERVER_PATHS_CUT: self._cut_from_servers,
             FaultKind.SERVER_DRAINING: self._remove_server,
             FaultKind.SERVER_ENDING: self._let_request_end_servers,
             FaultKind.STOP_SERIES: self._stop_in_series,
@@ -323,6 +324,17 @@
         self._write_server_row(backend, proxy, False)
         self._record_interval(fault, None, start_s)
 
+    async def _cut_from_servers(self, fault: Fault) -> None:
+        """Cut an instance; return at once, as the cut outlasts the faults."""
+        instance = self._target_instance(fault)
+        instance.cut_from_servers(is_refused=fault.target % 2 == 0)
+        now_s = time.monotonic()
+        self._record.fault_intervals.append(
+            FaultInterval(
+                fault.kind.value, instance.name, now_s, now_s + fault.lasts_s
+            )
+        )
+
     # Operators
 
     async def _withdraw_key(self, _: Fault) -> None:
--- a/soak/instances.py
+++ b/soak/instances.py
@@ -13,6 +13,9 @@
 
 from jackdawfield.platform.__main__ import SETTINGS_VARIABLE
 from jackdawfield.platform.settings import METRICS_PORT
+from soak.cuts import Cut
+from soak.cuts import CUT_FILE_VARIABLE
+from soak.cuts import set_cut
 from soak.launch import SKEW_VARIABLE
 from soak.launch import VARIANT_VARIABLE
 from soak.proxy import FaultProxy
@@ -98,6 +101,7 @@
             SETTINGS_VARIABLE: str(path),
             VARIANT_VARIABLE: self._variant,
             SKEW_VARIABLE: str(self._clock_skew_s),
+            CUT_FILE_VARIABLE: str(self._cut_path),
         }
         log_path = self._directory / f'{self.name}.{self._start_count}.log'
         self._start_count += 1
@@ -111,6 +115,14 @@
                 stderr=log,
             )
 
+    @property
+    def _cut_path(self) -> Path:
+        return self._directory / f'{self.name}.cut'
+
+    def cut_from_servers(self, is_refused: bool) -> None:
+        """Let the connections to servers hang or be refused, until the end."""
+        set_cut(self._cut_path, Cut.REFUSED if is_refused else Cut.HANGING)
+
     async def wait_until_ready(self) -> bool:
         """Return True once the health port reports ready, False if late."""
         deadline_s = time.monotonic() + START_TIMEOUT_S
--- a/soak/launch.py
+++ b/soak/launch.py
@@ -5,6 +5,7 @@
 import time
 
 from jackdawfield.platform.__main__ import main
+from soak.cuts import make_cuttable
 from soak.variants import VARIANTS_BY_NAME
 
 VARIANT_VARIABLE = 'SOAK_VARIANT'
@@ -20,6 +21,7 @@
 def launch() -> int:
     """Run the instance as the environment variables specify."""
     skew_clock(float(os.environ.get(SKEW_VARIABLE, '0')))
+    make_cuttable()
     variant = os.environ.get(VARIANT_VARIABLE, '')
     if variant:
         VARIANTS_BY_NAME[variant]()
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -36,6 +36,7 @@
     SERVER_DRAINING = 'server leaving'
     SERVER_ENDING = 'server ended by a request'
     SERVER_UNFRAMED = 'server ends answers with the connection'
+    SERVER_PATHS_CUT = 'server paths of an instance cut'
     STOP_SERIES = 'planned stops in series'
     KEY_WITHDRAWN = 'key withdrawn'
     CONFIGURATION = 'configuration'
@@ -45,6 +46,7 @@
 SEPARATE_KINDS = (
     FaultKind.SERVER_ENDING,
     FaultKind.SERVER_UNFRAMED,
+    FaultKind.SERVER_PATHS_CUT,
     FaultKind.STOP_SERIES,
 )
 # Relative frequency of each other kind in a schedule.
@@ -61,6 +63,11 @@
 STOP_SERIES_SHARE = 0.5
 # Longest time in which servers end their answers with the connection.
 MAX_UNFRAMED_S = 4.0
+# Share of runs with an instance that is cut from all servers, and the latest
+# begin of that before the last fault ends. It lasts until the run's end, as
+# its callers are served through others.
+CUT_SHARE = 0.5
+CUT_KNOWN_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,6 +104,10 @@
     lasts_s = min(MAX_UNFRAMED_S, faults_end_s - at_s)
     kind = FaultKind.SERVER_UNFRAMED
     faults.append(Fault(kind, at_s, lasts_s, rng.randrange(1000)))
+    if rng.random() < CUT_SHARE:
+        at_s = rng.uniform(FIRST_FAULT_S, faults_end_s - CUT_KNOWN_S)
+        kind = FaultKind.SERVER_PATHS_CUT
+        faults.append(Fault(kind, at_s, length_s - at_s, rng.randrange(1000)))
     if has_ending_request:
         lasts_s = faults_end_s - FIRST_FAULT_S - SERVER_RESTART_S
         kind = FaultKind.SERVER_ENDING
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -8,6 +8,8 @@
 import dataclasses
 from typing import Any
 
+from result import Err
+
 from jackdawfield.decisions.table import Committed
 from jackdawfield.decisions.table import NotApplied
 from jackdawfield.gateway.calls import Failure
@@ -24,12 +26,14 @@
 from jackdawfield.gateway.servers.dispatch import Dispatcher
 from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.guard import CallGuard
+from jackdawfield.gateway.servers.relay_client import RelayClient
 from jackdawfield.gateway.storage.measured import MeasuredStore
 from jackdawfield.gateway.storage.rows import RowConflict
 from jackdawfield.gateway.streams.progress import Complete
 from jackdawfield.gateway.streams.progress import PassOn
 from jackdawfield.gateway.streams.progress import StreamEnded
 from jackdawfield.gateway.streams.progress import StreamProgress
+from jackdawfield.messages.fleet_relays import RelayRefused
 
 # One in this many body chunks is dropped.
 DROP_INTERVAL_CHUNKS = 9
@@ -220,6 +224,15 @@
     _patch(MeasuredStore, 'transact', changed)
 
 
+def stay_cut() -> None:
+    """Serve no call through another instance."""
+
+    async def open_relay(*_: Any) -> object:
+        return Err(RelayRefused('no relays', False))
+
+    _patch(RelayClient, 'open', open_relay)
+
+
 VARIANTS_BY_NAME: dict[str, Callable[[], None]] = {
     'repeat-lost-calls': repeat_lost_calls,
     'refuse-lost-calls': refuse_lost_calls,
@@ -236,4 +249,5 @@
     'drop-requests': drop_requests,
     'ignore-endings': ignore_endings,
     'give-store-up': give_store_up,
+    'stay-cut': stay_cut,
 }
