--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -22,10 +22,10 @@
 from jackdawfield.gateway.servers.exchange import MIN_TIME_LEFT_S
 from jackdawfield.gateway.servers.exchange import NotRun
 from jackdawfield.gateway.servers.exchange import ResponseLost
-from jackdawfield.gateway.servers.exchange import ResponseStream
 from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.exchange import Unreached
 from jackdawfield.gateway.servers.guard import CallGuard
+from jackdawfield.gateway.servers.response import ResponseStream
 from jackdawfield.gateway.servers.slot_queue import RETRY_AFTER_S
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.logs import log_event
--- a/jackdawfield/gateway/servers/exchange.py
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -1,10 +1,8 @@
 """Exchange one request and its response with a backend server."""
 
 import asyncio
-from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
-from dataclasses import field
 from functools import partial
 import logging
 import time
@@ -28,6 +26,7 @@
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.reachability import SILENCE_S
 from jackdawfield.gateway.servers.relay_client import RelayedConnection
+from jackdawfield.gateway.servers.response import ResponseStream
 from jackdawfield.gateway.servers.server_paths import ServerConnection
 from jackdawfield.gateway.servers.server_paths import ServerPaths
 from jackdawfield.logs import log_event
@@ -67,78 +66,6 @@
     encode: Callable[[ForwardedHeaders], list[tuple[str, str]]]
 
 
-@dataclass(slots=True)
-class ResponseStream:
-    """Holds a call whose response has begun and reads the response's body.
-
-    `confirm_end` looks whether the server's end explains that of an unframed
-    response; `record_heard` records that the server was heard.
-    """
-
-    call: Call
-    server: ServerState
-    connection: ServerConnection
-    head: ResponseHead
-    confirm_end: Callable[[ServerState], Awaitable[BodyEnd]]
-    record_heard: Callable[[], None]
-    pieces: list[bytes] = field(default_factory=list)
-    end: BodyEnd | None = None
-    sent_at_s: float = 0.0
-    # Time until the first piece of the body, None before it arrived.
-    first_piece_s: float | None = None
-    # Whether a part of the answer that its caller can use was passed on.
-    has_begun: bool = False
-
-    async def next_part(self) -> bytes | BodyEnd:
-        """Return the next piece of the body, after the last one its end."""
-        part = await self._next_part()
-        if self.first_piece_s is None:
-            self.record_first_piece()
-        return part
-
-    async def forward_body(
-        self, write: Callable[[bytes], Awaitable[bool]]
-    ) -> BodyEnd | None:
-        """Write the body piece by piece; return None once a write fails."""
-        while True:
-            match await self.next_part():
-                case bytes(piece):
-                    self.has_begun = True
-                    if not await write(piece):
-                        return None
-                case BodyEnd() as end:
-                    return end
-
-    def record_first_piece(self) -> None:
-        """Record how long the first piece of the body took."""
-        now_s = time.monotonic()
-        self.first_piece_s = now_s - self.sent_at_s
-        self.server.awaiting_since_s_by_connection.pop(
-            id(self.connection), None
-        )
-        self.server.record_wait(self.first_piece_s, now_s)
-
-    async def _next_part(self) -> bytes | BodyEnd:
-        if self.pieces:
-            return self.pieces.pop(0)
-        if self.end is not None:
-            return self.end
-        return await self.read_part()
-
-    async def read_part(self) -> bytes | BodyEnd:
-        """Read the next piece from the connection, after the last its end."""
-        part = await self.connection.next_part()
-        assert not isinstance(part, ResponseHead)
-        if isinstance(part, bytes):
-            self.record_heard()
-        if part is not BodyEnd.UNCONFIRMED:
-            return part
-        # The end stays unconfirmed if the caller's timeout ends the look.
-        self.end = part
-        self.end = await self.confirm_end(self.server)
-        return self.end
-
-
 @dataclass(frozen=True, slots=True)
 class Unreached:
     """Reports that nothing of the request was sent."""
@@ -317,7 +244,7 @@
         if succeeded and head.get(self._header_format.server_stamp) is None:
             return None
         if attempt.call.route.kind.repeatable:
-            await _buffer_body(response)
+            await response.buffer_body(RETRY_BUFFER_BYTES)
         return None if response.end is BodyEnd.CUT else response
 
     def _record_heard(
@@ -416,18 +343,3 @@
                 failures=server.failures,
                 reason=reason,
             )
-
-
-async def _buffer_body(response: ResponseStream) -> None:
-    """Buffer a body until its end or the size limit."""
-    pieces: list[bytes] = []
-    size = 0
-    while size < RETRY_BUFFER_BYTES:
-        match await response.read_part():
-            case bytes(piece):
-                pieces.append(piece)
-                size += len(piece)
-            case BodyEnd() as end:
-                response.end = end
-                break
-    response.pieces = pieces
