--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -1,4 +1,4 @@
-"""Run one instance of the gateway."""
+"""Build one instance of the gateway, start it and stop it."""
 
 import asyncio
 from collections.abc import Callable
@@ -6,12 +6,10 @@
 from dataclasses import dataclass
 import logging
 import secrets
-import signal
 import time
 
 from result import Err
 from result import Result
-import uvloop
 
 from jackdawfield.background import BackgroundTasks
 from jackdawfield.drivers.peers import PeerLinks
@@ -61,6 +59,7 @@
 from jackdawfield.gateway.servers.relay_client import RelayClient
 from jackdawfield.gateway.servers.relay_server import RelayServer
 from jackdawfield.gateway.servers.server_paths import ServerPaths
+from jackdawfield.gateway.servers.server_table import ServerTable
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.storage.follower import TableFollower
 from jackdawfield.gateway.storage.measured import MeasuredStore
@@ -69,7 +68,6 @@
 from jackdawfield.gateway.storage.rows import RowStore
 from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.logs import log_event
-from jackdawfield.model import ServerId
 
 LOG = logging.getLogger(__name__)
 BYTES_PER_MB = 1024 * 1024
@@ -291,6 +289,7 @@
     def _build_followers(self) -> list[TableFollower]:
         apply_rows = self._apply_configuration_rows
         source = self.shared_tables
+        server_table = ServerTable(self.servers, self._adapter.decode_server)
         followers = [
             TableFollower(
                 source,
@@ -301,8 +300,8 @@
             TableFollower(
                 source,
                 self._adapter.servers_table,
-                self._replace_servers,
-                self._apply_server_changes,
+                server_table.replace_all,
+                server_table.apply_changes,
                 MISSING_GRACE_S,
             ),
             TableFollower(
@@ -398,52 +397,6 @@
         )
         log_event(LOG, 'configuration_applied', version=configuration.version)
 
-    def _decode_servers(
-        self, rows: tuple[StoredRow, ...]
-    ) -> list[ServerEntry]:
-        entries = []
-        for row in rows:
-            if row.value is None:
-                continue
-            decoded = self._adapter.decode_server(row.key.key, row.value)
-            if isinstance(decoded, Err):
-                log_event(LOG, 'server_unreadable', reason=decoded.err_value)
-                continue
-            entries.append(decoded.ok_value)
-        return entries
-
-    def _replace_servers(
-        self, rows: tuple[StoredRow, ...], after_outage: bool
-    ) -> None:
-        entries = self._decode_servers(rows)
-        self.servers.replace_all(entries, time.monotonic(), after_outage)
-        log_event(LOG, 'servers_listed', count=len(entries))
-
-    def _apply_server_changes(
-        self, rows: tuple[StoredRow, ...], after_outage: bool
-    ) -> None:
-        entries_by_id = {e.server_id: e for e in self._decode_servers(rows)}
-        for row in rows:
-            server_id = ServerId(row.key.key)
-            entry = entries_by_id.get(server_id)
-            if entry is None:
-                # An unreadable row names no usable server.
-                self.servers.remove(
-                    server_id, time.monotonic(), after_outage and not row.value
-                )
-                log_event(
-                    LOG, 'server_unlisted', server=server_id, held=after_outage
-                )
-                continue
-            self.servers.put(entry)
-            log_event(
-                LOG,
-                'server_listed',
-                server=server_id,
-                service=entry.service,
-                leaving=entry.is_draining,
-            )
-
     async def _serve(self, request: IncomingRequest, reply: Reply) -> None:
         headers = self._adapter.decode_headers(request.raw_headers)
         await self.call_handler.serve(request, headers, reply)
@@ -507,29 +460,3 @@
         await self.links.close()
         self.store_pool.close()
         self.server_pool.close()
-
-
-def run(settings: GatewaySettings, adapter: Adapter) -> None:
-    """Serve until SIGTERM or SIGINT.
-
-    The uvloop event loop makes fewer system calls than asyncio's.
-    """
-    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-        runner.run(_serve_until_stopped(settings, adapter))
-
-
-async def _serve_until_stopped(
-    settings: GatewaySettings, adapter: Adapter
-) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    # There is nothing to reload: the configuration is read from the store.
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: log_event(LOG, 'reload_requested')
-    )
-    gateway = Gateway(settings, adapter)
-    await gateway.start()
-    await stop.wait()
-    await gateway.stop()
