--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -73,7 +73,8 @@
             async with asyncio.timeout_at(loop_time(checked.deadline_s)):
                 await self._run(checked, reply)
         except TimeoutError:
-            self._answer_timeout(checked, reply)
+            timeout = Failure(504, 'timeout')
+            self._end_early(checked, reply, 'call_timed_out', timeout)
         except asyncio.CancelledError:
             if reply.closed_by is not None:
                 self._record_caller_left(checked, reply)
@@ -224,31 +225,23 @@
         )
         reply.send(refusal.status, refusal.reason, refusal.retry_after_s)
 
-    def _answer_timeout(self, call: Call, reply: Reply) -> None:
-        log_event(
-            LOG,
-            'call_timed_out',
-            logging.WARNING,
-            request=call.request_id,
-            waiting_for=reply.stage.value,
-            begun=reply.has_written,
-        )
-        if reply.has_ended:
-            return
-        if reply.has_written:
-            reply.abort()
-            return
-        reply.send(504, 'timeout')
-
     def _answer_stop(self, call: Call, reply: Reply) -> None:
         """Answer a call that a planned stop ends.
 
-        Status 503 says that it was not run, 502 that it may have been. An
-        answer that has begun is aborted.
+        Status 503 says that it was not run, 502 that it may have been.
         """
+        answer: Refusal | Failure = Failure(502, 'instance stops')
+        if reply.stage in UNSENT_STAGES:
+            answer = Refusal(503, 'instance stops', RETRY_AT_STOP_S)
+        self._end_early(call, reply, 'call_ended_by_stop', answer)
+
+    def _end_early(
+        self, call: Call, reply: Reply, event: str, answer: Refusal | Failure
+    ) -> None:
+        """End a call before its time; an answer that has begun is aborted."""
         log_event(
             LOG,
-            'call_ended_by_stop',
+            event,
             logging.WARNING,
             request=call.request_id,
             waiting_for=reply.stage.value,
@@ -258,10 +251,12 @@
             return
         if reply.has_written:
             reply.abort()
-        elif reply.stage in UNSENT_STAGES:
-            reply.send(503, 'instance stops', RETRY_AT_STOP_S)
-        else:
-            reply.send(502, 'instance stops')
+            return
+        match answer:
+            case Refusal(status, reason, retry_after_s):
+                reply.send(status, reason, retry_after_s)
+            case Failure(status, reason):
+                reply.send(status, reason)
 
 
 def loop_time(monotonic_s: float) -> float:
