--- a/soak/backend.py
+++ b/soak/backend.py
@@ -131,9 +131,10 @@
             f' {content_type}\r\n\r\n'
         )
         for part in [head.encode(), *parts]:
-            if self._io_stream.closed():
+            try:
+                await self._io_stream.write(part)
+            except tornado.iostream.StreamClosedError:
                 return
-            await self._io_stream.write(part)
             run.events += is_stream and part.endswith(b'\n\n')
             await asyncio.sleep(EVENT_INTERVAL_S)
         self._close_connection()
