--- a/jackdawfield/commands/quarantine.py
+++ b/jackdawfield/commands/quarantine.py
@@ -9,8 +9,7 @@
 from jackdawfield.commands.client import CommandError
 from jackdawfield.commands.fleet import fields_table
 from jackdawfield.commands.fleet import Listing
-
-PAGE = '/quarantine'
+from jackdawfield.messages.fleet_quarantine import PAGE
 
 
 class Quarantined(Listing):
--- a/jackdawfield/gateway/servers/quarantine_page.py
+++ b/jackdawfield/gateway/servers/quarantine_page.py
@@ -8,10 +8,10 @@
 from jackdawfield.gateway.servers.quarantine import Quarantine
 from jackdawfield.gateway.servers.quarantine_sharing import QuarantineSharing
 from jackdawfield.logs import log_event
+from jackdawfield.messages.fleet_quarantine import PAGE
 from jackdawfield.messages.fleet_quarantine import RequestDigest
 
 LOG = logging.getLogger(__name__)
-PAGE = '/quarantine'
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawfield/messages/fleet_quarantine.py
+++ b/jackdawfield/messages/fleet_quarantine.py
@@ -6,6 +6,8 @@
 from jackdawfield.messages.base import message
 from jackdawfield.model import ServerId
 
+# Path of the operators' page.
+PAGE = '/quarantine'
 # Identifies a request's content, whatever its request id.
 RequestDigest = NewType('RequestDigest', bytes)
 
