Wait at a planned stop for the calls relayed for other instances

New relays were refused already.

Change: a stop waits for open relays within its grace period. The new test failed before.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -440,6 +440,7 @@
             drain_until_s,
             self.call_handler.refuse_calls_due_after,
         )
+        await self.relay_server.drain(drain_until_s)
         log_event(LOG, 'stopped', in_flight=self.caller_listener.in_flight)
         await self.close()
 
--- a/jackdawfield/gateway/servers/relay_server.py
+++ b/jackdawfield/gateway/servers/relay_server.py
@@ -7,6 +7,7 @@
 from dataclasses import field
 import itertools
 import logging
+import time
 
 from result import Err
 
@@ -41,6 +42,7 @@
 CONNECT_TIMEOUT_S = 0.4
 # Time from RelayReady until the request arrives.
 REQUEST_TIMEOUT_S = 1.0
+DRAIN_CHECK_S = 0.02
 # Bytes of a response that may be on their way to a caller who takes none.
 WINDOW_BYTES = 262144
 
@@ -90,6 +92,11 @@
         """Return how many calls are being relayed."""
         return len(self._relays_by_id)
 
+    async def drain(self, until_s: float) -> None:
+        """Wait until no call is relayed, at most until a monotonic time."""
+        while self._relays_by_id and time.monotonic() < until_s:
+            await asyncio.sleep(DRAIN_CHECK_S)
+
     def _state_of(
         self, server_id: ServerId, started_ms: int
     ) -> ServerState | None:
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -8,11 +8,13 @@
 import json
 import time
 import unittest
+from unittest.mock import patch
 
 from result import Err
 from result import Result
 
 from jackdawfield.gateway.daemon import Gateway
+from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import Connection
 from jackdawfield.gateway.http.connection import ExchangeError
 from jackdawfield.gateway.http.connection import Fault
@@ -29,6 +31,7 @@
 from tests.gateway.scripted_server import ScriptedServer
 
 MODEL_SERVERS = 2
+STOP_WITHOUT_CALLS_S = 1.0
 
 
 class RelaysTest(unittest.IsolatedAsyncioTestCase):
@@ -194,6 +197,32 @@
                 lambda g=gateway: not g.relay_server.open_count
             )
 
+    # Guards against streams of other instances' callers that a planned stop
+    # cuts, as only the own callers are waited for.
+    async def test_planned_stop_waits_for_relayed_calls(self) -> None:
+        await self.lose_all_paths(self.first, self.third)
+        may_go_on = asyncio.Event()
+
+        async def paused(received: ReceivedRequest) -> None:
+            self.send_head(received)
+            received.writer.write(b'f\r\nid: 0\ndata: a\n\n\r\n')
+            await may_go_on.wait()
+            received.writer.write(b'f\r\nid: 1\ndata: b\n\n\r\n0\r\n\r\n')
+
+        self.script_all(paused)
+        connection = await self.send_turn('r1')
+        await connection.next_part()
+        await connection.next_part()
+        with patch('jackdawfield.gateway.http.drain.LISTEN_AFTER_STOP_S', 0.1):
+            stop = asyncio.create_task(self.second.stop())
+            # Longer than this stop takes that has nobody to wait for.
+            await asyncio.sleep(STOP_WITHOUT_CALLS_S)
+        may_go_on.set()
+        self.assertEqual(await connection.next_part(), b'id: 1\ndata: b\n\n')
+        self.assertIs(await connection.next_part(), BodyEnd.WHOLE)
+        await stop
+        self.fleet.gateways.remove(self.second)
+
     # Guards against a call that runs twice because a relay was lost.
     async def test_call_is_not_repeated_when_its_relay_is_lost(self) -> None:
         await self.lose_all_paths(self.first)
