Ask peers about a server's end while the own path is lost

A cut instance asked the server itself after an unframed answer, which tells nothing; now peers are asked at once, and about one server not twice at the same time. The new test failed before (the crashed server's answer stayed unconfirmed).

--- a/jackdawfield/gateway/servers/server_paths.py
+++ b/jackdawfield/gateway/servers/server_paths.py
@@ -16,6 +16,7 @@
 from jackdawfield.gateway.http.pool import Listening
 from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.servers.choice import Servers
+from jackdawfield.gateway.servers.reachability import Address
 from jackdawfield.gateway.servers.reachability import Path
 from jackdawfield.gateway.servers.reachability import Reachability
 from jackdawfield.gateway.servers.relay_client import RelayClient
@@ -57,7 +58,9 @@
         self._reachability = reachability
         self._relays = relays
         self._tasks = BackgroundTasks()
-        self._probed: set[tuple[str, int]] = set()
+        # Servers that are being asked for a connection, here and by peers.
+        self._probed: set[Address] = set()
+        self._asked_about: set[Address] = set()
 
     async def connect(
         self, entry: ServerEntry
@@ -121,7 +124,15 @@
 
     async def _ask_peers(self, entry: ServerEntry) -> None:
         """Ask whether peers reach a server that did not answer here."""
-        if await self._relays.probe(entry) is Listening.YES:
+        address = (entry.host, entry.port)
+        if address in self._asked_about:
+            return
+        self._asked_about.add(address)
+        try:
+            listening = await self._relays.probe(entry)
+        finally:
+            self._asked_about.discard(address)
+        if listening is Listening.YES:
             self._record_lost_path(entry, is_refused=False)
 
     async def probe(self, entry: ServerEntry, timeout_s: float) -> Listening:
@@ -129,6 +140,9 @@
 
         A refusal counts as that of the server only if peers get it too.
         """
+        address = (entry.host, entry.port)
+        if self._reachability.path(address) is not Path.DIRECT:
+            return await self._relays.probe(entry)
         listening = await self._pool.probe(entry.host, entry.port, timeout_s)
         if listening is Listening.YES:
             self._record_connected(entry)
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -301,6 +301,37 @@
             for state in gateway.servers.by_id.values():
                 self.assertEqual(state.absent_until_s, 0.0)
 
+    async def test_cut_instance_lets_peers_look_at_an_unframed_end(
+        self,
+    ) -> None:
+        await self.lose_all_paths(self.first)
+
+        async def unframed(received: ReceivedRequest) -> None:
+            request_id = received.header('x-jackdawfield-request-id')
+            received.writer.write(
+                (
+                    f'HTTP/1.1 200 OK\r\n{PREFIX}Request-Id: {request_id}\r\n'
+                    f'{PREFIX}Server-Stamp: stamp\r\n\r\nha'
+                ).encode()
+            )
+            await received.writer.drain()
+            received.writer.close()
+
+        async def crash(received: ReceivedRequest) -> None:
+            for server in self.servers:
+                await server.stop()
+            await unframed(received)
+
+        for script, end in (
+            (unframed, BodyEnd.UNCONFIRMED),
+            (crash, BodyEnd.CUT),
+        ):
+            self.script_all(script)
+            answer = await self.fleet.call(
+                self.first, script.__name__, '/tool/x'
+            )
+            self.assertEqual((answer.body, answer.end), (b'ha', end))
+
     async def test_path_that_comes_back_is_used(self) -> None:
         await self.lose_all_paths(self.first)
         self.heal(self.first)
