--- a/jackdawfield/gateway/servers/reachability.py
+++ b/jackdawfield/gateway/servers/reachability.py
@@ -9,6 +9,8 @@
 from enum import Enum
 
 Address = tuple[str, int]
+# A server that takes no connection within this time is silent.
+CONNECT_TIMEOUT_S = 0.4
 # As many servers that take no connection, with nothing heard from any server
 # since the first of them was asked, are a cut of this instance.
 MIN_SILENT_SERVERS = 2
--- a/jackdawfield/gateway/servers/relay_server.py
+++ b/jackdawfield/gateway/servers/relay_server.py
@@ -19,6 +19,7 @@
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.http.pool import Listening
 from jackdawfield.gateway.servers.choice import ServerState
+from jackdawfield.gateway.servers.reachability import CONNECT_TIMEOUT_S
 from jackdawfield.gateway.servers.reachability import Path
 from jackdawfield.gateway.servers.reachability import Reachability
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
@@ -39,7 +40,6 @@
 LOG = logging.getLogger(__name__)
 # Calls that are relayed at once; more would slow this instance's own callers.
 MAX_RELAYED = 64
-CONNECT_TIMEOUT_S = 0.4
 # Time from RelayReady until the request arrives.
 REQUEST_TIMEOUT_S = 1.0
 DRAIN_CHECK_S = 0.02
--- a/jackdawfield/gateway/servers/server_paths.py
+++ b/jackdawfield/gateway/servers/server_paths.py
@@ -17,6 +17,7 @@
 from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.reachability import Address
+from jackdawfield.gateway.servers.reachability import CONNECT_TIMEOUT_S
 from jackdawfield.gateway.servers.reachability import Path
 from jackdawfield.gateway.servers.reachability import Reachability
 from jackdawfield.gateway.servers.relay_client import RelayClient
@@ -24,7 +25,6 @@
 from jackdawfield.logs import log_event
 
 LOG = logging.getLogger(__name__)
-CONNECT_TIMEOUT_S = 0.4
 # Interval and limit of the direct connection attempts while paths are lost.
 TRIAL_INTERVAL_S = 0.5
 TRIAL_TIMEOUT_S = 0.3
