--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+from functools import partial
 import json
 import time
 import unittest
@@ -281,6 +282,22 @@
             for state in gateway.servers.by_id.values():
                 self.assertFalse(state.ejection.is_ejected(now_s))
 
+    # Guards against failures of a lost path that are told as the server's.
+    async def test_failure_is_reported_only_if_its_path_is_sound(
+        self,
+    ) -> None:
+        self.cut(self.first, is_refused=False)
+        reported: list[Gateway] = []
+        for gateway in (self.first, self.second):
+            entry = next(iter(gateway.servers.by_id.values())).entry
+            gateway.server_paths.run_if_path_is_sound(
+                entry, partial(reported.append, gateway)
+            )
+        await self.fleet.wait_until(
+            lambda: self.first.reachability.lost_path_count
+        )
+        self.assertEqual(reported, [self.second])
+
     # Guards against innocent requests that are quarantined, as the servers
     # that refuse a cut instance look ended to it.
     async def test_reset_and_refused_connections_are_no_end_of_a_server(
