Log by which version and confirmation a call is refused

The logs of a refusal did not say which version decided it and when the store last confirmed that version, nor who told an instance of a change. call_refused has the version and its time unconfirmed, configuration_applied and table_source have the source, and table_unread the time since the last confirmation. One line per change of a source; no line more per request.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -282,6 +282,11 @@
         for follower in self._followers:
             add_gauge(f'{follower.table}_table_age_s', follower.age_s)
 
+    @property
+    def configuration_table(self) -> TableFollower:
+        """Return the follower of the table that holds the configuration."""
+        return self._followers[0]
+
     def _configuration_version(self) -> int:
         configuration = self.call_handler.configuration
         return configuration.version if configuration else 0
@@ -314,6 +319,7 @@
         ]
         for follower in followers:
             self.table_sharing.add(follower)
+        self.call_handler.configuration_table = followers[0]
         return followers
 
     async def start(self) -> None:
@@ -372,15 +378,16 @@
     ) -> None:
         for row in rows:
             if row.key == self._adapter.configuration_row and row.value:
-                self._apply_configuration(row.value)
+                self._apply_configuration(row.value, row.version)
 
-    def _apply_configuration(self, data: bytes) -> None:
+    def _apply_configuration(self, data: bytes, row_version: int) -> None:
         decoded = self._adapter.decode_configuration(data)
         if isinstance(decoded, Err):
             log_event(
                 LOG,
                 'configuration_unreadable',
                 logging.ERROR,
+                row_version=row_version,
                 reason=decoded.err_value,
             )
             return
@@ -395,7 +402,15 @@
         self.caller_listener.state.max_body_bytes = (
             configuration.body_limit_bytes
         )
-        log_event(LOG, 'configuration_applied', version=configuration.version)
+        table = self.configuration_table
+        log_event(
+            LOG,
+            'configuration_applied',
+            version=configuration.version,
+            row_version=row_version,
+            read_from=table.read_from,
+            unconfirmed_s=round(table.age_s(), 2),
+        )
 
     async def _serve(self, request: IncomingRequest, reply: Reply) -> None:
         headers = self._adapter.decode_headers(request.raw_headers)
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -21,6 +21,7 @@
 from jackdawfield.gateway.routes import find_route
 from jackdawfield.gateway.servers.dispatch import Dispatcher
 from jackdawfield.gateway.servers.dispatch import SentCall
+from jackdawfield.gateway.storage.follower import TableFollower
 from jackdawfield.logs import log_event
 from jackdawfield.model import OrganisationId
 from jackdawfield.model import ServiceName
@@ -51,6 +52,7 @@
         self._stream_calls = stream_calls
         self._admission = admission
         self.configuration: FleetConfiguration | None = None
+        self.configuration_table: TableFollower | None = None
         # Calls that are due later are refused; None unless stopping.
         self._latest_deadline_s: float | None = None
 
@@ -222,9 +224,20 @@
             status=refusal.status,
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
+            configuration=self._configuration_version,
+            unconfirmed_s=self._configuration_age_s,
         )
         reply.send(refusal.status, refusal.reason, refusal.retry_after_s)
 
+    @property
+    def _configuration_version(self) -> int:
+        return self.configuration.version if self.configuration else 0
+
+    @property
+    def _configuration_age_s(self) -> float | None:
+        table = self.configuration_table
+        return round(table.age_s(), 2) if table is not None else None
+
     def _answer_stop(self, call: Call, reply: Reply) -> None:
         """Answer a call that a planned stop ends.
 
--- a/jackdawfield/gateway/fleet/table_sharing.py
+++ b/jackdawfield/gateway/fleet/table_sharing.py
@@ -131,6 +131,8 @@
         # Whether other instances follow tables through this one.
         self._is_followed = is_followed
         self._avoided_until_s_by_seat: dict[SeatId, float] = {}
+        # The holder that was asked last.
+        self._last_holder = ''
         # The tables that were read from the store or a holder.
         self._read_tables: set[str] = set()
 
@@ -148,6 +150,7 @@
                         shared.version,
                         shared.after_outage,
                         asked_at_s - shared.age_s,
+                        self._last_holder,
                     )
                 )
         read = await self._store.read(table, '')
@@ -188,7 +191,7 @@
                 )
                 rows = _decode_rows(table, shared.rows)
                 read_at_s = asked_at_s - shared.age_s
-                return RowsRead(rows, shared.version, True, read_at_s)
+                return RowsRead(rows, shared.version, True, read_at_s, address)
         return None
 
     async def await_changes(
@@ -206,6 +209,7 @@
                         shared.version,
                         shared.after_outage,
                         asked_at_s - shared.age_s,
+                        self._last_holder,
                     )
                 )
             case TableNotFollowed(history_gone=True):
@@ -247,6 +251,7 @@
         seat_id = self._choose_holder()
         if seat_id is None:
             return None
+        self._last_holder = seat_id
         wait_s = 0.0 if after_version == WHOLE_TABLE else FOLLOW_WAIT_S
         found = await self._links.request(
             self._members.rows_by_seat[seat_id].address,
--- a/jackdawfield/gateway/storage/follower.py
+++ b/jackdawfield/gateway/storage/follower.py
@@ -66,6 +66,8 @@
         self._backoff_s = MIN_BACKOFF_S
         self._confirmed_at_s = boot_time_s()
         self.version: int | None = None
+        # Who answered the last read.
+        self.read_from = ''
         self.log = TableLog()
 
     def age_s(self) -> float:
@@ -98,6 +100,7 @@
             self._log_failure(found.err_value.reason)
             return False
         read = found.ok_value
+        self._record_source(read.source)
         self.version = read.version
         self.log.replace(read.rows, read.version)
         self._apply_snapshot(
@@ -116,6 +119,7 @@
                 self.version = None
             return found.err_value.history_gone
         changed = found.ok_value
+        self._record_source(changed.source)
         self.version = max(after_version, changed.version)
         self.log.extend(changed.rows, self.version)
         if changed.rows:
@@ -125,10 +129,29 @@
         self._record_confirmation(changed.read_at_s or asked_at_s)
         return True
 
+    def _record_source(self, source: str) -> None:
+        if source == self.read_from:
+            return
+        log_event(
+            LOG,
+            'table_source',
+            table=self.table,
+            source=source,
+            before=self.read_from,
+            unconfirmed_s=round(self.age_s(), 2),
+        )
+        self.read_from = source
+
     def _record_confirmation(self, read_at_s: float) -> None:
         self._confirmed_at_s = read_at_s
         if self._on_confirmed is not None:
             self._on_confirmed(read_at_s)
 
     def _log_failure(self, reason: str) -> None:
-        log_event(LOG, 'table_unread', table=self.table, reason=reason)
+        log_event(
+            LOG,
+            'table_unread',
+            table=self.table,
+            reason=reason,
+            unconfirmed_s=round(self.age_s(), 2),
+        )
--- a/jackdawfield/gateway/storage/rows.py
+++ b/jackdawfield/gateway/storage/rows.py
@@ -9,6 +9,9 @@
 from jackdawfield.decisions.table import NotApplied
 from jackdawfield.decisions.table import OutcomeUnknown
 
+# Names the store as the source of rows, in place of another instance.
+STORE_SOURCE = 'store'
+
 
 @dataclass(frozen=True, slots=True)
 class RowKey:
@@ -67,6 +70,8 @@
     after_outage: bool = False
     # When the read of the store was sent, if not when it was asked for.
     read_at_s: float | None = None
+    # Who was asked, for the logs.
+    source: str = STORE_SOURCE
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +87,8 @@
     after_outage: bool = False
     # When the read of the store was sent, if not when it was asked for.
     read_at_s: float | None = None
+    # Who was asked, for the logs.
+    source: str = STORE_SOURCE
 
 
 @dataclass(frozen=True, slots=True)
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -155,9 +155,9 @@
     """Ignore every configuration after the first without an error."""
     apply = Gateway._apply_configuration
 
-    def changed(self: Gateway, data: bytes) -> None:
+    def changed(self: Gateway, data: bytes, row_version: int) -> None:
         if self.call_handler.configuration is None:
-            apply(self, data)
+            apply(self, data, row_version)
 
     _patch(Gateway, '_apply_configuration', changed)
 
@@ -169,9 +169,9 @@
     def restore(self: Gateway, before: object) -> None:
         _patch(self.call_handler, 'configuration', before)
 
-    def changed(self: Gateway, data: bytes) -> None:
+    def changed(self: Gateway, data: bytes, row_version: int) -> None:
         before = self.call_handler.configuration
-        apply(self, data)
+        apply(self, data, row_version)
         if before is not None:
             loop = asyncio.get_running_loop()
             loop.call_later(ROLLBACK_DELAY_S, restore, self, before)
