Read the store over a new connection once the kept one is overdue

Cause: a read waited for its whole timeout on a kept connection that had fallen silent, then as long on a relay over a silent link, then on the next kept connection of the pool.

Reads try the next path beside one that is 0.4 s overdue: a new connection, then relays; the first answer counts. When a new connection answers before the kept one, the other kept ones are closed, as after a timeout. Writes go one path at a time, as before. A refusal is not asked again over a new connection. An instance of the build before relays reads as it did.

test_read_goes_on_over_a_new_connection failed before: the read ended in a timeout with five kept connections that had fallen silent.

--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -93,6 +93,11 @@
             loop = asyncio.get_running_loop()
             self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
+    def discard_idle(self, host: str, port: int) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle_by_address.pop((host, port), []):
+            connection.abort('others have fallen silent')
+
     def _sweep(self) -> None:
         now_s = time.monotonic()
         for address, idle in list(self._idle_by_address.items()):
--- a/jackdawfield/messages/store_calls.py
+++ b/jackdawfield/messages/store_calls.py
@@ -8,12 +8,17 @@
 @message
 @dataclass(frozen=True, slots=True)
 class StoreCall:
-    """Requests that an instance forwards a call to the store."""
+    """Requests that an instance forwards a call to the store.
+
+    The store holds a read for up to `wait_s` until rows change; None for a
+    write, and from an instance that doesn't tell.
+    """
 
     method: str
     target: str
     body: bytes
     timeout_s: float
+    wait_s: float | None = None
 
 
 @message
--- a/jackdawfield/platform/store.py
+++ b/jackdawfield/platform/store.py
@@ -25,9 +25,8 @@
 from jackdawfield.gateway.storage.rows import StoreError
 from jackdawfield.platform.settings import MS_PER_S
 
+# Time for an answer, after the store has held it for as long as it may.
 READ_TIMEOUT_S = 1.0
-# Added to the wait of a long poll for changes.
-WAIT_MARGIN_S = 1.2
 STATUS_OK = 200
 STATUS_HISTORY_GONE = 410
 STATUS_CONFLICT = 412
@@ -103,7 +102,7 @@
                 query['from'] = start_key
             if end_key:
                 query['to'] = end_key
-            found = await self._get('rows-get', query, READ_TIMEOUT_S)
+            found = await self._get('rows-get', query, 0.0)
             if isinstance(found, Err):
                 return found
             answer = found.ok_value
@@ -148,7 +147,7 @@
             'after': str(after_version),
             'waitMs': str(wait_ms),
         }
-        found = await self._get('rows-feed', query, wait_s + WAIT_MARGIN_S)
+        found = await self._get('rows-feed', query, wait_s)
         if isinstance(found, Err):
             return found
         answer = found.ok_value
@@ -156,10 +155,11 @@
         return Ok(RowsChanged(rows, answer.ver))
 
     async def _get(
-        self, name: str, query: dict[str, str], timeout_s: float
+        self, name: str, query: dict[str, str], wait_s: float
     ) -> Result[_Answer, StoreError]:
         target = f'/-/{name}?{urlencode(query)}'
-        found = await self._path.call('GET', target, b'', timeout_s)
+        timeout_s = wait_s + READ_TIMEOUT_S
+        found = await self._path.read(target, wait_s, timeout_s)
         if isinstance(found, Err):
             return Err(StoreError(found.err_value.reason))
         status, data = found.ok_value.status, found.ok_value.body
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -30,6 +30,9 @@
         self._target = target
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # Connections before this number have fallen silent for good.
+        self._first_working = 0
+        self._connection_count = 0
         self._fault_changed = asyncio.Event()
         self._fault = LinkFault.NONE
         self.port = 0
@@ -54,6 +57,13 @@
         self._fault_changed.set()
         self._fault_changed = asyncio.Event()
 
+    def silence_connections(self) -> None:
+        """Drop from now on what the open connections carry.
+
+        They stay open, and new ones work.
+        """
+        self._first_working = self._connection_count
+
     def reset_connections(self) -> None:
         """Reset every connection."""
         for writer in list(self._writers):
@@ -76,14 +86,18 @@
             reset_connection(writer)
             return
         self._writers |= {writer, target_writer}
+        number = self._connection_count
+        self._connection_count += 1
         request_blockers = frozenset((LinkFault.STALLED,))
         response_blockers = frozenset(
             (LinkFault.STALLED, LinkFault.RESPONSES_STALLED)
         )
         try:
             await asyncio.gather(
-                self._forward(reader, target_writer, request_blockers),
-                self._forward(target_reader, writer, response_blockers),
+                self._forward(reader, target_writer, request_blockers, number),
+                self._forward(
+                    target_reader, writer, response_blockers, number
+                ),
             )
         except asyncio.CancelledError:
             # Only the end of a run cancels this task; no caller awaits it.
@@ -96,11 +110,14 @@
         source: asyncio.StreamReader,
         sink: asyncio.StreamWriter,
         blockers: frozenset[LinkFault],
+        number: int,
     ) -> None:
         try:
             while data := await source.read(CHUNK_BYTES):
                 while self._fault in blockers:
                     await self._fault_changed.wait()
+                if number < self._first_working:
+                    continue
                 if self._fault is LinkFault.SLOW:
                     await asyncio.sleep(SLOW_DELAY_S)
                 sink.write(data)
@@ -108,4 +125,5 @@
         except ConnectionError:
             reset_connection(sink)
             return
-        sink.close()
+        if number >= self._first_working:
+            sink.close()
--- a/tests/gateway/storage/test_path.py
+++ b/tests/gateway/storage/test_path.py
@@ -1,3 +1,4 @@
+import asyncio
 import unittest
 
 from result import Err
@@ -15,12 +16,14 @@
 from jackdawfield.standins.platform_store import PlatformStoreStandIn
 from jackdawfield.standins.row_store import MemoryRowStore
 from jackdawfield.standins.row_store import StoreFault
+from soak.proxy import FaultProxy
 from tests.gateway.harness import free_port
 from tests.gateway.harness import HOST
 from tests.gateway.scripted_server import ReceivedRequest
 from tests.gateway.scripted_server import ScriptedServer
 
 KEY = RowKey('table', 'part', 'key')
+KEPT_CONNECTIONS = 5
 
 
 class StorePathTest(unittest.IsolatedAsyncioTestCase):
@@ -130,6 +133,21 @@
         self.assertEqual(self.rows.rows_by_key[KEY].value, b'value')
         self.assertIsInstance(outcome, OutcomeUnknown)
 
+    # Guards against reads that fail, one after another, on each connection
+    # that was kept before all of them fell silent.
+    async def test_read_goes_on_over_a_new_connection(self) -> None:
+        proxy = FaultProxy(HOST, (HOST, self.direct.port))
+        await proxy.start()
+        self.addCleanup(proxy.stop)
+        path = StorePath(self.pool, HOST, proxy.port, self.links, lambda: [])
+        store = PlatformStore(path)
+        reads = (store.read('table', '') for _ in range(KEPT_CONNECTIONS))
+        await asyncio.gather(*reads)
+        self.rows.put(RowKey('table', '', 'a'), b'value')
+        proxy.silence_connections()
+        found = (await store.read('table', '')).unwrap()
+        self.assertEqual(len(found.rows), 1)
+
     async def test_read_fails_if_no_path_reaches_the_store(self) -> None:
         self.direct.is_refusing = True
         self.other.is_refusing = True
