Ask the store for a table that nobody has confirmed for 1.6 s

An instance without a seat took rows of a holder that the holder had read up to 2.0 s before, waited 1.2 to 1.7 s for its next answer, and only then asked the store, whose long poll could hang for 3.2 s: a change was missed for longer than the promised 2.5 s, also if the instance itself and the store were sound.

What bounds it now is the age of what is known, end to end, and not the waits: after 1.6 s without a confirmation the store is asked with a read that it does not hold. An answer without changes confirms a table as of the end of its wait; a holder answers a follower as soon as it has confirmed the table itself and says how long it held the request, so that a follower's table is as fresh as its holder's. A holder's rows are used up to the same age. Long polls of the store wait 1.2 s (2.0 s alone, 0.8 s followed).

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -143,7 +143,6 @@
             self.store,
             self.members,
             self.links,
-            lambda: bool(self.table_sharing.follower_addresses()),
         )
 
     def _build_calls(self) -> None:
--- a/jackdawfield/gateway/fleet/table_sharing.py
+++ b/jackdawfield/gateway/fleet/table_sharing.py
@@ -8,8 +8,8 @@
 """
 
 import asyncio
-from collections.abc import Callable
 from contextlib import suppress
+from dataclasses import replace
 import logging
 
 from result import Err
@@ -37,17 +37,19 @@
 from jackdawfield.messages.fleet_tables import WHOLE_TABLE
 
 LOG = logging.getLogger(__name__)
-# Limit of one long poll. The answer comes earlier if there are changes; the
-# limit bounds how long a dead connection stays undetected.
-POLL_WAIT_S = 2.0
-# Shorter polls of tables that others follow here: each answer confirms them.
-SHARED_POLL_WAIT_S = 0.8
+# Limit of one long poll of the store, whose answer confirms a table.
+POLL_WAIT_S = 1.2
+# A table that nobody has confirmed for this long is read from the store, while
+# the source that was asked before may still answer. Changes that the store has
+# acknowledged are known after this time and that of one read.
+MAX_UNCONFIRMED_S = 1.6
 # Interval at which holders of seats read the members.
 MEMBERS_INTERVAL_S = 0.6
-FOLLOW_WAIT_S = 1.2
+# A holder answers once it has confirmed a table, or after this time.
+FOLLOW_WAIT_S = 1.6
 FOLLOW_MARGIN_S = 0.5
 # Rows of a holder that has not read the store for longer are not used.
-MAX_SHARED_AGE_S = 2.0
+MAX_SHARED_AGE_S = MAX_UNCONFIRMED_S
 # A holder that gave no usable answer is avoided for this long.
 AVOID_S = 2.0
 # Rows up to this age serve an instance that starts during an outage of the
@@ -97,21 +99,27 @@
         if message.after_version == WHOLE_TABLE:
             rows: tuple[StoredRow, ...] = tuple(log.rows_by_key.values())
             return _encode_rows(rows, follower)
-        await log.wait_for_change(message.after_version, message.wait_s)
+        arrived_at_s = boot_time_s()
+        await follower.wait_for_news(message.after_version, message.wait_s)
         changes = log.changes_after(message.after_version)
         if changes is None:
             return TableNotFollowed('changes not known', history_gone=True)
-        return _encode_rows(changes, follower)
+        held_s = boot_time_s() - arrived_at_s
+        return _encode_rows(changes, follower, held_s)
 
 
 def _encode_rows(
-    rows: tuple[StoredRow, ...], follower: TableFollower
+    rows: tuple[StoredRow, ...], follower: TableFollower, held_s: float = 0.0
 ) -> TableRows:
     shared = tuple(
         SharedRow(row.key.key, row.value, row.version) for row in rows
     )
     return TableRows(
-        shared, follower.log.version, follower.age_s(), follower.is_recovering
+        shared,
+        follower.log.version,
+        follower.age_s(),
+        follower.is_recovering,
+        held_s,
     )
 
 
@@ -123,23 +131,21 @@
         store: RowStore,
         members: Members,
         links: PeerLinks,
-        is_followed: Callable[[], bool],
     ) -> None:
         self._store = store
         self._members = members
         self._links = links
-        # Whether other instances follow tables through this one.
-        self._is_followed = is_followed
         self._avoided_until_s_by_seat: dict[SeatId, float] = {}
-        # The holder that was asked last.
-        self._last_holder = ''
         # The tables that were read from the store or a holder.
         self._read_tables: set[str] = set()
 
     async def read_table(self, table: str) -> Result[RowsRead, StoreError]:
         """Return all rows of a table."""
         asked_at_s = boot_time_s()
-        found = await self._ask_holder(table, WHOLE_TABLE)
+        seat_id = self._choose_holder()
+        found = None
+        if seat_id is not None:
+            found = await self._ask_holder(seat_id, table, WHOLE_TABLE)
         match found:
             case TableRows() as shared:
                 self._read_tables.add(table)
@@ -150,7 +156,7 @@
                         shared.version,
                         shared.after_outage,
                         asked_at_s - shared.age_s,
-                        self._last_holder,
+                        str(seat_id),
                     )
                 )
         read = await self._store.read(table, '')
@@ -195,11 +201,37 @@
         return None
 
     async def await_changes(
+        self, table: str, after_version: int, confirmed_at_s: float
+    ) -> Result[RowsChanged, StoreError]:
+        """Return the rows changed after a version, or none after a while.
+
+        If nothing confirms the table in time, the store is asked at once, and
+        an answer that is still waited for is given up.
+        """
+        overdue_s = confirmed_at_s + MAX_UNCONFIRMED_S - boot_time_s()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(overdue_s):
+                return await self._await_next(table, after_version)
+        return await self._poll_store(table, after_version)
+
+    async def _await_next(
         self, table: str, after_version: int
     ) -> Result[RowsChanged, StoreError]:
-        """Return the rows changed after a version, or none after a while."""
+        """Wait for the answer of a holder, or of the store without one."""
+        seat_id = self._choose_holder()
+        if seat_id is not None:
+            return await self._await_holder(seat_id, table, after_version)
+        is_holder = self._members.own_seat is not None
+        if is_holder and table == MEMBERS_TABLE:
+            return await self._read_members_again(after_version)
+        return await self._poll_store(table, after_version, POLL_WAIT_S)
+
+    async def _await_holder(
+        self, seat_id: SeatId, table: str, after_version: int
+    ) -> Result[RowsChanged, StoreError]:
+        """Wait for a holder's answer; ask the store if it gives none."""
         asked_at_s = boot_time_s()
-        found = await self._ask_holder(table, after_version)
+        found = await self._ask_holder(seat_id, table, after_version)
         match found:
             case TableRows() as shared:
                 rows = _decode_rows(table, shared.rows)
@@ -208,18 +240,26 @@
                         rows,
                         shared.version,
                         shared.after_outage,
-                        asked_at_s - shared.age_s,
-                        self._last_holder,
+                        asked_at_s + shared.held_s - shared.age_s,
+                        seat_id,
                     )
                 )
             case TableNotFollowed(history_gone=True):
                 return Err(StoreError('changes not known', history_gone=True))
-        is_holder = self._members.own_seat is not None
-        if is_holder and table == MEMBERS_TABLE:
-            return await self._read_members_again(after_version)
-        is_shared = is_holder and self._is_followed()
-        wait_s = SHARED_POLL_WAIT_S if is_shared else POLL_WAIT_S
-        return await self._store.changes(table, after_version, wait_s)
+        return await self._poll_store(table, after_version)
+
+    async def _poll_store(
+        self, table: str, after_version: int, wait_s: float = 0.0
+    ) -> Result[RowsChanged, StoreError]:
+        """Ask the store for changes, and wait for the first one for wait_s."""
+        asked_at_s = boot_time_s()
+        found = await self._store.changes(table, after_version, wait_s)
+        if isinstance(found, Err) or found.ok_value.rows:
+            return found
+        # Without a change, the store answers at the end of the wait.
+        answered_at_s = boot_time_s()
+        read_at_s = min(asked_at_s + wait_s, answered_at_s)
+        return Ok(replace(found.ok_value, read_at_s=read_at_s))
 
     async def _read_members_again(
         self, after_version: int
@@ -245,13 +285,9 @@
         return Ok(RowsChanged(changed, found.version, read_at_s=read_at_s))
 
     async def _ask_holder(
-        self, table: str, after_version: int
+        self, seat_id: SeatId, table: str, after_version: int
     ) -> TableRows | TableNotFollowed | None:
         """Return a holder's answer, None if there is none to use."""
-        seat_id = self._choose_holder()
-        if seat_id is None:
-            return None
-        self._last_holder = seat_id
         wait_s = 0.0 if after_version == WHOLE_TABLE else FOLLOW_WAIT_S
         found = await self._links.request(
             self._members.rows_by_seat[seat_id].address,
--- a/jackdawfield/gateway/storage/follower.py
+++ b/jackdawfield/gateway/storage/follower.py
@@ -32,9 +32,12 @@
         ...
 
     async def await_changes(
-        self, table: str, after_version: int
+        self, table: str, after_version: int, confirmed_at_s: float
     ) -> Result[RowsChanged, StoreError]:
-        """Return the rows changed after a version, or none after a while."""
+        """Return the rows changed after a version, or none after a while.
+
+        It is known since confirmed_at_s that no row has changed before.
+        """
         ...
 
 
@@ -69,11 +72,37 @@
         # Who answered the last read.
         self.read_from = ''
         self.log = TableLog()
+        self._confirmed = asyncio.Event()
 
     def age_s(self) -> float:
-        """Return the time since the last successful read was sent."""
+        """Return the time since which changes may have been missed."""
         return boot_time_s() - self._confirmed_at_s
 
+    async def wait_for_confirmation(self, since_s: float) -> None:
+        """Wait until the rows are known as of a time, by the boot clock."""
+        while self._confirmed_at_s < since_s:
+            await self._confirmed.wait()
+
+    async def wait_for_news(self, after_version: int, wait_s: float) -> None:
+        """Wait until a row changed after a version, or none has until now.
+
+        Return after wait_s in any case.
+        """
+        changed = asyncio.ensure_future(
+            self.log.wait_for_change(after_version, wait_s)
+        )
+        confirmed = asyncio.ensure_future(
+            self.wait_for_confirmation(boot_time_s())
+        )
+        tasks = (changed, confirmed)
+        try:
+            await asyncio.wait(
+                tasks, timeout=wait_s, return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            for task in tasks:
+                task.cancel()
+
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
@@ -111,7 +140,9 @@
 
     async def _read_changes(self, after_version: int) -> bool:
         asked_at_s = boot_time_s()
-        found = await self._source.await_changes(self.table, after_version)
+        found = await self._source.await_changes(
+            self.table, after_version, self._confirmed_at_s
+        )
         if isinstance(found, Err):
             self._log_failure(found.err_value.reason)
             # Without the history, the whole table is read at once.
@@ -144,6 +175,8 @@
 
     def _record_confirmation(self, read_at_s: float) -> None:
         self._confirmed_at_s = read_at_s
+        self._confirmed.set()
+        self._confirmed = asyncio.Event()
         if self._on_confirmed is not None:
             self._on_confirmed(read_at_s)
 
--- a/jackdawfield/messages/fleet_tables.py
+++ b/jackdawfield/messages/fleet_tables.py
@@ -40,7 +40,8 @@
 class TableRows:
     """Holds rows of a followed table up to a version.
 
-    `age_s` is the time since the sender's last read of the table was sent.
+    `age_s` is the time since the sender's last read of the table was sent,
+    `held_s` the time from the request's arrival to this answer.
     """
 
     rows: tuple[SharedRow, ...]
@@ -48,6 +49,7 @@
     age_s: float
     # Rows may be missing only because the store was unavailable.
     after_outage: bool
+    held_s: float = 0.0
 
 
 @message
--- a/tests/gateway/fleet/test_table_sharing.py
+++ b/tests/gateway/fleet/test_table_sharing.py
@@ -92,7 +92,6 @@
             self.store,
             members,  # type: ignore[arg-type]
             self.links,  # type: ignore[arg-type]
-            lambda: True,
         )
         follower = TableFollower(
             source, TABLE, lambda *_: None, lambda *_: None
@@ -104,6 +103,11 @@
     def put(self, name: str) -> None:
         self.store.put(RowKey(TABLE, '', name), name.encode())
 
+    async def ask_next_holder(self, source: SharedTables) -> object:
+        seat_id = source._choose_holder()
+        assert seat_id is not None
+        return await source._ask_holder(seat_id, TABLE, 0)
+
     async def until(self, follower: TableFollower, names: set[str]) -> None:
         async with asyncio.timeout(4.0):
             while set(follower.log.rows_by_key) != names:
@@ -156,13 +160,12 @@
             self.store,
             Members(),  # type: ignore[arg-type]
             self.links,  # type: ignore[arg-type]
-            lambda: False,
         )
         holder = self.followers['h1']
         holder._confirmed_at_s -= MAX_SHARED_AGE_S + 1
-        found = await source._ask_holder(TABLE, 0)
+        found = await self.ask_next_holder(source)
         self.assertIsNone(found)
-        found = await source._ask_holder(TABLE, 0)
+        found = await self.ask_next_holder(source)
         self.assertIsInstance(found, TableRows)
         self.assertEqual(self.links.requests, ['h1', 'h2'])
         with mock.patch(CLOCK) as clock:
--- a/tests/gateway/storage/test_follower.py
+++ b/tests/gateway/storage/test_follower.py
@@ -25,7 +25,7 @@
         return await self.store.read(table, '')
 
     async def await_changes(
-        self, table: str, after_version: int
+        self, table: str, after_version: int, confirmed_at_s: float
     ) -> Result[RowsChanged, StoreError]:
         return await self.store.changes(table, after_version, 0.2)
 
