Deny a route or key only by a configuration that the store confirmed

A 401 or 404 was final however old the configuration was that said it; a newer one that this instance could not read may allow the call. A denial by a configuration that nobody has confirmed for 2 s now waits 0.3 s for a confirmation, which the follower is asking for by then, and becomes 503 with Retry-After without one. It reads nothing on its own, so a flood of unknown keys costs no call of the store. What the known configuration allows goes on.

--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -9,6 +9,7 @@
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.calls import Stage
+from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.http.caller_exchange import IncomingRequest
 from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.reply import Reply
@@ -27,7 +28,14 @@
 from jackdawfield.model import ServiceName
 
 LOG = logging.getLogger(__name__)
-# Retry-After of refusals before the first configuration was received.
+# Statuses that the caller takes as final: no such route, and unknown key.
+DENIALS = (401, 404)
+# A newer configuration may allow what an older one that nobody has confirmed
+# for this long denies.
+MAX_DENIAL_AGE_S = 2.0
+# Time for which a denial waits for a confirmation.
+CONFIRM_TIMEOUT_S = 0.3
+# Retry-After of refusals before a configuration was received or confirmed.
 RETRY_UNCONFIGURED_S = 0.3
 # Retry-After of refusals at a planned stop; other instances serve at once.
 RETRY_AT_STOP_S = 0.05
@@ -68,6 +76,8 @@
     ) -> None:
         """Respond to a request and log how it ended."""
         checked = self._check(request, headers)
+        if isinstance(checked, Refusal) and checked.status in DENIALS:
+            checked = await self._confirm(checked, request, headers)
         if isinstance(checked, Refusal):
             self._refuse(headers.request_id, None, checked, reply)
             return
@@ -94,6 +104,22 @@
             ms=round((time.monotonic() - checked.arrived_at_s) * 1000),
         )
 
+    async def _confirm(
+        self, denial: Refusal, request: IncomingRequest, headers: CallHeaders
+    ) -> Call | Refusal:
+        """Return a denial by a confirmed configuration, else a refusal."""
+        table = self.configuration_table
+        if table is None or table.age_s() <= MAX_DENIAL_AGE_S:
+            return denial
+        confirmed_s = boot_time_s() - MAX_DENIAL_AGE_S
+        try:
+            async with asyncio.timeout(CONFIRM_TIMEOUT_S):
+                await table.wait_for_confirmation(confirmed_s)
+        except TimeoutError:
+            reason = 'configuration not confirmed'
+            return Refusal(503, reason, RETRY_UNCONFIGURED_S)
+        return self._check(request, headers)
+
     def _record_caller_left(self, call: Call, reply: Reply) -> None:
         """Log and count a call whose caller disconnected before its end."""
         self._metrics.count_reason(call.route.name, 0, 'caller left')
