Take an odd row of the servers as unreadable

A row that nests deep raised RecursionError, which ended the follower of the servers for good: the instance served by the servers that it knew then. Rows with a port out of range, a host that no connection can be opened to, slots below one or of 400 digits, or an id that no header can hold were taken as servers, and calls to them failed with an exception.

The adapter decodes each field within bounds; decoding takes every error that bytes of any content can raise as that of an unreadable row, also for members, messages between instances, kept turns and the store's answers. The other rows hold. test_odd_server_row_is_an_error and test_random_bytes_and_values_are_errors_or_usable failed before.

--- a/jackdawfield/gateway/fleet/member_rows.py
+++ b/jackdawfield/gateway/fleet/member_rows.py
@@ -36,7 +36,7 @@
 
 
 def decode_member(data: bytes) -> MemberRow:
-    """Decode a member's row; raise MsgspecError if it is malformed."""
+    """Decode a member's row; raise one of DECODE_ERRORS if malformed."""
     return msgspec.msgpack.decode(data, type=MemberRow)
 
 
--- a/jackdawfield/gateway/fleet/members.py
+++ b/jackdawfield/gateway/fleet/members.py
@@ -5,9 +5,8 @@
 from collections.abc import Iterable
 import logging
 
-import msgspec
-
 from jackdawfield.decisions.placement import rendezvous_score
+from jackdawfield.decoding import DECODE_ERRORS
 from jackdawfield.gateway.fleet.member_rows import decode_member
 from jackdawfield.gateway.fleet.member_rows import MemberRow
 from jackdawfield.gateway.fleet.seats import SeatId
@@ -169,7 +168,7 @@
             return
         try:
             member = decode_member(row.value)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             log_event(LOG, 'member_unreadable', seat=seat_id, reason=error)
             return
         self.rows_by_seat[seat_id] = member
--- a/jackdawfield/gateway/programs/turns.py
+++ b/jackdawfield/gateway/programs/turns.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from jackdawfield.decoding import DECODE_ERRORS
 from jackdawfield.gateway.model import TurnId
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import StoredRow
@@ -134,7 +135,7 @@
     try:
         plain = zlib.decompress(b''.join(pieces))
         return msgspec.msgpack.decode(plain, type=TurnRecord)
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except (zlib.error, *DECODE_ERRORS) as error:
         raise TurnError(str(error)) from error
 
 
--- a/jackdawfield/messages/base.py
+++ b/jackdawfield/messages/base.py
@@ -8,6 +8,8 @@
 from result import Ok
 from result import Result
 
+from jackdawfield.decoding import DECODE_ERRORS
+
 MessageClass = TypeVar('MessageClass', bound=type)
 
 _CLASSES_BY_NAME: dict[str, type] = {}
@@ -38,5 +40,5 @@
         return Err(MessageError(f'unknown message {name}'))
     try:
         return Ok(msgspec.msgpack.decode(body, type=cls))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(MessageError(f'{name}: {error}'))
--- a/jackdawfield/platform/configuration.py
+++ b/jackdawfield/platform/configuration.py
@@ -1,10 +1,14 @@
 """Decode the operators' configuration and the rows of backend servers."""
 
+import re
+from typing import Annotated
+
 import msgspec
 from result import Err
 from result import Ok
 from result import Result
 
+from jackdawfield.decoding import DECODE_ERRORS
 from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.model import CallRoute
 from jackdawfield.gateway.model import FleetConfiguration
@@ -29,6 +33,13 @@
 DEFAULT_ATTEMPT_LIMIT = 2
 DRAINING_STATE = 'draining'
 SERVER_STATES = ('ready', DRAINING_STATE)
+# Above every server's slots and start time.
+MAX_SLOTS = 1_000_000
+MAX_START_MS = 2**53
+MAX_PORT = 65535
+# A server's id is sent in a header, and its host is connected to.
+SERVER_ID = re.compile(r'[\x21-\x7e]{1,200}')
+HOST = re.compile(r'([A-Za-z0-9-]{1,63}\.){0,8}[A-Za-z0-9-]{1,63}')
 
 
 class RowDecodeError(Exception):
@@ -91,9 +102,10 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
     state: str
-    born: int = 0
+    # Unix milliseconds of the server's start.
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_START_MS)] = 0
 
 
 def decode_configuration(
@@ -103,7 +115,7 @@
     try:
         wire = msgspec.json.decode(data, type=_Configuration)
         return Ok(_build_configuration(wire))
-    except (msgspec.MsgspecError, KeyError) as error:
+    except (*DECODE_ERRORS, KeyError) as error:
         return Err(RowDecodeError(f'configuration: {error}'))
 
 
@@ -181,8 +193,12 @@
     try:
         wire = msgspec.json.decode(data, type=_Server)
         host, port = split_address(wire.address)
-    except (msgspec.MsgspecError, ValueError) as error:
+    except DECODE_ERRORS as error:
         return Err(RowDecodeError(f'server {key}: {error}'))
+    if SERVER_ID.fullmatch(key) is None:
+        return Err(RowDecodeError(f'server {key!r}: unusable id'))
+    if HOST.fullmatch(host) is None or not 0 < port <= MAX_PORT:
+        return Err(RowDecodeError(f'server {key}: unusable {wire.address!r}'))
     if wire.state not in SERVER_STATES:
         return Err(RowDecodeError(f'server {key}: unknown state {wire.state}'))
     return Ok(
--- a/jackdawfield/platform/store.py
+++ b/jackdawfield/platform/store.py
@@ -2,6 +2,7 @@
 
 from base64 import b64decode
 from base64 import b64encode
+import logging
 from urllib.parse import urlencode
 
 import msgspec
@@ -12,6 +13,7 @@
 from jackdawfield.decisions.table import Committed
 from jackdawfield.decisions.table import NotApplied
 from jackdawfield.decisions.table import OutcomeUnknown
+from jackdawfield.decoding import DECODE_ERRORS
 from jackdawfield.gateway.http.connection import ExchangeError
 from jackdawfield.gateway.http.connection import Fault
 from jackdawfield.gateway.storage.path import StorePath
@@ -23,8 +25,10 @@
 from jackdawfield.gateway.storage.rows import RowTransaction
 from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.gateway.storage.rows import StoreError
+from jackdawfield.logs import log_event
 from jackdawfield.platform.settings import MS_PER_S
 
+LOG = logging.getLogger(__name__)
 # Time for an answer, after the store has held it for as long as it may.
 READ_TIMEOUT_S = 1.0
 STATUS_OK = 200
@@ -52,14 +56,23 @@
 def _decode_row(wire: _Row) -> StoredRow:
     value = None
     if wire.value is not None and not wire.deleted:
-        value = b64decode(wire.value)
+        value = _decode_value(wire.value)
     return StoredRow(RowKey(wire.table, wire.part, wire.key), value, wire.ver)
 
 
+def _decode_value(text: str) -> bytes:
+    """Return a row's value, empty if it is not encoded in base64."""
+    try:
+        return b64decode(text)
+    except ValueError as error:
+        log_event(LOG, 'value_unreadable', reason=error)
+        return b''
+
+
 def _decode_answer(body: bytes) -> Result[_Answer, StoreError]:
     try:
         return Ok(msgspec.json.decode(body, type=_Answer))
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         return Err(StoreError(f'unreadable answer: {error}'))
 
 
--- a/tests/platform_adapter/test_configuration.py
+++ b/tests/platform_adapter/test_configuration.py
@@ -1,7 +1,9 @@
 import json
+import random
 import unittest
 
 from result import Err
+from result import Ok
 
 from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.routes import choose_service
@@ -106,3 +108,54 @@
             data = json.dumps({**SERVER, **change}).encode()
             self.assertIsInstance(decode_server('i', data), Err)
         self.assertIsInstance(decode_server('i', b'\x00'), Err)
+
+    # Guards against a row that ends the follower of the servers, or names a
+    # server to which no connection can be opened.
+    def test_odd_server_row_is_an_error(self) -> None:
+        huge = int('9' * 400)
+        for change in (
+            {'address': '10.0.0.1:0'},
+            {'address': '10.0.0.1:-1'},
+            {'address': '10.0.0.1:99999'},
+            {'address': f'10.0.0.1:{"9" * 5000}'},
+            {'address': ':8080'},
+            {'address': '10.0.0.1\0:8080'},
+            {'address': '10.0.0.1\r\nX: y:8080'},
+            {'address': f'{"a" * 70}.example:8080'},
+            {'address': 'h\u00f6st:8080'},
+            {'slots': 0},
+            {'slots': -5},
+            {'slots': huge},
+            {'born': -1},
+            {'born': huge},
+            {'born': 10**30},
+        ):
+            data = json.dumps({**SERVER, **change}).encode()
+            with self.subTest(change=str(change)[:60]):
+                self.assertIsInstance(decode_server('i', data), Err)
+        good = json.dumps(SERVER).encode()
+        for key in ('', 'a\r\nb', 'a\u0100', 'a b'):
+            self.assertIsInstance(decode_server(key, good), Err)
+        for nesting in ('[', '{"a":'):
+            self.assertIsInstance(
+                decode_server('i', nesting.encode() * 200_000), Err
+            )
+            nested = json.dumps(SERVER)[:-1] + ', "x": ' + nesting * 200_000
+            self.assertIsInstance(decode_server('i', nested.encode()), Err)
+
+    def test_random_bytes_and_values_are_errors_or_usable(self) -> None:
+        drawn = random.Random(1)
+        values = ['', 'x', None, [], {}, 0, -1, 1e300, True, '1.1.1.1:1']
+        for _ in range(3000):
+            wire: dict[str, object] = dict(SERVER)
+            for name in drawn.sample(sorted(wire), 2):
+                wire[name] = drawn.choice(values)
+            data = json.dumps(wire).encode()
+            if drawn.random() < 0.3:
+                place = drawn.randrange(len(data))
+                data = data[:place] + drawn.randbytes(2) + data[place + 1 :]
+            decoded = decode_server('i', data)
+            if isinstance(decoded, Ok):
+                entry = decoded.ok_value
+                self.assertTrue(0 < entry.port <= 65535 and entry.slots > 0)
+                entry.host.encode('idna')
