Start failed background tasks of the gateway again

A follower begins again with all rows, as those that were being applied may be lost. A connection to an address that the event loop can't even try is an error like any other.

test_changes_arrive_after_an_exception_in_a_follower fails with tasks that end as before (the version is never applied).

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -277,6 +277,7 @@
             lambda: len(self.quarantine.quarantined(time.monotonic())),
         )
         add_gauge('requests_suspected', self.quarantine.suspect_count)
+        add_gauge('tasks_restarted', lambda: self._tasks.restart_count)
         add_gauge('servers_ended', lambda: self.ended_servers.ended_count)
         for follower in self._followers:
             add_gauge(f'{follower.table}_table_age_s', follower.age_s)
@@ -338,13 +339,13 @@
         self._health_listener.listen(settings.host, settings.health_port)
         self._metrics_listener.listen(settings.host, self._metrics_port)
         for follower in self._followers[:-1]:
-            self._tasks.spawn(follower.run())
-        self._tasks.spawn(self._follow_members())
-        self._tasks.spawn(self._run_checks())
-        self._tasks.spawn(self._remove_expired())
-        self._tasks.spawn(self.rate_owner.poll_views())
-        self._tasks.spawn(self.quarantine_sharing.run())
-        self._tasks.spawn(self.server_paths.run_trials())
+            self._tasks.supervise(follower.table, follower.run)
+        self._tasks.supervise(MEMBERS_TABLE, self._follow_members)
+        self._tasks.supervise('checks', self._run_checks)
+        self._tasks.supervise('expiry', self._remove_expired)
+        self._tasks.supervise('views', self.rate_owner.poll_views)
+        self._tasks.supervise('quarantine', self.quarantine_sharing.run)
+        self._tasks.supervise('trials', self.server_paths.run_trials)
         log_event(
             LOG,
             'started',
--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -57,7 +57,10 @@
     async def open(
         self, host: str, port: int, timeout_s: float
     ) -> Result[Connection, ExchangeError]:
-        """Open a connection within the timeout."""
+        """Open a connection within the timeout.
+
+        An address that can't be connected to is an error like any other.
+        """
         loop = asyncio.get_running_loop()
         self.opened_count += 1
         try:
@@ -65,7 +68,7 @@
                 _, connection = await loop.create_connection(
                     Connection, host, port
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             reason = f'{type(error).__name__} {error}'.strip()
             is_refused = isinstance(error, ConnectionRefusedError)
             return Err(ExchangeError(Fault.NOT_SENT, reason, is_refused))
--- a/jackdawfield/gateway/storage/follower.py
+++ b/jackdawfield/gateway/storage/follower.py
@@ -104,7 +104,8 @@
                 task.cancel()
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Follow the table until cancelled; begin with all of its rows."""
+        self.version = None
         while True:
             if self.version is None:
                 done = await self._read_all()
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -446,6 +446,24 @@
     async def test_few_instances_hold_the_seats(self) -> None:
         self.assertEqual(len(self.others), 2)
 
+    # Guards against a follower whose task an exception ends for good, so that
+    # the instance serves the old state until it is restarted.
+    async def test_changes_arrive_after_an_exception_in_a_follower(
+        self,
+    ) -> None:
+        gateway = self.others[0]
+        table = gateway.configuration_table
+        with mock.patch.object(
+            table, '_apply_changes', side_effect=RuntimeError('odd')
+        ):
+            self.fleet.configure(configuration(7))
+            await self.fleet.wait_until(
+                lambda: gateway._tasks.restart_count == 1
+            )
+        await self.fleet.wait_until(
+            lambda: gateway.call_handler.configuration.version == 7
+        )
+
     async def test_changes_reach_instances_without_a_seat(self) -> None:
         self.fleet.configure(configuration(7))
         for gateway in self.others:
