Read numbers of other processes in one place

Keep-Alive, event ids and callers' numbers were read by isdecimal or isdigit and int, which take other scripts' digits and raise for superscripts or more than 4,300 digits: an exception where the connection's or the stream's bytes are handled.

--- a/jackdawfield/decoding.py
+++ b/jackdawfield/decoding.py
@@ -7,7 +7,8 @@
 # What decoding can raise for bytes of any content, deep nesting included.
 DECODE_ERRORS = (msgspec.MsgspecError, ValueError, RecursionError)
 # Above every number in use, and far below what conversion refuses.
-COUNT = re.compile(r'[0-9]{1,18}')
+MAX_COUNT_DIGITS = 18
+COUNT = re.compile(f'[0-9]{{1,{MAX_COUNT_DIGITS}}}')
 
 
 def parse_count(text: str | None) -> int | None:
--- a/jackdawfield/gateway/http/caller_exchange.py
+++ b/jackdawfield/gateway/http/caller_exchange.py
@@ -13,6 +13,8 @@
 from tornado.httputil import RequestStartLine
 from tornado.httputil import ResponseStartLine
 
+from jackdawfield.decoding import MAX_COUNT_DIGITS
+from jackdawfield.decoding import parse_count
 from jackdawfield.gateway.http.caller_stream import CallerStream
 from jackdawfield.gateway.http.caller_stream import CloseReason
 from jackdawfield.gateway.http.reply import Reply
@@ -104,8 +106,10 @@
         self._arrived_at_s = time.monotonic()
         self._state.in_flight += 1
         self._is_in_flight = True
-        length = headers.get('Content-Length', '')
-        if length.isdecimal() and int(length) > self._state.max_body_bytes:
+        # A longer number is too large by its first digits.
+        digits = headers.get('Content-Length', '')[:MAX_COUNT_DIGITS]
+        length = parse_count(digits)
+        if length is not None and length > self._state.max_body_bytes:
             self._refuse_body(STATUS_TOO_LARGE, 'body too large')
 
     def data_received(self, chunk: bytes) -> None:
--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -17,6 +17,7 @@
 from result import Ok
 from result import Result
 
+from jackdawfield.decoding import parse_count
 from jackdawfield.sockets import has_unread_input
 
 MAX_HEAD_BYTES = 65536
@@ -416,6 +417,7 @@
     text = head.get('keep-alive') or ''
     for item in text.split(','):
         name, _, value = item.strip().partition('=')
-        if name.lower() == 'timeout' and value.isdecimal():
-            return max(0.0, int(value) - IDLE_MARGIN_S)
+        seconds = parse_count(value)
+        if name.lower() == 'timeout' and seconds is not None:
+            return max(0.0, seconds - IDLE_MARGIN_S)
     return DEFAULT_IDLE_S
--- a/jackdawfield/gateway/streams/progress.py
+++ b/jackdawfield/gateway/streams/progress.py
@@ -8,6 +8,7 @@
 
 from dataclasses import dataclass
 
+from jackdawfield.decoding import parse_count
 from jackdawfield.event_stream import EventParser
 from jackdawfield.event_stream import StreamEvent
 
@@ -280,6 +281,6 @@
 
 
 def _number(event_id: bytes | None) -> int | None:
-    if event_id is None or not event_id.isdigit():
+    if event_id is None:
         return None
-    return int(event_id)
+    return parse_count(event_id.decode('latin-1'))
--- a/jackdawfield/platform/headers.py
+++ b/jackdawfield/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from jackdawfield.decoding import parse_count
 from jackdawfield.gateway.calls import CallHeaders
 from jackdawfield.gateway.calls import CONNECTION_HEADERS
 from jackdawfield.gateway.calls import ForwardedHeaders
@@ -49,9 +50,7 @@
 
 
 def _decode_number(text: str | None) -> int | None:
-    if text is None or not text.strip().isdecimal():
-        return None
-    return int(text)
+    return parse_count(text.strip()) if text is not None else None
 
 
 def _decode_numbers(text: str | None) -> tuple[int, int]:
