Confirm ownerships by whole reads of the members only

It is read whole, as in the interval. An overdue table asks the store at once and starts no other request that it would cancel.

test_overdue_members_are_read_whole_by_a_holder failed before.

--- a/jackdawfield/gateway/fleet/table_sharing.py
+++ b/jackdawfield/gateway/fleet/table_sharing.py
@@ -209,11 +209,21 @@
         an answer that is still waited for is given up.
         """
         overdue_s = confirmed_at_s + MAX_UNCONFIRMED_S - boot_time_s()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(overdue_s):
-                return await self._await_next(table, after_version)
+        if overdue_s > 0:
+            with suppress(TimeoutError):
+                async with asyncio.timeout(overdue_s):
+                    return await self._await_next(table, after_version)
+        if self._reads_members(table):
+            return await self._read_members(after_version)
         return await self._poll_store(table, after_version)
 
+    def _reads_members(self, table: str) -> bool:
+        """Return whether a table's rows confirm ownerships here.
+
+        Such a table is read whole: a wait for changes may miss some.
+        """
+        return table == MEMBERS_TABLE and self._members.own_seat is not None
+
     async def _await_next(
         self, table: str, after_version: int
     ) -> Result[RowsChanged, StoreError]:
@@ -221,8 +231,7 @@
         seat_id = self._choose_holder()
         if seat_id is not None:
             return await self._await_holder(seat_id, table, after_version)
-        is_holder = self._members.own_seat is not None
-        if is_holder and table == MEMBERS_TABLE:
+        if self._reads_members(table):
             return await self._read_members_again(after_version)
         return await self._poll_store(table, after_version, POLL_WAIT_S)
 
@@ -273,6 +282,11 @@
             async with asyncio.timeout(MEMBERS_INTERVAL_S):
                 await read_wanted.wait()
         read_wanted.clear()
+        return await self._read_members(after_version)
+
+    async def _read_members(
+        self, after_version: int
+    ) -> Result[RowsChanged, StoreError]:
         read_at_s = boot_time_s()
         read = await self._store.read(MEMBERS_TABLE, '')
         if isinstance(read, Err):
--- a/tests/gateway/fleet/test_table_sharing.py
+++ b/tests/gateway/fleet/test_table_sharing.py
@@ -13,9 +13,12 @@
 
 from jackdawfield.drivers.peers import PeerError
 from jackdawfield.drivers.peers import PeerFault
+from jackdawfield.gateway.clock import boot_time_s
+from jackdawfield.gateway.fleet.member_rows import MEMBERS_TABLE
 from jackdawfield.gateway.fleet.seats import SeatId
 from jackdawfield.gateway.fleet.table_sharing import AVOID_S
 from jackdawfield.gateway.fleet.table_sharing import MAX_SHARED_AGE_S
+from jackdawfield.gateway.fleet.table_sharing import MAX_UNCONFIRMED_S
 from jackdawfield.gateway.fleet.table_sharing import SharedTables
 from jackdawfield.gateway.fleet.table_sharing import TableSharing
 from jackdawfield.gateway.storage.follower import TableFollower
@@ -200,6 +203,22 @@
         await self.until(observer, {'a'})
         self.assertGreater(observer.age_s(), 1.4)
 
+    # Guards against an ownership that is confirmed by a wait for changes,
+    # which misses some while the store discards its history.
+    async def test_overdue_members_are_read_whole_by_a_holder(self) -> None:
+        self.store.put(RowKey(MEMBERS_TABLE, '', 'a'), b'a')
+        source = SharedTables(
+            self.store,
+            Members('h1'),  # type: ignore[arg-type]
+            self.links,  # type: ignore[arg-type]
+        )
+        self.store.injected_faults.clear()
+        reads = self.store.read_count
+        overdue_since_s = boot_time_s() - 2 * MAX_UNCONFIRMED_S
+        found = await source.await_changes(MEMBERS_TABLE, 0, overdue_since_s)
+        self.assertEqual(len(found.unwrap().rows), 1)
+        self.assertEqual(self.store.read_count, reads + 1)
+
     async def test_outage_is_told_to_followers(self) -> None:
         self.put('a')
         for follower in self.followers.values():
