Soak: let the connections to the store fall silent before a change

A new check, 'changes in force': an instance in touch shows a version 2.5 s after it was written; silent connections excuse none.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -18,6 +18,7 @@
 from soak.scenario import APPLY_LIMIT_S
 from soak.scenario import BURST_CALLS
 from soak.scenario import ENDS_UNTIL_KNOWN
+from soak.scenario import IN_FORCE_S
 from soak.scenario import IN_TOUCH_S
 from soak.scenario import LIMITED_ORGANISATION
 from soak.scenario import MAX_RUNS_ONCE_KNOWN
@@ -30,6 +31,7 @@
 from soak.scenario import RATE_SLACK_CALLS
 from soak.scenario import RATE_WINDOW_S
 from soak.scenario import RECOVERY_LIMIT_S
+from soak.scenario import SAMPLE_MARGIN_S
 from soak.scenario import STOP_GRACE_S
 from soak.scenario import TOKENS_PER_EVENT
 from soak.scenario import UNLIMITED_ORGANISATION
@@ -245,6 +247,38 @@
             )
 
 
+def find_late_configurations(record: Record) -> Details:
+    """Find instances on which a change is not in force in time.
+
+    Instances that a fault may have cut off from the store are excepted, but
+    not by silent connections: new ones work.
+    """
+    fault_intervals = [
+        interval
+        for interval in record.fault_intervals
+        if interval.kind not in SERVER_FAULT_KINDS
+        and interval.kind not in OPERATOR_ACTION_KINDS
+        and interval.kind != FaultKind.STORE_SILENT.value
+    ]
+    for sample in record.version_samples:
+        if sample.version == 0:
+            continue
+        for version, at_s in record.configured_at_s_by_version.items():
+            late_s = sample.at_s - at_s - IN_FORCE_S - SAMPLE_MARGIN_S
+            if sample.version >= version or late_s <= 0:
+                continue
+            if _is_unaffected(
+                fault_intervals,
+                sample.instance,
+                at_s - IN_TOUCH_S,
+                sample.at_s,
+            ):
+                yield (
+                    f'{sample.instance} has version {sample.version}'
+                    f' {sample.at_s - at_s:.1f} s after version {version}'
+                )
+
+
 def find_configuration_rollbacks(record: Record) -> Details:
     """Find instances that returned to an earlier configuration.
 
@@ -425,6 +459,7 @@
     'budgets': find_budget_overruns,
     'rates': find_rate_overruns,
     'withdrawn keys': find_late_key_use,
+    'changes in force': find_late_configurations,
     'configuration never back': find_configuration_rollbacks,
     'planned stops cut nothing': find_calls_cut_by_stop,
     'requests read are answered': find_dropped_requests,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -43,6 +43,7 @@
 SERIES_GAP_S = 1.3
 # A removed server is listed as draining for this time first.
 DRAIN_S = 0.5
+SILENCE_BEFORE_CHANGE_S = 0.2
 LINK_FAULTS_BY_KIND = {
     FaultKind.STORE_STALLED: LinkFault.STALLED,
     FaultKind.STORE_RESPONSES_STALLED: LinkFault.RESPONSES_STALLED,
@@ -91,6 +92,7 @@
             FaultKind.STORE_RESPONSES_STALLED: self._degrade_store_link,
             FaultKind.STORE_SLOW: self._degrade_store_link,
             FaultKind.STORE_RESET: self._reset_store_link,
+            FaultKind.STORE_SILENT: self._silence_store_links,
             FaultKind.STORE_UNAVAILABLE: self._refuse_store_requests,
             FaultKind.STORE_CALL_FAULTS: self._inject_store_call_faults,
             FaultKind.SERVER_RESET: self._reset_server_link,
@@ -128,6 +130,9 @@
             self._configuration_version, self.key_version
         )
         self._store.rows.put(CONFIGURATION_KEY, json.dumps(wire).encode())
+        self._record.configured_at_s_by_version[
+            self._configuration_version
+        ] = now_s
         if with_new_key:
             self._record.withdrawn_at_s_by_key[previous_key] = now_s
 
@@ -241,6 +246,15 @@
         instance.store_proxy.reset_connections()
         self._record_interval(fault, instance, start_s)
 
+    async def _silence_store_links(self, fault: Fault) -> None:
+        """Silence all open connections to the store, then change something."""
+        start_s = time.monotonic()
+        for instance in self._instances:
+            instance.store_proxy.silence_connections()
+        self._record_interval(fault, None, start_s)
+        await asyncio.sleep(SILENCE_BEFORE_CHANGE_S)
+        self.write_configuration(with_new_key=False)
+
     async def _refuse_store_requests(self, fault: Fault) -> None:
         start_s = time.monotonic()
         self._store.is_refusing = True
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -104,6 +104,8 @@
             return
         finally:
             self._writers -= {writer, target_writer}
+            writer.close()
+            target_writer.close()
 
     async def _forward(
         self,
--- a/soak/record.py
+++ b/soak/record.py
@@ -123,4 +123,5 @@
     # Name of the instance and time of its SIGTERM.
     planned_stops: list[tuple[str, float]] = field(default_factory=list)
     withdrawn_at_s_by_key: dict[str, float] = field(default_factory=dict)
+    configured_at_s_by_version: dict[int, float] = field(default_factory=dict)
     fault_free_from_s: float = 0.0
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -28,6 +28,10 @@
 RATE_SLACK_CALLS = 6.0
 # Time limit for an instance that reaches the store to apply a new version.
 APPLY_LIMIT_S = 4.0
+# Promised time until a change of the configuration is in force, and the time
+# in which its version is read from an instance.
+IN_FORCE_S = 2.5
+SAMPLE_MARGIN_S = 0.3
 STOP_GRACE_S = 5.0
 # Time limit after the last fault for calls to succeed again.
 RECOVERY_LIMIT_S = 2.0
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -25,6 +25,7 @@
     STORE_RESPONSES_STALLED = 'store answers lost'
     STORE_SLOW = 'store slow'
     STORE_RESET = 'store connections reset'
+    STORE_SILENT = 'store connections silent'
     STORE_UNAVAILABLE = 'store away'
     STORE_CALL_FAULTS = 'store troubled'
     SERVER_RESET = 'server connections reset'
@@ -48,6 +49,7 @@
     FaultKind.SERVER_UNFRAMED,
     FaultKind.SERVER_PATHS_CUT,
     FaultKind.STOP_SERIES,
+    FaultKind.STORE_SILENT,
 )
 # Relative frequency of each other kind in a schedule.
 WEIGHTS_BY_KIND = {
@@ -108,6 +110,7 @@
         at_s = rng.uniform(FIRST_FAULT_S, faults_end_s - CUT_KNOWN_S)
         kind = FaultKind.SERVER_PATHS_CUT
         faults.append(Fault(kind, at_s, length_s - at_s, rng.randrange(1000)))
+    faults.append(_draw_silence(seed, faults_end_s))
     if has_ending_request:
         lasts_s = faults_end_s - FIRST_FAULT_S - SERVER_RESTART_S
         kind = FaultKind.SERVER_ENDING
@@ -115,6 +118,13 @@
     return sorted(faults, key=lambda fault: fault.at_s)
 
 
+def _draw_silence(seed: int, faults_end_s: float) -> Fault:
+    # A generator of its own keeps the other faults of a seed as they are.
+    rng = random.Random(f'{seed} silence')
+    at_s = rng.uniform(FIRST_FAULT_S, faults_end_s)
+    return Fault(FaultKind.STORE_SILENT, at_s, 0.0, rng.randrange(1000))
+
+
 def _draw_short_faults(seed: int, length_s: float) -> list[Fault]:
     rng = random.Random(seed)
     kinds = list(WEIGHTS_BY_KIND)
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -16,6 +16,7 @@
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.daemon import Gateway
 from jackdawfield.gateway.entry import CallHandler
+from jackdawfield.gateway.fleet.table_sharing import SharedTables
 from jackdawfield.gateway.http.connection import Connection
 from jackdawfield.gateway.http.reply import Reply
 from jackdawfield.gateway.model import CallKind
@@ -40,6 +41,7 @@
 # One in this many requests is dropped.
 DROP_INTERVAL_REQUESTS = 100
 ROLLBACK_DELAY_S = 1.0
+LONG_POLL_S = 6.0
 
 
 def _patch(owner: Any, name: str, value: object) -> None:
@@ -233,6 +235,17 @@
     _patch(RelayClient, 'open', open_relay)
 
 
+def wait_on_silent_connections() -> None:
+    """Give no long poll up before its own timeout."""
+
+    async def await_changes(
+        self: SharedTables, table: str, after_version: int, _: float
+    ) -> object:
+        return await self._poll_store(table, after_version, LONG_POLL_S)
+
+    _patch(SharedTables, 'await_changes', await_changes)
+
+
 VARIANTS_BY_NAME: dict[str, Callable[[], None]] = {
     'repeat-lost-calls': repeat_lost_calls,
     'refuse-lost-calls': refuse_lost_calls,
@@ -250,4 +263,5 @@
     'ignore-endings': ignore_endings,
     'give-store-up': give_store_up,
     'stay-cut': stay_cut,
+    'wait-on-silent-connections': wait_on_silent_connections,
 }
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -13,6 +13,7 @@
 from soak.record import VersionSample
 from soak.scenario import APPLY_LIMIT_S
 from soak.scenario import ENDS_UNTIL_KNOWN
+from soak.scenario import IN_FORCE_S
 from soak.scenario import IN_TOUCH_S
 from soak.scenario import LIMITED_ORGANISATION
 from soak.scenario import MAX_RUNS_ONCE_KNOWN
@@ -214,6 +215,23 @@
         )
         self.assertEqual(find_violations(checked_record), [])
 
+    def test_version_that_is_late_beside_silent_connections(self) -> None:
+        checked_record = record()
+        checked_record.configured_at_s_by_version = {1: 1.0, 2: 10.0}
+        late_s = 10 + IN_FORCE_S + 1
+        checked_record.version_samples = [
+            VersionSample('i0', 11.0, 1),
+            VersionSample('i0', late_s, 1),
+        ]
+        silence = FaultInterval(FaultKind.STORE_SILENT.value, None, 9.0, 11.0)
+        checked_record.fault_intervals.append(silence)
+        self.assert_violated(checked_record, 'changes in force')
+        kind = FaultKind.STORE_STALLED.value
+        checked_record.fault_intervals.append(
+            FaultInterval(kind, 'i0', 9.0, 20.0)
+        )
+        self.assertEqual(find_violations(checked_record), [])
+
     def test_configuration_version_decreases(self) -> None:
         checked_record = record()
         checked_record.version_samples = [
