Part the spreading of messages from the reports of failures

A move, for a second use: Broadcast sends to the members, the nearest one or the instances that follow tables here. FailureReports calls it; its tests are the same but for how they build it.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -17,6 +17,7 @@
 from jackdawfield.gateway.calls import CallHeaders
 from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.entry import CallHandler
+from jackdawfield.gateway.fleet.broadcast import Broadcast
 from jackdawfield.gateway.fleet.failure_detector import FailureDetector
 from jackdawfield.gateway.fleet.member_rows import MEMBERS_TABLE
 from jackdawfield.gateway.fleet.members import Members
@@ -152,9 +153,12 @@
         )
         self.server_pool = ConnectionPool()
         self.slot_queue = SlotQueue(self.servers, self.metrics)
+        self.broadcast = Broadcast(
+            self.members, self.table_sharing, self.links
+        )
         self._build_server_paths()
         self.failure_reports = FailureReports(
-            self.servers, self.members, self.table_sharing, self.links
+            self.servers, settings.region_id, self.broadcast
         )
         self.quarantine = Quarantine()
         self.quarantine_sharing = QuarantineSharing(
@@ -464,6 +468,7 @@
         self._tasks.cancel()
         self.ended_servers.close()
         self.server_paths.close()
+        self.broadcast.close()
         self.quarantine_sharing.close()
         for listener in (
             self.caller_listener,
--- a/jackdawfield/gateway/servers/failures.py
+++ b/jackdawfield/gateway/servers/failures.py
@@ -8,21 +8,18 @@
 import logging
 import time
 
-from jackdawfield.background import BackgroundTasks
-from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
-from jackdawfield.gateway.fleet.members import Members
-from jackdawfield.gateway.fleet.table_sharing import TableSharing
+from jackdawfield.gateway.fleet.broadcast import Broadcast
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_servers import FailureNoted
 from jackdawfield.messages.fleet_servers import ServerEjected
 from jackdawfield.messages.fleet_servers import ServerFailed
+from jackdawfield.model import RegionId
 from jackdawfield.model import ServerId
 
 LOG = logging.getLogger(__name__)
-REPORT_TIMEOUT_S = 0.3
 # An instance at which this many servers fail within OWN_FAULT_S probably has a
 # fault of its own, so it reports none of them.
 OWN_FAULT_SERVERS = 3
@@ -45,16 +42,12 @@
     def __init__(
         self,
         servers: Servers,
-        members: Members,
-        sharing: TableSharing,
-        links: PeerLinks,
+        region_id: RegionId,
+        broadcast: Broadcast,
     ) -> None:
-        self._region_id = members.settings.region_id
+        self._region_id = region_id
         self._servers = servers
-        self._members = members
-        self._sharing = sharing
-        self._links = links
-        self._tasks = BackgroundTasks()
+        self._broadcast = broadcast
         self._failed_at_s_by_id: dict[ServerId, float] = {}
 
     def register(self, server: PeerServer) -> None:
@@ -87,29 +80,19 @@
 
     def _send(self, message: ServerFailed) -> None:
         """Send a report to the members, or to one that passes it on."""
-        if self._members.own_seat is not None:
+        if self._broadcast.is_member:
             self._forward(message)
-            return
-        seat_id = self._members.nearest_seat()
-        if seat_id is not None:
-            row = self._members.rows_by_seat[seat_id]
-            self._spawn_request(row.address, message)
+        else:
+            self._broadcast.to_nearest(message)
 
     def _forward(self, message: ServerFailed) -> None:
-        forwarded = replace(message, is_forwarded=True)
-        for row in self._members.other_rows_by_seat.values():
-            self._spawn_request(row.address, forwarded)
-
-    def _spawn_request(self, address: str, message: object) -> None:
-        self._tasks.spawn(
-            self._links.request(address, message, REPORT_TIMEOUT_S)
-        )
+        self._broadcast.to_members(replace(message, is_forwarded=True))
 
     async def _handle_report(self, message: ServerFailed) -> FailureNoted:
         state = self._state_of(message.server_id, message.started_ms)
         if state is None:
             return FailureNoted()
-        if not message.is_forwarded and self._members.own_seat is not None:
+        if not message.is_forwarded and self._broadcast.is_member:
             self._forward(message)
         is_same_region = message.region_id == self._region_id
         self._count(state, 1.0 if is_same_region else OTHER_REGION_WEIGHT)
@@ -145,8 +128,7 @@
             ejection.nominal_s,
             ejection.consecutive_ejections,
         )
-        for address in self._sharing.follower_addresses():
-            self._spawn_request(address, message)
+        self._broadcast.to_followers(message)
 
 
 def _log_ejection(state: ServerState) -> None:
--- a/tests/gateway/servers/test_failures.py
+++ b/tests/gateway/servers/test_failures.py
@@ -7,6 +7,7 @@
 import asyncio
 import unittest
 
+from jackdawfield.gateway.fleet.broadcast import Broadcast
 from jackdawfield.gateway.fleet.member_rows import MemberRow
 from jackdawfield.gateway.fleet.seats import SeatId
 from jackdawfield.gateway.model import ServerEntry
@@ -92,9 +93,12 @@
         self.members = Members()
         self.reports = FailureReports(
             self.servers,
-            self.members,  # type: ignore[arg-type]
-            Sharing(),  # type: ignore[arg-type]
-            self.links,  # type: ignore[arg-type]
+            self.members.settings.region_id,
+            Broadcast(
+                self.members,  # type: ignore[arg-type]
+                Sharing(),  # type: ignore[arg-type]
+                self.links,  # type: ignore[arg-type]
+            ),
         )
 
     @property
