Keep to the limit that a server names over all instances

Cause: nothing read the header, and the sum over the instances is what binds.

Each request to a server with a limit takes a token, granted by one member for the whole fleet with the buckets of the organisations' rates; tries, resumptions and relayed calls too.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -59,6 +59,7 @@
 from jackdawfield.gateway.servers.reachability import Reachability
 from jackdawfield.gateway.servers.relay_client import RelayClient
 from jackdawfield.gateway.servers.relay_server import RelayServer
+from jackdawfield.gateway.servers.server_limits import ServerLimits
 from jackdawfield.gateway.servers.server_paths import ServerPaths
 from jackdawfield.gateway.servers.server_table import ServerTable
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
@@ -156,6 +157,9 @@
         self.broadcast = Broadcast(
             self.members, self.table_sharing, self.links
         )
+        self.server_limits = ServerLimits(
+            self.servers, self.members, self.links, self.broadcast
+        )
         self._build_server_paths()
         self.failure_reports = FailureReports(
             self.servers, settings.region_id, self.broadcast
@@ -178,10 +182,13 @@
             self.server_pool,
             self.server_paths,
             self._adapter.header_format,
+            self.server_limits,
             self.failure_reports.report,
         )
         guard = CallGuard(self.quarantine, self.ended_servers)
-        self.dispatcher = Dispatcher(self.slot_queue, exchange, guard)
+        self.dispatcher = Dispatcher(
+            self.slot_queue, exchange, guard, self.server_limits
+        )
         self.rate_owner = RateOwner(
             settings.bounds,
             self.members,
@@ -206,6 +213,8 @@
             self.slot_queue,
             self.server_pool,
             self.reachability,
+            self.server_limits,
+            self._adapter.header_format.decode_limit,
             lambda: self.is_stopping,
         )
         self.server_paths = ServerPaths(
@@ -265,6 +274,12 @@
         add_gauge('calls_by_peers', lambda: self.relay_client.opened_count)
         add_gauge('calls_for_peers', lambda: self.relay_server.relayed_count)
         add_gauge('calls_for_peers_open', lambda: self.relay_server.open_count)
+        add_gauge(
+            'servers_with_limit', lambda: self.server_limits.limited_count
+        )
+        add_gauge(
+            'server_tokens_refused', lambda: self.server_limits.refused_count
+        )
         add_gauge('members_known', lambda: len(self.members.rows_by_seat))
         add_gauge('seats_held', lambda: len(self.members.own_seats))
         add_gauge(
@@ -336,6 +351,7 @@
         self.quarantine_sharing.register(self.peers, self.ended_servers)
         self.table_sharing.register(self.peers)
         self.relay_server.register(self.peers)
+        self.server_limits.register(self.peers)
         self.overdraft_lender.register(self.peers)
         self.unused_tokens.register(self.peers, self.accounts)
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
--- a/jackdawfield/gateway/rates/tokens.py
+++ b/jackdawfield/gateway/rates/tokens.py
@@ -63,8 +63,8 @@
         bucket = self._bucket
         bucket.refill(now_s)
         burst = bucket.contract.burst
-        continuing = self._take_with_delays(ask.continuing, CONTINUING_WAIT_S)
-        beginning = self._take_with_delays(ask.beginning, BEGINNING_WAIT_S)
+        continuing = self._take_refilled(ask.continuing, CONTINUING_WAIT_S)
+        beginning = self._take_refilled(ask.beginning, BEGINNING_WAIT_S)
         spare = 0
         if bucket.tokens > SPARE_MIN_SHARE * burst:
             surplus = math.floor(bucket.tokens - SPARE_MIN_SHARE * burst)
@@ -72,22 +72,29 @@
             bucket.tokens -= spare
         retry_s = 0.0
         if len(continuing) < ask.continuing:
-            retry_s = self._refill_wait_s(1.0)
+            retry_s = self.wait_s(1.0)
         elif len(beginning) < ask.beginning:
-            retry_s = self._refill_wait_s(1.0)
+            retry_s = self.wait_s(1.0)
         return TokensGranted(True, continuing, beginning, spare, retry_s)
 
-    def _refill_wait_s(self, tokens: float) -> float:
+    def wait_s(self, tokens: float) -> float:
+        """Return the time until there are tokens, at most MAX_RETRY_S."""
         missing = max(0.0, tokens - self._bucket.tokens)
         return min(MAX_RETRY_S, missing / self._bucket.rate_per_s)
 
-    def _take_with_delays(
-        self, count: int, max_delay_s: float
+    def take(
+        self, count: int, max_delay_s: float, now_s: float
     ) -> tuple[float, ...]:
         """Take up to count tokens that are available within the delay.
 
         Return the delay of each token taken.
         """
+        self._bucket.refill(now_s)
+        return self._take_refilled(count, max_delay_s)
+
+    def _take_refilled(
+        self, count: int, max_delay_s: float
+    ) -> tuple[float, ...]:
         bucket = self._bucket
         delays = []
         for _ in range(count):
--- a/jackdawfield/gateway/servers/choice.py
+++ b/jackdawfield/gateway/servers/choice.py
@@ -13,6 +13,7 @@
 from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.servers.call_queue import ConcurrencyLimit
 from jackdawfield.gateway.servers.ejection import EjectionState
+from jackdawfield.gateway.servers.rate_limit import RateLimit
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
 from jackdawfield.model import ServerId
@@ -67,6 +68,7 @@
     concurrency_limit: ConcurrencyLimit = field(
         default_factory=lambda: ConcurrencyLimit.with_all_slots(1)
     )
+    rate_limit: RateLimit = field(default_factory=RateLimit)
     # Send times of requests whose first body piece is due, by connection id.
     awaiting_since_s_by_connection: dict[int, float] = field(
         default_factory=dict
@@ -241,8 +243,11 @@
             cost += OTHER_REGION_COST_S
         if criteria.preferred_id not in (None, entry.server_id):
             cost += CACHE_MISS_COST_S
+        limit_wait_s = state.rate_limit.wait_s(now_s)
+        cost += limit_wait_s
         rank = -rendezvous_score(criteria.key, entry.server_id)
-        is_full = criteria.needs_slot and not state.has_room
+        has_no_room = criteria.needs_slot and not state.has_room
+        is_full = has_no_room or limit_wait_s > 0
         return is_full, state.full_until_s > now_s, cost, rank
 
 
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -26,6 +26,7 @@
 from jackdawfield.gateway.servers.exchange import Unreached
 from jackdawfield.gateway.servers.guard import CallGuard
 from jackdawfield.gateway.servers.response import ResponseStream
+from jackdawfield.gateway.servers.server_limits import ServerLimits
 from jackdawfield.gateway.servers.slot_queue import RETRY_AFTER_S
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.logs import log_event
@@ -94,8 +95,10 @@
         slot_queue: SlotQueue,
         exchange: ServerExchange,
         guard: CallGuard,
+        limits: ServerLimits,
     ) -> None:
         self._slot_queue = slot_queue
+        self._limits = limits
         self._exchange = exchange
         self._guard = guard
         # Responses whose end only the end of their connection marked.
@@ -126,7 +129,7 @@
                 needs_slot(call),
                 tries.excluded_ids,
             )
-            server = await self._slot_queue.acquire(call, criteria)
+            server = await self._acquire(call, criteria)
             if isinstance(server, Refusal) and not may_have_run:
                 return server
             if server is None or isinstance(server, Refusal):
@@ -156,6 +159,39 @@
             return Failure(502, reason)
         return Refusal(503, reason, RETRY_AFTER_S)
 
+    async def _acquire(
+        self, call: Call, criteria: ServerCriteria
+    ) -> ServerState | Refusal | None:
+        """Return a server with a slot, and a token if it has a limit.
+
+        The call waits for a token only if each server's tokens are used up.
+        """
+        while True:
+            server = await self._slot_queue.acquire(call, criteria)
+            if server is None or isinstance(server, Refusal):
+                return server
+            are_all_out = server.rate_limit.wait_s(time.monotonic()) > 0
+            retry_s = await self._take_token(call, server, are_all_out)
+            if retry_s is None:
+                return server
+            if are_all_out:
+                return Refusal(503, 'servers are at their limits', retry_s)
+
+    async def _take_token(
+        self, call: Call, server: ServerState, may_wait: bool
+    ) -> float | None:
+        """Take a token for a server, or release its slot.
+
+        Return None with a token, else the time until there may be one.
+        """
+        retry_s: float | None = 0.0
+        try:
+            retry_s = await self._limits.take(call, server, may_wait)
+        finally:
+            if retry_s is not None:
+                self._slot_queue.release_unused(server)
+        return retry_s
+
     async def resume(
         self, sent: SentCall, last_event_id: bytes | None, elsewhere: bool
     ) -> SentCall | Failure:
@@ -174,6 +210,10 @@
                 reason = 'its servers ended'
                 break
             self._slot_queue.take(server)
+            if await self._take_token(call, server, True) is not None:
+                reason = 'servers are at their limits'
+                elsewhere = True
+                continue
             outcome = await self._try(
                 call, server, sent.body, tries, last_event_id
             )
--- a/jackdawfield/gateway/servers/exchange.py
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -27,6 +27,7 @@
 from jackdawfield.gateway.servers.reachability import SILENCE_S
 from jackdawfield.gateway.servers.relay_client import RelayedConnection
 from jackdawfield.gateway.servers.response import ResponseStream
+from jackdawfield.gateway.servers.server_limits import ServerLimits
 from jackdawfield.gateway.servers.server_paths import ServerConnection
 from jackdawfield.gateway.servers.server_paths import ServerPaths
 from jackdawfield.logs import log_event
@@ -64,6 +65,8 @@
     not_run: str
     server_stamp: str
     encode: Callable[[ForwardedHeaders], list[tuple[str, str]]]
+    # Returns the limit in requests per second that an answer names.
+    decode_limit: Callable[[ResponseHead], float | None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,12 +114,14 @@
         pool: ConnectionPool,
         paths: ServerPaths,
         header_format: HeaderFormat,
+        limits: ServerLimits,
         report_failure: Callable[[ServerState], None],
     ) -> None:
         self._servers = servers
         self._pool = pool
         self._paths = paths
         self._header_format = header_format
+        self._limits = limits
         self._report_failure = report_failure
 
     async def start(self, attempt: Attempt) -> ExchangeOutcome:
@@ -229,6 +234,9 @@
         if not isinstance(head, ResponseHead):
             return None
         self._record_heard(attempt.server, connection)
+        self._limits.record_answer(
+            attempt.server, self._header_format.decode_limit(head), sent_at_s
+        )
         response = ResponseStream(
             attempt.call,
             attempt.server,
--- a/jackdawfield/gateway/servers/relay_client.py
+++ b/jackdawfield/gateway/servers/relay_client.py
@@ -157,7 +157,7 @@
         self.opened_count = 0
 
     async def open(
-        self, entry: ServerEntry
+        self, entry: ServerEntry, has_token: bool = False
     ) -> Result[RelayedConnection, RelayRefused]:
         """Return a connection through a peer, or why there is none.
 
@@ -165,7 +165,7 @@
         """
         failed_peers = 0
         last = RelayRefused('no peer', False)
-        message = OpenRelay(entry.server_id, entry.started_ms)
+        message = OpenRelay(entry.server_id, entry.started_ms, has_token)
         for peer in self._ranked_peers()[:MAX_PEERS]:
             opened = await self._open_at(peer, message)
             if isinstance(opened, Ok):
--- a/jackdawfield/gateway/servers/relay_server.py
+++ b/jackdawfield/gateway/servers/relay_server.py
@@ -22,6 +22,7 @@
 from jackdawfield.gateway.servers.reachability import CONNECT_TIMEOUT_S
 from jackdawfield.gateway.servers.reachability import Path
 from jackdawfield.gateway.servers.reachability import Reachability
+from jackdawfield.gateway.servers.server_limits import ServerLimits
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_relays import OpenRelay
@@ -70,9 +71,13 @@
         slot_queue: SlotQueue,
         pool: ConnectionPool,
         reachability: Reachability,
+        limits: ServerLimits,
+        decode_limit: Callable[[ResponseHead], float | None],
         is_stopping: Callable[[], bool],
     ) -> None:
         self._slot_queue = slot_queue
+        self._limits = limits
+        self._decode_limit = decode_limit
         self._pool = pool
         self._reachability = reachability
         self._is_stopping = is_stopping
@@ -123,6 +128,11 @@
         if state is None or refusal is not None:
             yield refusal
             return
+        if not message.has_token and not await self._limits.take_for_peer(
+            state
+        ):
+            yield RelayRefused('server is at its limit', False)
+            return
         entry = state.entry
         acquired = await self._pool.acquire(
             entry.host, entry.port, CONNECT_TIMEOUT_S
@@ -139,7 +149,7 @@
         self.relayed_count += 1
         try:
             yield RelayReady(relay_id)
-            async for answer in self._relay(relay, connection):
+            async for answer in self._relay(state, relay, connection):
                 yield answer
         finally:
             # One that has not ended whole is closed.
@@ -148,7 +158,7 @@
             del self._relays_by_id[relay_id]
 
     async def _relay(
-        self, relay: _Relay, connection: Connection
+        self, state: ServerState, relay: _Relay, connection: Connection
     ) -> AsyncIterator[object]:
         try:
             async with asyncio.timeout(REQUEST_TIMEOUT_S):
@@ -157,6 +167,7 @@
             log_event(LOG, 'relay_without_request', logging.WARNING)
             yield RelayEnd(BodyEnd.CUT.value, 'no request', True, False)
             return
+        sent_at_s = time.monotonic()
         sent = connection.send(request)
         if isinstance(sent, Err):
             reason = sent.err_value.reason
@@ -166,6 +177,9 @@
             await relay.wait_for_window()
             match await connection.next_part():
                 case ResponseHead() as head:
+                    self._limits.record_answer(
+                        state, self._decode_limit(head), sent_at_s
+                    )
                     yield RelayHead(
                         head.status,
                         head.reason,
--- a/jackdawfield/gateway/servers/server_paths.py
+++ b/jackdawfield/gateway/servers/server_paths.py
@@ -103,7 +103,7 @@
         self, entry: ServerEntry, refused_reason: str = ''
     ) -> Result[ServerConnection, NotConnected]:
         """Connect through a peer, after this instance was refused or not."""
-        opened = await self._relays.open(entry)
+        opened = await self._relays.open(entry, self._has_limit(entry))
         if isinstance(opened, Ok):
             if refused_reason:
                 self._record_lost_path(entry, is_refused=True)
@@ -122,6 +122,13 @@
         reason = refused_reason or refused.reason
         return Err(NotConnected(reason, is_server_fault))
 
+    def _has_limit(self, entry: ServerEntry) -> bool:
+        """Return whether a token was taken, as for each known limit."""
+        state = self._servers.by_id.get(entry.server_id)
+        if state is None:
+            return False
+        return state.rate_limit.current(time.monotonic()) is not None
+
     async def _ask_peers(self, entry: ServerEntry) -> None:
         """Ask whether peers reach a server that did not answer here."""
         address = (entry.host, entry.port)
--- a/jackdawfield/gateway/servers/slot_queue.py
+++ b/jackdawfield/gateway/servers/slot_queue.py
@@ -105,7 +105,10 @@
 
     def release(self, server: ServerState) -> None:
         """Release a slot and assign it to the next queued call."""
+        self._queue_of(server.entry.service).record_end(time.monotonic())
+        self.release_unused(server)
+
+    def release_unused(self, server: ServerState) -> None:
+        """Release a slot for which no call was sent."""
         server.in_flight -= 1
-        service = server.entry.service
-        self._queue_of(service).record_end(time.monotonic())
-        self._assign_slots(service)
+        self._assign_slots(server.entry.service)
--- a/jackdawfield/messages/fleet_relays.py
+++ b/jackdawfield/messages/fleet_relays.py
@@ -18,6 +18,8 @@
     server_id: ServerId
     # Distinguishes a server from a later one with the same id.
     started_ms: int
+    # Whether the sender knows of the server's limit and has taken a token.
+    has_token: bool = False
 
 
 @message
--- a/jackdawfield/platform/headers.py
+++ b/jackdawfield/platform/headers.py
@@ -1,15 +1,20 @@
 """Define the platform's headers, their decoding and their encoding."""
 
 from collections.abc import Iterable
+import logging
+import re
 
 from jackdawfield.decoding import parse_count
 from jackdawfield.gateway.calls import CallHeaders
 from jackdawfield.gateway.calls import CONNECTION_HEADERS
 from jackdawfield.gateway.calls import ForwardedHeaders
+from jackdawfield.gateway.http.connection import ResponseHead
 from jackdawfield.gateway.model import TurnId
+from jackdawfield.logs import log_event
 from jackdawfield.model import ProgramId
 from jackdawfield.platform.settings import MS_PER_S
 
+LOG = logging.getLogger(__name__)
 PREFIX = 'x-jackdawfield-'
 REQUEST_ID = PREFIX + 'request-id'
 DEADLINE = PREFIX + 'deadline-ms'
@@ -27,6 +32,9 @@
 NOT_RUN = PREFIX + 'not-executed'
 SERVER_STAMP = PREFIX + 'server-stamp'
 LAST_EVENT = 'last-event-id'
+# Requests per second that a server takes from all instances together.
+SERVER_LIMIT = 'server-limit'
+LIMIT_NUMBER = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 
 # Set on requests to backend servers by the gateway only; a caller's headers of
 # these names are not forwarded.
@@ -58,6 +66,22 @@
     return _decode_number(first) or 0, _decode_number(second) or 0
 
 
+def decode_limit(head: ResponseHead) -> float | None:
+    """Decode the limit that a server names, in requests per second.
+
+    Of several, the lowest counts; what is no decimal number is no limit.
+    """
+    limits = []
+    for name, value in head.headers:
+        if name.lower() != SERVER_LIMIT:
+            continue
+        if LIMIT_NUMBER.fullmatch(value) is None:
+            log_event(LOG, 'server_limit_unreadable', value=value[:40])
+            continue
+        limits.append(float(value))
+    return min(limits, default=None)
+
+
 def decode_headers(pairs: Iterable[tuple[str, str]]) -> CallHeaders:
     """Decode the headers of a caller's request.
 
--- a/tests/gateway/servers/test_dispatch.py
+++ b/tests/gateway/servers/test_dispatch.py
@@ -10,6 +10,7 @@
 from jackdawfield.gateway.calls import ForwardedHeaders
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.connection import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import CallKind
@@ -34,6 +35,7 @@
 from tests.gateway.scripted_server import ReceivedRequest
 from tests.gateway.scripted_server import Script
 from tests.gateway.scripted_server import ScriptedServer
+from tests.gateway.servers.limits import lone_limits
 from tests.gateway.servers.paths import lone_paths
 
 SERVICE = ServiceName('service')
@@ -48,7 +50,14 @@
     ] + [('X-Left', left_ms)]
 
 
-HEADER_FORMAT = HeaderFormat('x-id', 'x-not-run', 'x-sign', encode)
+def decode_limit(head: ResponseHead) -> float | None:
+    value = head.get('x-limit')
+    return float(value) if value is not None else None
+
+
+HEADER_FORMAT = HeaderFormat(
+    'x-id', 'x-not-run', 'x-sign', encode, decode_limit
+)
 
 
 def make_call(
@@ -165,14 +174,20 @@
         slot_queue = SlotQueue(servers, GatewayMetrics('i'))
         paths = lone_paths(servers, self.pool)
         self.addCleanup(paths.close)
+        limits = lone_limits(servers)
         exchange = ServerExchange(
-            servers, self.pool, paths, HEADER_FORMAT, self.reported.append
+            servers,
+            self.pool,
+            paths,
+            HEADER_FORMAT,
+            limits,
+            self.reported.append,
         )
         quarantine = Quarantine()
         ended = EndedServers(servers, paths, quarantine, lambda: None)
         self.addCleanup(ended.close)
         guard = CallGuard(quarantine, ended)
-        self.dispatcher = Dispatcher(slot_queue, exchange, guard)
+        self.dispatcher = Dispatcher(slot_queue, exchange, guard, limits)
         return await self.dispatcher.start(call, SERVICE, b'body', None)
 
     @property
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -248,6 +248,28 @@
         answer = await self.fleet.call(self.first, 'r', '/tool/x')
         self.assertEqual(answer.status, 503)
 
+    # Guards against a limit that calls pass through a peer, from an instance
+    # that has not heard of it.
+    async def test_relayed_calls_keep_to_a_servers_limit(self) -> None:
+        await self.lose_all_paths(self.first)
+        now_s = time.monotonic()
+        for gateway in (self.second, self.third):
+            for state in gateway.servers.by_id.values():
+                state.rate_limit.record_named(1.0, now_s)
+        before = self.request_count
+        answers = await asyncio.gather(
+            *(
+                self.fleet.call(self.first, f'r{number}', '/tool/x')
+                for number in range(8)
+            )
+        )
+        self.assertLessEqual(self.request_count - before, MODEL_SERVERS)
+        self.assertEqual(
+            sum(answer.status == 200 for answer in answers),
+            self.request_count - before,
+        )
+        self.assertLessEqual({a.status for a in answers}, {200, 503})
+
     async def test_slots_of_relayed_calls_count_where_they_are_taken(
         self,
     ) -> None:
