Carry a request over one connection once only

A connection remembers the last 32 requests that it carried; the pool closes one that has carried the request to be sent, and the connection itself refuses to. An answer without an id, with another id, or with bytes after it was safe before.

--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -33,6 +33,8 @@
 # An idle connection is closed this long before the server would close it.
 IDLE_MARGIN_S = 0.7
 READ_PAUSE_BYTES = 262144
+# Requests that a connection remembers, so as to carry none of them again.
+CARRIED_KEPT = 32
 # Errors by which the kernel gives up on a peer.
 UNREACHED_ERRORS = frozenset(
     (errno.ETIMEDOUT, errno.EHOSTUNREACH, errno.ENETUNREACH)
@@ -132,6 +134,7 @@
         self._framing = Framing.LENGTH
         self._is_late_response = False
         self._skipped_responses = 0
+        self._carried: deque[str] = deque(maxlen=CARRIED_KEPT)
         # Whether an earlier request was carried.
         self._is_reused = False
         self._has_ended = False
@@ -299,10 +302,21 @@
             return False
         return has_unread_input(sock.fileno())
 
+    def has_carried(self, echo_value: str) -> bool:
+        """Return whether a request with this value was carried before."""
+        return bool(echo_value) and echo_value in self._carried
+
     def send(self, request: OutgoingRequest) -> Result[None, ExchangeError]:
-        """Write a request; on an error none of it was sent."""
+        """Write a request; on an error none of it was sent.
+
+        A request that the connection has carried before is not written: a
+        late copy of its first response could not be told from the second.
+        """
+        if self.has_carried(request.echo_value):
+            self.abort('has carried this request before')
         if not self.is_usable or self._transport is None:
             return Err(ExchangeError(Fault.NOT_SENT, self.lost_reason))
+        self._carried.append(request.echo_value)
         data = encode_request(self._parser, request)
         self._request = request
         self._has_ended = False
--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -40,14 +40,21 @@
             return Ok(idle)
         return await self.open(host, port, timeout_s)
 
-    def take_idle(self, host: str, port: int) -> Connection | None:
-        """Return an idle connection that can be used, None without one."""
+    def take_idle(
+        self, host: str, port: int, echo_value: str = ''
+    ) -> Connection | None:
+        """Return an idle connection that can be used, None without one.
+
+        One that has carried the request with this echo value is closed.
+        """
         now_s = time.monotonic()
         idle = self._idle_by_address.get((host, port), [])
         while idle:
             connection = idle.pop()
             if not can_be_reused(connection, now_s):
                 connection.abort('idle for too long')
+            elif connection.has_carried(echo_value):
+                connection.abort('has carried this request before')
             elif connection.has_unread_input:
                 connection.abort('closed by the server, or late bytes')
             else:
--- a/jackdawfield/gateway/servers/exchange.py
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -127,7 +127,7 @@
     async def start(self, attempt: Attempt) -> ExchangeOutcome:
         """Send a request once and return its outcome."""
         call, server = attempt.call, attempt.server
-        connected = await self._paths.connect(server.entry)
+        connected = await self._paths.connect(server.entry, call.request_id)
         now_s = time.monotonic()
         if isinstance(connected, Err):
             error = connected.err_value
--- a/jackdawfield/gateway/servers/server_paths.py
+++ b/jackdawfield/gateway/servers/server_paths.py
@@ -63,24 +63,27 @@
         self._asked_about: set[Address] = set()
 
     async def connect(
-        self, entry: ServerEntry
+        self, entry: ServerEntry, request_id: str = ''
     ) -> Result[ServerConnection, NotConnected]:
-        """Return a connection to a server by the way that is open."""
+        """Return a connection to a server by the way that is open.
+
+        It has not carried the request before.
+        """
         address = (entry.host, entry.port)
         match self._reachability.path(address):
             case Path.DIRECT:
-                return await self._connect_directly(entry)
+                return await self._connect_directly(entry, request_id)
             case Path.KEPT:
-                kept = self._pool.take_idle(entry.host, entry.port)
+                kept = self._pool.take_idle(entry.host, entry.port, request_id)
                 if kept is not None:
                     return Ok(kept)
         return await self._connect_by_peer(entry)
 
     async def _connect_directly(
-        self, entry: ServerEntry
+        self, entry: ServerEntry, request_id: str
     ) -> Result[ServerConnection, NotConnected]:
         address = (entry.host, entry.port)
-        kept = self._pool.take_idle(entry.host, entry.port)
+        kept = self._pool.take_idle(entry.host, entry.port, request_id)
         if kept is not None:
             return Ok(kept)
         asked_at_s = time.monotonic()
--- a/tests/gateway/http/test_connection.py
+++ b/tests/gateway/http/test_connection.py
@@ -77,6 +77,52 @@
             self.assertEqual(outcome, (200, b'ok', BodyEnd.WHOLE))
         self.assertEqual(server.connections, 1)
 
+    # Guards against the refusal of an earlier try that is taken as the answer
+    # to a later one of the same request, which may run.
+    async def test_connection_carries_a_request_once(self) -> None:
+        async def refuse_twice(received: ReceivedRequest) -> None:
+            refusal = received.answer(b'', '503 Service Unavailable')
+            received.writer.write(refusal)
+            if received is server.requests[0]:
+                return
+            await received.writer.drain()
+
+        server = await self.serve(refuse_twice)
+        connection = await self.connect(server)
+        connection.send(request('a')).unwrap()
+        self.assertEqual((await read(connection))[0], 503)
+        self.pool.release(HOST, server.port, connection)
+        again = await self.connect(server)
+        self.assertIs(again, connection)
+        sent = again.send(request('a'))
+        assert isinstance(sent, Err), sent
+        self.assertIs(sent.err_value.fault, Fault.NOT_SENT)
+        self.assertEqual(len(server.requests), 1)
+        # Another request goes over a connection of its own.
+        outcome = await self.exchange(server, 'b')
+        self.assertEqual(outcome[0], 503)
+
+    # Guards against a head that stops in the middle and counts as one without
+    # a body, or with a short one.
+    async def test_head_that_stops_at_any_byte_is_no_answer(self) -> None:
+        whole = answer('a', b'ok')
+        head_size = whole.index(b'ok')
+        for size in range(head_size):
+
+            async def stop(
+                received: ReceivedRequest, size: int = size
+            ) -> None:
+                received.writer.write(whole[:size])
+                await received.writer.drain()
+                received.writer.close()
+
+            server = await ScriptedServer(stop).start()
+            connection = await self.connect(server)
+            connection.send(request('a')).unwrap()
+            outcome = await read(connection)
+            self.assertEqual(outcome, (0, b'', BodyEnd.CUT), whole[:size])
+            await server.stop()
+
     async def test_closes_a_connection_with_surplus_bytes(self) -> None:
         async def script(received: ReceivedRequest) -> None:
             received.writer.write(
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -82,7 +82,7 @@
         gateway.server_pool.open = fail
         if not is_refused:
             # Kept connections hang, too; here they are not used.
-            gateway.server_pool.take_idle = lambda _, __: None
+            gateway.server_pool.take_idle = lambda *_: None
 
     def heal(self, gateway: Gateway) -> None:
         del gateway.server_pool.open
