Test the HTTP client with a head that stops at any byte

It can't happen here: the test did not fail, as those of the gateway's connections. What a caller gets is a 502, or another try's answer.

--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -77,6 +77,12 @@
 
     # Guards against half an answer that counts as a whole one: a server that
     # crashes closes its connections like one that has ended its answer.
+    async def test_head_that_stops_at_any_byte_is_lost(self) -> None:
+        whole = HEAD + b'X-A: b\r\nContent-Length: 0\r\n\r\n'
+        for size in range(len(whole)):
+            with self.subTest(size=size):
+                self.assert_lost(await self.answer(whole[:size], close))
+
     async def test_answer_without_length_is_lost(self) -> None:
         for end in (close, reset):
             self.assert_lost(await self.answer(HEAD + b'\r\nok', end))
