Soak: let a server name a limit

A new check, 'limits of servers': from 4 s after it first did, it gets at most half as much again and 5 more in any 4 s, all instances counted, restarted ones too.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -17,6 +17,7 @@
 from soak.scenario import ENDING_BODY
 from soak.scenario import HEADER_PREFIX
 from soak.scenario import plain_body
+from soak.scenario import SERVER_LIMIT_PER_S
 from soak.scenario import turn_events
 
 EVENT_INTERVAL_S = 0.015
@@ -36,6 +37,7 @@
     REFUSING = 'refuses every call'
     TRUNCATING = 'cuts its answers'
     EXTRA_RESPONSES = 'sends answers that nobody asked for'
+    LIMITED = 'names a limit in its answers'
     UNFRAMED = 'ends its answers with the connection, some early'
 
 
@@ -69,6 +71,8 @@
         request_id = self._header('Request-Id')
         self.set_header(HEADER_PREFIX + 'Request-Id', request_id)
         self.set_header(HEADER_PREFIX + 'Server-Stamp', self.backend.server_id)
+        if self._is_active(Misbehaviour.LIMITED):
+            self.set_header('Server-Limit', f'{SERVER_LIMIT_PER_S}')
         if self._header('Expect-Instance') != self.backend.server_id:
             self.set_status(421)
             return
@@ -84,6 +88,7 @@
             self._header('Program-Id'),
             time.monotonic(),
             short_digest(self.request.body),
+            server_id=self.backend.server_id,
         )
         self.backend.runs.append(run)
         if self.request.body.endswith(ENDING_BODY) and self.backend.end:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,9 @@
 from soak.scenario import ENDS_UNTIL_KNOWN
 from soak.scenario import IN_FORCE_S
 from soak.scenario import IN_TOUCH_S
+from soak.scenario import LIMIT_SLACK_CALLS
+from soak.scenario import LIMIT_TOLERANCE_RATIO
+from soak.scenario import LIMIT_WINDOW_S
 from soak.scenario import LIMITED_ORGANISATION
 from soak.scenario import MAX_RUNS_ONCE_KNOWN
 from soak.scenario import MAX_TOKENS_PER_TURN
@@ -32,6 +35,7 @@
 from soak.scenario import RATE_WINDOW_S
 from soak.scenario import RECOVERY_LIMIT_S
 from soak.scenario import SAMPLE_MARGIN_S
+from soak.scenario import SERVER_LIMIT_PER_S
 from soak.scenario import STOP_GRACE_S
 from soak.scenario import TOKENS_PER_EVENT
 from soak.scenario import UNLIMITED_ORGANISATION
@@ -279,6 +283,38 @@
                 )
 
 
+def find_exceeded_limits(record: Record) -> Details:
+    """Find servers that got more than the limit that they named.
+
+    A server that restarted meanwhile holds a new limit, and is excepted.
+    """
+    allowed = LIMIT_SLACK_CALLS + (
+        (1 + LIMIT_TOLERANCE_RATIO) * LIMIT_WINDOW_S * SERVER_LIMIT_PER_S
+    )
+    for interval in record.limit_intervals:
+        start_s = interval.start_s + IN_TOUCH_S
+        ends_s = [
+            end.at_s
+            for end in record.server_ends
+            if end.server_id == interval.server_id
+        ]
+        runs_s = [
+            run.at_s
+            for run in record.runs
+            if run.server_id == interval.server_id
+            and start_s <= run.at_s <= interval.end_s
+        ]
+        for at_s in runs_s:
+            end_s = at_s + LIMIT_WINDOW_S
+            count = sum(at_s <= other_s < end_s for other_s in runs_s)
+            has_restarted = any(
+                at_s - IN_TOUCH_S <= ended_s <= end_s for ended_s in ends_s
+            )
+            if count > allowed and not has_restarted:
+                yield f'{interval.server_id} got {count} calls in a window'
+                break
+
+
 def find_configuration_rollbacks(record: Record) -> Details:
     """Find instances that returned to an earlier configuration.
 
@@ -460,6 +496,7 @@
     'rates': find_rate_overruns,
     'withdrawn keys': find_late_key_use,
     'changes in force': find_late_configurations,
+    'limits of servers': find_exceeded_limits,
     'configuration never back': find_configuration_rollbacks,
     'planned stops cut nothing': find_calls_cut_by_stop,
     'requests read are answered': find_dropped_requests,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,7 @@
 from soak.proxy import FaultProxy
 from soak.proxy import LinkFault
 from soak.record import FaultInterval
+from soak.record import LimitInterval
 from soak.record import Record
 from soak.record import ServerEnd
 from soak.scenario import build_configuration
@@ -102,6 +103,7 @@
             FaultKind.SERVER_TRUNCATING: self._make_server_misbehave,
             FaultKind.SERVER_EXTRA_RESPONSES: self._make_server_misbehave,
             FaultKind.SERVER_UNFRAMED: self._make_server_misbehave,
+            FaultKind.SERVER_LIMITED: self._name_limit,
             FaultKind.SERVER_PATHS_CUT: self._cut_from_servers,
             FaultKind.SERVER_DRAINING: self._remove_server,
             FaultKind.SERVER_ENDING: self._let_request_end_servers,
@@ -290,6 +292,16 @@
         backend.misbehaviours.discard(misbehaviour)
         self._record_interval(fault, None, start_s)
 
+    async def _name_limit(self, fault: Fault) -> None:
+        backend = self._target_backend(fault)[0]
+        start_s = time.monotonic()
+        backend.misbehaviours.add(Misbehaviour.LIMITED)
+        await asyncio.sleep(fault.lasts_s)
+        backend.misbehaviours.discard(Misbehaviour.LIMITED)
+        self._record.limit_intervals.append(
+            LimitInterval(backend.server_id, start_s, time.monotonic())
+        )
+
     def _write_server_row(
         self, backend: Backend, proxy: FaultProxy, is_draining: bool
     ) -> None:
--- a/soak/record.py
+++ b/soak/record.py
@@ -39,6 +39,16 @@
     body_digest: str
     # Events sent so far; an interrupted stream has fewer than planned.
     events: int = 0
+    server_id: str = ''
+
+
+@dataclass(frozen=True, slots=True)
+class LimitInterval:
+    """Holds when a server named a limit in its answers."""
+
+    server_id: str
+    start_s: float
+    end_s: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,6 +130,7 @@
     server_ends: list[ServerEnd] = field(default_factory=list)
     version_samples: list[VersionSample] = field(default_factory=list)
     fault_intervals: list[FaultInterval] = field(default_factory=list)
+    limit_intervals: list[LimitInterval] = field(default_factory=list)
     # Name of the instance and time of its SIGTERM.
     planned_stops: list[tuple[str, float]] = field(default_factory=list)
     withdrawn_at_s_by_key: dict[str, float] = field(default_factory=dict)
--- a/soak/scenario.py
+++ b/soak/scenario.py
@@ -32,6 +32,12 @@
 # in which its version is read from an instance.
 IN_FORCE_S = 2.5
 SAMPLE_MARGIN_S = 0.3
+# Requests per second that a server with a limit takes from all instances; in
+# a window it tolerates so much more.
+SERVER_LIMIT_PER_S = 8.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_TOLERANCE_RATIO = 0.5
+LIMIT_SLACK_CALLS = 5
 STOP_GRACE_S = 5.0
 # Time limit after the last fault for calls to succeed again.
 RECOVERY_LIMIT_S = 2.0
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -34,6 +34,7 @@
     SERVER_REFUSING = 'server refusing'
     SERVER_TRUNCATING = 'server cutting answers'
     SERVER_EXTRA_RESPONSES = 'server sending extra answers'
+    SERVER_LIMITED = 'server names a limit'
     SERVER_DRAINING = 'server leaving'
     SERVER_ENDING = 'server ended by a request'
     SERVER_UNFRAMED = 'server ends answers with the connection'
@@ -50,6 +51,7 @@
     FaultKind.SERVER_PATHS_CUT,
     FaultKind.STOP_SERIES,
     FaultKind.STORE_SILENT,
+    FaultKind.SERVER_LIMITED,
 )
 # Relative frequency of each other kind in a schedule.
 WEIGHTS_BY_KIND = {
@@ -65,6 +67,8 @@
 STOP_SERIES_SHARE = 0.5
 # Longest time in which servers end their answers with the connection.
 MAX_UNFRAMED_S = 4.0
+# Shortest time for which a server names a limit.
+MIN_LIMITED_S = 9.0
 # Share of runs with an instance that is cut from all servers, and the latest
 # begin of that before the last fault ends. It lasts until the run's end, as
 # its callers are served through others.
@@ -111,6 +115,7 @@
         kind = FaultKind.SERVER_PATHS_CUT
         faults.append(Fault(kind, at_s, length_s - at_s, rng.randrange(1000)))
     faults.append(_draw_silence(seed, faults_end_s))
+    faults.append(_draw_limit(seed, faults_end_s))
     if has_ending_request:
         lasts_s = faults_end_s - FIRST_FAULT_S - SERVER_RESTART_S
         kind = FaultKind.SERVER_ENDING
@@ -125,6 +130,15 @@
     return Fault(FaultKind.STORE_SILENT, at_s, 0.0, rng.randrange(1000))
 
 
+def _draw_limit(seed: int, faults_end_s: float) -> Fault:
+    # A generator of its own keeps the other faults of a seed as they are.
+    rng = random.Random(f'{seed} limit')
+    latest_s = max(FIRST_FAULT_S, faults_end_s - MIN_LIMITED_S)
+    at_s = rng.uniform(FIRST_FAULT_S, latest_s)
+    kind = FaultKind.SERVER_LIMITED
+    return Fault(kind, at_s, faults_end_s - at_s, rng.randrange(1000))
+
+
 def _draw_short_faults(seed: int, length_s: float) -> list[Fault]:
     rng = random.Random(seed)
     kinds = list(WEIGHTS_BY_KIND)
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -28,6 +28,7 @@
 from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.guard import CallGuard
 from jackdawfield.gateway.servers.relay_client import RelayClient
+from jackdawfield.gateway.servers.server_limits import ServerLimits
 from jackdawfield.gateway.storage.measured import MeasuredStore
 from jackdawfield.gateway.storage.rows import RowConflict
 from jackdawfield.gateway.streams.progress import Complete
@@ -246,6 +247,15 @@
     _patch(SharedTables, 'await_changes', await_changes)
 
 
+def ignore_server_limits() -> None:
+    """Send calls to servers with a limit without a token."""
+
+    async def take(*_: Any) -> None:
+        return None
+
+    _patch(ServerLimits, 'take', take)
+
+
 VARIANTS_BY_NAME: dict[str, Callable[[], None]] = {
     'repeat-lost-calls': repeat_lost_calls,
     'refuse-lost-calls': refuse_lost_calls,
@@ -264,4 +274,5 @@
     'give-store-up': give_store_up,
     'stay-cut': stay_cut,
     'wait-on-silent-connections': wait_on_silent_connections,
+    'ignore-server-limits': ignore_server_limits,
 }
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,6 +6,7 @@
 from soak.checks import find_violations
 from soak.record import CallClass
 from soak.record import FaultInterval
+from soak.record import LimitInterval
 from soak.record import Outcome
 from soak.record import Record
 from soak.record import Run
@@ -232,6 +233,16 @@
         )
         self.assertEqual(find_violations(checked_record), [])
 
+    def test_server_gets_more_than_its_limit(self) -> None:
+        runs = tuple(run(f'r{n}', 20 + n * 0.05) for n in range(60))
+        for one in runs:
+            one.server_id = 's0'
+        checked_record = record(runs=runs)
+        checked_record.limit_intervals = [LimitInterval('s0', 12.0, 30.0)]
+        self.assert_violated(checked_record, 'limits of servers')
+        checked_record.limit_intervals = [LimitInterval('s1', 12.0, 30.0)]
+        self.assertEqual(find_violations(checked_record), [])
+
     def test_configuration_version_decreases(self) -> None:
         checked_record = record()
         checked_record.version_samples = [
