Soak: name the limit in unframed answers too

Traced: the answers that only the connection ends are written by hand, without the header, so the server had said that its limit was over while the check thought that it held. The check stays; the stand-in names the limit in every answer.

--- a/soak/backend.py
+++ b/soak/backend.py
@@ -129,8 +129,10 @@
             case 1:
                 parts[-1:] = [part[: len(part) // 2] for part in parts[-1:]]
         content_type = 'text/event-stream' if is_stream else 'text/plain'
+        limit = self._headers.get('Server-Limit')
+        named = f'Server-Limit: {limit}\r\n' if limit else ''
         head = (
-            f'HTTP/1.1 200 OK\r\n{HEADER_PREFIX}Request-Id:'
+            f'HTTP/1.1 200 OK\r\n{named}{HEADER_PREFIX}Request-Id:'
             f' {run.request_id}\r\n{HEADER_PREFIX}Server-Stamp:'
             f' {self.backend.server_id}\r\nContent-Type:'
             f' {content_type}\r\n\r\n'
