Take tokens ahead in one place, for organisations' rates and servers' limits

The limits of servers had used the rates' bucket, which servers must not import (test_layout failed). Its pure part is DelayedTokens in decisions; how long a call may be held for a token is told by the call.

--- a/jackdawfield/gateway/calls.py
+++ b/jackdawfield/gateway/calls.py
@@ -27,6 +27,12 @@
 )
 
 
+# Longest time that a request is held for a token instead of being refused.
+# A request within a program is held longer, since a refusal ends the program.
+CONTINUING_WAIT_S = 0.8
+BEGINNING_WAIT_S = 0.1
+
+
 class Stage(Enum):
     """Names the step that a call in progress is waiting for."""
 
@@ -91,6 +97,20 @@
     arrived_at_s: float
     deadline_s: float
 
+    @property
+    def begins_program(self) -> bool:
+        """Return whether it starts a program or belongs to none."""
+        if self.headers.program_id is None:
+            return True
+        return self.route.keeps_turns and self.headers.previous_turn is None
+
+    @property
+    def token_wait_s(self) -> float:
+        """Return how long it may be held for a token."""
+        if self.begins_program:
+            return BEGINNING_WAIT_S
+        return CONTINUING_WAIT_S
+
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
--- a/jackdawfield/gateway/rates/admission.py
+++ b/jackdawfield/gateway/rates/admission.py
@@ -84,7 +84,7 @@
             account = _Account(now_s)
             self._accounts_by_id[organisation_id] = account
         account.local_tokens.demand.record_arrival(now_s)
-        begins = begins_program(call)
+        begins = call.begins_program
         if not begins and account.local_tokens.take_spare(now_s):
             return None
         early_refusal = self._recent_refusal(account, begins, now_s)
@@ -289,13 +289,6 @@
         return await self._ask_owner(ask)
 
 
-def begins_program(call: Call) -> bool:
-    """Return whether a request starts a program or belongs to none."""
-    if call.headers.program_id is None:
-        return True
-    return call.route.keeps_turns and call.headers.previous_turn is None
-
-
 def resolve_after(waiter: _Waiter, delay_s: float) -> None:
     """Admit a request after the delay of its token."""
     if delay_s <= 0:
--- a/jackdawfield/gateway/rates/tokens.py
+++ b/jackdawfield/gateway/rates/tokens.py
@@ -9,19 +9,16 @@
 from dataclasses import dataclass
 import math
 
-from jackdawfield.decisions.buckets import Bucket
 from jackdawfield.decisions.buckets import Contract
 from jackdawfield.decisions.buckets import DemandMeter
-from jackdawfield.decisions.buckets import PARTS_PER_CONTRACT
+from jackdawfield.decisions.delayed_tokens import DelayedTokens
+from jackdawfield.gateway.calls import BEGINNING_WAIT_S
+from jackdawfield.gateway.calls import CONTINUING_WAIT_S
 from jackdawfield.gateway.model import Organisation
 from jackdawfield.gateway.model import PromisedLimits
 from jackdawfield.messages.fleet_rates import AskTokens
 from jackdawfield.messages.fleet_rates import TokensGranted
 
-# Longest time that a request is held for a token instead of being refused.
-# A request within a program is held longer, since a refusal ends the program.
-CONTINUING_WAIT_S = 0.8
-BEGINNING_WAIT_S = 0.1
 # Spare tokens are granted only while the bucket is above this share of the
 # burst.
 SPARE_MIN_SHARE = 0.5
@@ -30,8 +27,6 @@
 # Share of the tolerated overshoot that the instances together may admit while
 # they cannot reach the owner.
 FALLBACK_SHARE = 0.8
-# Limit of the time after which a refused request may be retried.
-MAX_RETRY_S = 2.0
 
 
 def contract_from(organisation: Organisation) -> Contract:
@@ -46,66 +41,34 @@
     def __init__(
         self, contract: Contract, tokens: float, now_s: float
     ) -> None:
-        self._bucket = Bucket(contract, PARTS_PER_CONTRACT, tokens, now_s)
+        self._delayed = DelayedTokens(contract, tokens, now_s)
 
     @property
     def tokens(self) -> float:
         """Return the number of tokens as of the last refill."""
-        return self._bucket.tokens
+        return self._delayed.tokens
 
     def change_contract(self, contract: Contract, now_s: float) -> None:
         """Apply a changed contract and limit the tokens to its burst."""
-        if contract != self._bucket.contract:
-            self._bucket.change_contract(contract, now_s)
+        self._delayed.change_contract(contract, now_s)
 
     def grant(self, ask: AskTokens, now_s: float) -> TokensGranted:
         """Grant an instance as many of the requested tokens as there are."""
-        bucket = self._bucket
-        bucket.refill(now_s)
-        burst = bucket.contract.burst
-        continuing = self._take_refilled(ask.continuing, CONTINUING_WAIT_S)
-        beginning = self._take_refilled(ask.beginning, BEGINNING_WAIT_S)
+        delayed = self._delayed
+        bucket = delayed.bucket
+        continuing = delayed.take(ask.continuing, CONTINUING_WAIT_S, now_s)
+        beginning = delayed.take(ask.beginning, BEGINNING_WAIT_S, now_s)
+        kept = SPARE_MIN_SHARE * bucket.contract.burst
         spare = 0
-        if bucket.tokens > SPARE_MIN_SHARE * burst:
-            surplus = math.floor(bucket.tokens - SPARE_MIN_SHARE * burst)
-            spare = min(ask.spare, surplus)
+        if bucket.tokens > kept:
+            spare = min(ask.spare, math.floor(bucket.tokens - kept))
             bucket.tokens -= spare
-        retry_s = 0.0
-        if len(continuing) < ask.continuing:
-            retry_s = self.wait_s(1.0)
-        elif len(beginning) < ask.beginning:
-            retry_s = self.wait_s(1.0)
+        are_refused = (
+            len(continuing) < ask.continuing or len(beginning) < ask.beginning
+        )
+        retry_s = delayed.wait_s(1.0) if are_refused else 0.0
         return TokensGranted(True, continuing, beginning, spare, retry_s)
 
-    def wait_s(self, tokens: float) -> float:
-        """Return the time until there are tokens, at most MAX_RETRY_S."""
-        missing = max(0.0, tokens - self._bucket.tokens)
-        return min(MAX_RETRY_S, missing / self._bucket.rate_per_s)
-
-    def take(
-        self, count: int, max_delay_s: float, now_s: float
-    ) -> tuple[float, ...]:
-        """Take up to count tokens that are available within the delay.
-
-        Return the delay of each token taken.
-        """
-        self._bucket.refill(now_s)
-        return self._take_refilled(count, max_delay_s)
-
-    def _take_refilled(
-        self, count: int, max_delay_s: float
-    ) -> tuple[float, ...]:
-        bucket = self._bucket
-        delays = []
-        for _ in range(count):
-            missing = max(0.0, 1 - bucket.tokens)
-            delay_s = missing / bucket.rate_per_s
-            if delay_s > max_delay_s:
-                break
-            bucket.tokens -= 1
-            delays.append(delay_s)
-        return tuple(delays)
-
 
 @dataclass(frozen=True, slots=True)
 class FallbackRate:
--- a/jackdawfield/gateway/servers/limit_buckets.py
+++ b/jackdawfield/gateway/servers/limit_buckets.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from jackdawfield.decisions.buckets import Contract
-from jackdawfield.gateway.rates.tokens import RateBucket
+from jackdawfield.decisions.delayed_tokens import DelayedTokens
 from jackdawfield.messages.fleet_limits import AskServerToken
 from jackdawfield.messages.fleet_limits import ServerTokenAnswer
 from jackdawfield.model import ServerId
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True)
 class _OwnedBucket:
-    bucket: RateBucket
+    bucket: DelayedTokens
     asked_at_s: float
 
 
@@ -60,7 +60,7 @@
         owned = self._owned_by_key.get(key)
         if owned is None:
             self._forget_unused(now_s)
-            owned = _OwnedBucket(RateBucket(contract, 0.0, now_s), now_s)
+            owned = _OwnedBucket(DelayedTokens(contract, 0.0, now_s), now_s)
             self._owned_by_key[key] = owned
         owned.asked_at_s = now_s
         owned.bucket.change_contract(contract, now_s)
--- a/jackdawfield/gateway/servers/server_limits.py
+++ b/jackdawfield/gateway/servers/server_limits.py
@@ -16,9 +16,6 @@
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.fleet.broadcast import Broadcast
 from jackdawfield.gateway.fleet.members import Members
-from jackdawfield.gateway.rates.admission import begins_program
-from jackdawfield.gateway.rates.tokens import BEGINNING_WAIT_S
-from jackdawfield.gateway.rates.tokens import CONTINUING_WAIT_S
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.limit_buckets import LimitBuckets
@@ -152,9 +149,8 @@
             return None
         max_delay_s = 0.0
         if may_wait:
-            begins = begins_program(call)
-            wait_s = BEGINNING_WAIT_S if begins else CONTINUING_WAIT_S
-            max_delay_s = max(0.0, min(wait_s, call.deadline_s - now_s))
+            left_s = call.deadline_s - now_s
+            max_delay_s = max(0.0, min(call.token_wait_s, left_s))
         answer = await self._ask(state, max_delay_s)
         if answer.is_granted:
             if answer.delay_s > 0:
--- a/tests/gateway/rates/test_tokens.py
+++ b/tests/gateway/rates/test_tokens.py
@@ -1,9 +1,9 @@
 import unittest
 
 from jackdawfield.decisions.buckets import Contract
+from jackdawfield.gateway.calls import BEGINNING_WAIT_S
+from jackdawfield.gateway.calls import CONTINUING_WAIT_S
 from jackdawfield.gateway.model import PromisedLimits
-from jackdawfield.gateway.rates.tokens import BEGINNING_WAIT_S
-from jackdawfield.gateway.rates.tokens import CONTINUING_WAIT_S
 from jackdawfield.gateway.rates.tokens import fallback_rate
 from jackdawfield.gateway.rates.tokens import FallbackTokens
 from jackdawfield.gateway.rates.tokens import LocalTokens
--- a/tests/gateway/servers/test_limit_buckets.py
+++ b/tests/gateway/servers/test_limit_buckets.py
@@ -8,7 +8,7 @@
 import random
 import unittest
 
-from jackdawfield.gateway.rates.tokens import CONTINUING_WAIT_S
+from jackdawfield.gateway.calls import CONTINUING_WAIT_S
 from jackdawfield.gateway.servers.limit_buckets import FALLBACK_SHARE
 from jackdawfield.gateway.servers.limit_buckets import LimitBuckets
 from jackdawfield.messages.fleet_limits import AskServerToken
