--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -22,8 +22,9 @@
 from jackdawfield.gateway.fleet.member_rows import MEMBERS_TABLE
 from jackdawfield.gateway.fleet.members import Members
 from jackdawfield.gateway.fleet.seat_holder import SeatHolder
-from jackdawfield.gateway.fleet.table_sharing import SharedTables
+from jackdawfield.gateway.fleet.shared_tables import SharedTables
 from jackdawfield.gateway.fleet.table_sharing import TableSharing
+from jackdawfield.gateway.gauges import add_gauges
 from jackdawfield.gateway.http.caller_exchange import IncomingRequest
 from jackdawfield.gateway.http.drain import drain
 from jackdawfield.gateway.http.listener import HttpListener
@@ -116,8 +117,8 @@
         self.metrics = GatewayMetrics(settings.instance_id)
         self._build_store()
         self._build_calls()
-        self._followers = self._build_followers()
-        self._add_gauges()
+        self.followers = self._build_followers()
+        add_gauges(self)
         self.caller_listener = HttpListener(self._serve)
         self._health_listener = HttpListener(self._answer_health)
         self._metrics_listener = HttpListener(self._answer_operators)
@@ -154,16 +155,8 @@
         )
         self.server_pool = ConnectionPool()
         self.slot_queue = SlotQueue(self.servers, self.metrics)
-        self.broadcast = Broadcast(
-            self.members, self.table_sharing, self.links
-        )
-        self.server_limits = ServerLimits(
-            self.servers, self.members, self.links, self.broadcast
-        )
+        self._build_broadcasts()
         self._build_server_paths()
-        self.failure_reports = FailureReports(
-            self.servers, settings.region_id, self.broadcast
-        )
         self.quarantine = Quarantine()
         self.quarantine_sharing = QuarantineSharing(
             self.quarantine, self.members, self.table_sharing, self.links
@@ -204,6 +197,17 @@
             self.dispatcher, self.stream_calls, self.admission, self.metrics
         )
 
+    def _build_broadcasts(self) -> None:
+        self.broadcast = Broadcast(
+            self.members, self.table_sharing, self.links
+        )
+        self.server_limits = ServerLimits(
+            self.servers, self.members, self.links, self.broadcast
+        )
+        self.failure_reports = FailureReports(
+            self.servers, self.settings.region_id, self.broadcast
+        )
+
     def _build_server_paths(self) -> None:
         self.reachability = Reachability()
         self.relay_client = RelayClient(
@@ -255,60 +259,15 @@
             self.metrics,
         )
 
-    def _add_gauges(self) -> None:
-        add_gauge = self.metrics.add_gauge
-        add_gauge('requests_in_flight', lambda: self.caller_listener.in_flight)
-        add_gauge(
-            'caller_connections',
-            lambda: self.caller_listener.open_connections,
-        )
-        add_gauge('servers_listed', lambda: len(self.servers.by_id))
-        add_gauge('unframed_responses', lambda: self.dispatcher.unframed_count)
-        add_gauge(
-            'cut_from_servers',
-            lambda: self.reachability.cut_since_s is not None,
-        )
-        add_gauge(
-            'server_paths_lost', lambda: self.reachability.lost_path_count
-        )
-        add_gauge('calls_by_peers', lambda: self.relay_client.opened_count)
-        add_gauge('calls_for_peers', lambda: self.relay_server.relayed_count)
-        add_gauge('calls_for_peers_open', lambda: self.relay_server.open_count)
-        add_gauge(
-            'servers_with_limit', lambda: self.server_limits.limited_count
-        )
-        add_gauge(
-            'server_tokens_refused', lambda: self.server_limits.refused_count
-        )
-        add_gauge('members_known', lambda: len(self.members.rows_by_seat))
-        add_gauge('seats_held', lambda: len(self.members.own_seats))
-        add_gauge(
-            'server_connections_opened', lambda: self.server_pool.opened_count
-        )
-        add_gauge('store_reached_directly', lambda: self.store_path.is_direct)
-        add_gauge(
-            'store_reached_age_s',
-            lambda: time.monotonic() - self.store_path.reached_at_s,
-        )
-        add_gauge('configuration_version', self._configuration_version)
-        add_gauge(
-            'requests_quarantined',
-            lambda: len(self.quarantine.quarantined(time.monotonic())),
-        )
-        add_gauge('requests_suspected', self.quarantine.suspect_count)
-        add_gauge('tasks_restarted', lambda: self._tasks.restart_count)
-        add_gauge('servers_ended', lambda: self.ended_servers.ended_count)
-        for follower in self._followers:
-            add_gauge(f'{follower.table}_table_age_s', follower.age_s)
+    @property
+    def restarted_task_count(self) -> int:
+        """Return how often a background task has failed."""
+        return self._tasks.restart_count
 
     @property
     def configuration_table(self) -> TableFollower:
         """Return the follower of the table that holds the configuration."""
-        return self._followers[0]
-
-    def _configuration_version(self) -> int:
-        configuration = self.call_handler.configuration
-        return configuration.version if configuration else 0
+        return self.followers[0]
 
     def _build_followers(self) -> list[TableFollower]:
         apply_rows = self._apply_configuration_rows
@@ -358,7 +317,7 @@
         self.caller_listener.listen(settings.host, settings.caller_port)
         self._health_listener.listen(settings.host, settings.health_port)
         self._metrics_listener.listen(settings.host, self._metrics_port)
-        for follower in self._followers[:-1]:
+        for follower in self.followers[:-1]:
             self._tasks.supervise(follower.table, follower.run)
         self._tasks.supervise(MEMBERS_TABLE, self._follow_members)
         self._tasks.supervise('checks', self._run_checks)
@@ -377,7 +336,7 @@
         # An own seat is taken first, since its rates may be granted at once.
         if not await self.seat_holder.try_reclaim():
             self._tasks.spawn(self.seat_holder.reclaim())
-        await self._followers[-1].run()
+        await self.followers[-1].run()
 
     async def _remove_expired(self) -> None:
         while True:
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -250,13 +250,14 @@
             status=refusal.status,
             reason=refusal.reason,
             retry_after_s=refusal.retry_after_s,
-            configuration=self._configuration_version,
+            configuration=self.configuration_version,
             unconfirmed_s=self._configuration_age_s,
         )
         reply.send(refusal.status, refusal.reason, refusal.retry_after_s)
 
     @property
-    def _configuration_version(self) -> int:
+    def configuration_version(self) -> int:
+        """Return the version of the configuration, 0 without one."""
         return self.configuration.version if self.configuration else 0
 
     @property
--- a/jackdawfield/gateway/storage/path.py
+++ b/jackdawfield/gateway/storage/path.py
@@ -1,6 +1,5 @@
 """Send calls to the store, directly or relayed by another instance."""
 
-import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
@@ -16,20 +15,16 @@
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.hedging import first_answer
 from jackdawfield.gateway.hedging import Source
-from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.connection import Connection
 from jackdawfield.gateway.http.connection import ExchangeError
 from jackdawfield.gateway.http.connection import Fault
-from jackdawfield.gateway.http.connection import OutgoingRequest
-from jackdawfield.gateway.http.connection import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.storage.connections import StoreConnections
 from jackdawfield.logs import log_event
 from jackdawfield.messages.store_calls import StoreCall
 from jackdawfield.messages.store_calls import StoreReply
 from jackdawfield.messages.store_calls import StoreUnreached
 
 LOG = logging.getLogger(__name__)
-CONNECT_TIMEOUT_S = 0.5
 # After the direct path failed, relays are tried before it for this long.
 DIRECT_AVOID_S = 1.0
 MAX_RELAYS = 2
@@ -37,8 +32,6 @@
 # A path that has not answered this long after it should have is overdue: the
 # next one is tried beside it.
 OVERDUE_S = 0.4
-# Above what the store sends: 1 MB of rows, encoded as base64 in JSON.
-MAX_REPLY_BYTES = 4 * 1024 * 1024
 # Statuses of the store for a call that it refused without any effect.
 REFUSED_STATUSES = (429, 503)
 
@@ -64,9 +57,7 @@
         links: PeerLinks,
         relay_addresses: Callable[[], list[str]],
     ) -> None:
-        self._pool = pool
-        self._host = host
-        self._port = port
+        self._connections = StoreConnections(pool, host, port)
         self._links = links
         self._relay_addresses = relay_addresses
         self._direct_avoided_until_s = 0.0
@@ -100,7 +91,7 @@
                 return relayed
             relay_errors.append(relayed.err_value)
         started_s = time.monotonic()
-        found = await self._call_directly(
+        found = await self._connections.call(
             StoreCall(method, target, body, timeout_s)
         )
         if self._record_direct_result(found, started_s):
@@ -159,14 +150,14 @@
         if isinstance(found, Ok) and read.is_kept_pending:
             # A kept connection has fallen silent, and others may have, too.
             log_event(LOG, 'store_connections_silent')
-            self._pool.discard_idle(self._host, self._port)
+            self._connections.discard_idle()
         return found
 
     async def _read_directly(
         self, read: _Read, over_new_connection: bool = False
     ) -> Result[StoreReply, ExchangeError]:
         started_s = time.monotonic()
-        found = await self._call_directly(read.call, over_new_connection)
+        found = await self._connections.call(read.call, over_new_connection)
         if self._record_direct_result(found, started_s):
             return found
         if isinstance(found, Err):
@@ -259,7 +250,7 @@
         if call.wait_s is not None:
             return await self._answer_relayed_read(call, call.wait_s)
         started_s = time.monotonic()
-        found = await self._call_directly(call)
+        found = await self._connections.call(call)
         if self._record_direct_result(found, started_s):
             return found.unwrap()
         if isinstance(found, Err):
@@ -276,63 +267,3 @@
                 return reply
             case Err(errors):
                 return StoreUnreached(True, errors[0].reason)
-
-    async def _call_directly(
-        self, call: StoreCall, over_new_connection: bool = False
-    ) -> Result[StoreReply, ExchangeError]:
-        connect = self._pool.acquire
-        if over_new_connection:
-            connect = self._pool.open
-        connect_s = min(CONNECT_TIMEOUT_S, call.timeout_s)
-        acquired = await connect(self._host, self._port, connect_s)
-        if isinstance(acquired, Err):
-            return acquired
-        connection = acquired.ok_value
-        headers = [('Host', f'{self._host}:{self._port}')]
-        if call.body:
-            headers.append(('Content-Type', 'application/json'))
-        request = OutgoingRequest(
-            call.method, call.target, tuple(headers), call.body
-        )
-        sent = connection.send(request)
-        if isinstance(sent, Err):
-            return sent
-        try:
-            async with asyncio.timeout(call.timeout_s):
-                reply = await read_reply(connection)
-        except TimeoutError:
-            connection.abort('timeout')
-            self._pool.discard_idle(self._host, self._port)
-            return Err(ExchangeError(Fault.LOST, 'timeout'))
-        except asyncio.CancelledError:
-            connection.abort('cancelled')
-            raise
-        if reply is None:
-            reason = connection.lost_reason
-            connection.abort(reason)
-            return Err(ExchangeError(Fault.LOST, reason))
-        self._pool.release(self._host, self._port, connection)
-        return Ok(reply)
-
-
-async def read_reply(connection: Connection) -> StoreReply | None:
-    """Read a complete response.
-
-    Return None if it was cut, may have been cut, or is too large.
-    """
-    head = await connection.next_part()
-    if not isinstance(head, ResponseHead):
-        return None
-    pieces = []
-    size = 0
-    while size <= MAX_REPLY_BYTES:
-        match await connection.next_part():
-            case bytes(piece):
-                pieces.append(piece)
-                size += len(piece)
-            case BodyEnd.WHOLE:
-                return StoreReply(head.status, b''.join(pieces))
-            case _:
-                return None
-    connection.abort('answer too large')
-    return None
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -16,7 +16,7 @@
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.daemon import Gateway
 from jackdawfield.gateway.entry import CallHandler
-from jackdawfield.gateway.fleet.table_sharing import SharedTables
+from jackdawfield.gateway.fleet.shared_tables import SharedTables
 from jackdawfield.gateway.http.connection import Connection
 from jackdawfield.gateway.http.reply import Reply
 from jackdawfield.gateway.model import CallKind
--- a/tests/gateway/fleet/test_table_sharing.py
+++ b/tests/gateway/fleet/test_table_sharing.py
@@ -16,10 +16,10 @@
 from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.fleet.member_rows import MEMBERS_TABLE
 from jackdawfield.gateway.fleet.seats import SeatId
-from jackdawfield.gateway.fleet.table_sharing import AVOID_S
+from jackdawfield.gateway.fleet.shared_tables import AVOID_S
+from jackdawfield.gateway.fleet.shared_tables import MAX_UNCONFIRMED_S
+from jackdawfield.gateway.fleet.shared_tables import SharedTables
 from jackdawfield.gateway.fleet.table_sharing import MAX_SHARED_AGE_S
-from jackdawfield.gateway.fleet.table_sharing import MAX_UNCONFIRMED_S
-from jackdawfield.gateway.fleet.table_sharing import SharedTables
 from jackdawfield.gateway.fleet.table_sharing import TableSharing
 from jackdawfield.gateway.storage.follower import TableFollower
 from jackdawfield.gateway.storage.rows import RowKey
@@ -32,7 +32,7 @@
 from jackdawfield.standins.row_store import StoreFault
 
 TABLE = 'table'
-CLOCK = 'jackdawfield.gateway.fleet.table_sharing.boot_time_s'
+CLOCK = 'jackdawfield.gateway.fleet.shared_tables.boot_time_s'
 
 
 class Members:
--- a/tests/gateway/storage/test_silent_connections.py
+++ b/tests/gateway/storage/test_silent_connections.py
@@ -14,7 +14,7 @@
 from jackdawfield.drivers.peers import PeerFault
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.gateway.clock import boot_time_s
-from jackdawfield.gateway.fleet.table_sharing import SharedTables
+from jackdawfield.gateway.fleet.shared_tables import SharedTables
 from jackdawfield.gateway.fleet.table_sharing import TableSharing
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.storage.follower import TableFollower
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -5,7 +5,7 @@
 
 from jackdawfield.gateway.daemon import STOP_MARGIN_S
 from jackdawfield.gateway.fleet.ownership import TAKEOVER_WAIT_S
-from jackdawfield.gateway.fleet.table_sharing import MEMBERS_INTERVAL_S
+from jackdawfield.gateway.fleet.shared_tables import MEMBERS_INTERVAL_S
 from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import OutgoingRequest
 from jackdawfield.gateway.http.connection import ResponseHead
@@ -18,7 +18,7 @@
 from tests.gateway.scripted_server import ReceivedRequest
 
 MEMBERS_INTERVAL = (
-    'jackdawfield.gateway.fleet.table_sharing.MEMBERS_INTERVAL_S'
+    'jackdawfield.gateway.fleet.shared_tables.MEMBERS_INTERVAL_S'
 )
 LONG_INTERVAL_S = 60.0
 
