--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -103,9 +103,14 @@
             loop = asyncio.get_running_loop()
             self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
-    def discard_idle(self, host: str, port: int) -> None:
-        """Close the idle connections to an address."""
-        for connection in self._idle_by_address.pop((host, port), []):
+    def discard_idle(
+        self, host: str, port: int, keep_last: bool = False
+    ) -> None:
+        """Close the idle connections to an address, but for the last used."""
+        idle = self._idle_by_address.pop((host, port), [])
+        if keep_last and idle:
+            self._idle_by_address[(host, port)] = [idle.pop()]
+        for connection in idle:
             connection.abort('others have fallen silent')
 
     def _sweep(self) -> None:
--- a/jackdawfield/gateway/storage/connections.py
+++ b/jackdawfield/gateway/storage/connections.py
@@ -29,9 +29,12 @@
         self._host = host
         self._port = port
 
-    def discard_idle(self) -> None:
-        """Close the kept connections, as others have fallen silent."""
-        self._pool.discard_idle(self._host, self._port)
+    def discard_idle(self, keep_last: bool = False) -> None:
+        """Close the kept connections, as others have fallen silent.
+
+        The one that was used last may be known to work.
+        """
+        self._pool.discard_idle(self._host, self._port, keep_last)
 
     async def call(
         self, call: StoreCall, over_new_connection: bool = False
--- a/jackdawfield/gateway/storage/path.py
+++ b/jackdawfield/gateway/storage/path.py
@@ -150,7 +150,7 @@
         if isinstance(found, Ok) and read.is_kept_pending:
             # A kept connection has fallen silent, and others may have, too.
             log_event(LOG, 'store_connections_silent')
-            self._connections.discard_idle()
+            self._connections.discard_idle(keep_last=True)
         return found
 
     async def _read_directly(
