Queue for a slot where servers with a limit are out of tokens

It waits for a slot there now, as any other call. test_call_waits_for_a_slot_beside_a_server_at_its_limit failed before.

--- a/jackdawfield/gateway/servers/choice.py
+++ b/jackdawfield/gateway/servers/choice.py
@@ -213,6 +213,14 @@
             candidates, key=lambda state: self._cost(state, criteria, now_s)
         )
 
+    def limited_ids(self, now_s: float) -> frozenset[ServerId]:
+        """Return the servers that name a limit."""
+        return frozenset(
+            server_id
+            for server_id, state in self.by_id.items()
+            if state.rate_limit.current(now_s) is not None
+        )
+
     def is_usable(self, state: ServerState) -> bool:
         """Return whether a server still takes new requests."""
         if self.by_id.get(state.entry.server_id) is not state:
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -6,6 +6,7 @@
 
 from dataclasses import dataclass
 from dataclasses import field
+from dataclasses import replace
 import logging
 import time
 
@@ -40,6 +41,7 @@
 # route's target latency, but not before the minimum.
 ATTEMPT_TIMEOUT_FACTOR = 2.0
 MIN_ATTEMPT_TIMEOUT_S = 0.3
+AT_LIMITS = 'servers are at their limits'
 
 
 @dataclass(slots=True)
@@ -164,18 +166,29 @@
     ) -> ServerState | Refusal | None:
         """Return a server with a slot, and a token if it has a limit.
 
-        The call waits for a token only if each server's tokens are used up.
+        The call waits for a token only if no server has both at once. If it
+        would wait too long, it waits for a slot at a server without a limit.
         """
         while True:
             server = await self._slot_queue.acquire(call, criteria)
             if server is None or isinstance(server, Refusal):
                 return server
-            are_all_out = server.rate_limit.wait_s(time.monotonic()) > 0
-            retry_s = await self._take_token(call, server, are_all_out)
+            is_last = server.rate_limit.wait_s(time.monotonic()) > 0
+            retry_s = await self._take_token(call, server, may_wait=is_last)
             if retry_s is None:
                 return server
-            if are_all_out:
-                return Refusal(503, 'servers are at their limits', retry_s)
+            if is_last:
+                free = await self._acquire_without_limit(call, criteria)
+                return free or Refusal(503, AT_LIMITS, retry_s)
+
+    async def _acquire_without_limit(
+        self, call: Call, criteria: ServerCriteria
+    ) -> ServerState | Refusal | None:
+        limited_ids = self._slot_queue.servers.limited_ids(time.monotonic())
+        excluded_ids = criteria.excluded_ids | limited_ids
+        return await self._slot_queue.acquire(
+            call, replace(criteria, excluded_ids=excluded_ids)
+        )
 
     async def _take_token(
         self, call: Call, server: ServerState, may_wait: bool
@@ -211,7 +224,7 @@
                 break
             self._slot_queue.take(server)
             if await self._take_token(call, server, True) is not None:
-                reason = 'servers are at their limits'
+                reason = AT_LIMITS
                 elsewhere = True
                 continue
             outcome = await self._try(
--- a/tests/gateway/servers/test_dispatch.py
+++ b/tests/gateway/servers/test_dispatch.py
@@ -195,6 +195,32 @@
         """Return how many requests reached each server."""
         return [len(server.requests) for server in self.servers]
 
+    # Guards against a call that is refused for the limit of one server while
+    # another is only busy.
+    async def test_call_waits_for_a_slot_beside_a_server_at_its_limit(
+        self,
+    ) -> None:
+        call = make_call(CallKind.STREAM)
+        outcome = await self.dispatch(call, [complete, complete])
+        assert isinstance(outcome, SentCall)
+        self.dispatcher.release(outcome.response, BodyEnd.WHOLE)
+        limited, busy = self.dispatcher._slot_queue.servers.by_id.values()
+        limited.rate_limit.record_named(2.0, time.monotonic())
+        # Its expected wait is longer than that for the other's next token.
+        for _ in range(20):
+            busy.record_wait(2.0, time.monotonic())
+        busy.concurrency_limit.limit = 1.0
+        busy.in_flight = 1
+        waiting = asyncio.create_task(
+            self.dispatcher.start(call, SERVICE, b'body', None)
+        )
+        await asyncio.sleep(0.3)
+        self.assertFalse(waiting.done())
+        self.dispatcher._slot_queue.release(busy)
+        found = await waiting
+        assert isinstance(found, SentCall), found
+        self.assertIs(found.response.server, busy)
+
     async def test_does_not_retry_a_call_that_may_have_run(self) -> None:
         for kind in (CallKind.AT_MOST_ONCE, CallKind.STREAM):
             for script in (close_connection, unsigned):
