Tell the link and the choice of holders that a holder was silent

The request ends just before the table is overdue: the link counts a timeout, the holder is avoided, and the store is asked, all within the same bound. test_follower_with_silent_links_and_connections_learns_in_time fails without it (no timeout counted).

--- a/jackdawfield/gateway/fleet/shared_tables.py
+++ b/jackdawfield/gateway/fleet/shared_tables.py
@@ -46,9 +46,12 @@
 MEMBERS_INTERVAL_S = 0.6
 # A holder answers once it has confirmed a table, or after this time.
 FOLLOW_WAIT_S = 1.6
-FOLLOW_MARGIN_S = 0.5
+# Limit of the time in which a holder answers with a whole table.
+WHOLE_TABLE_LIMIT_S = 0.5
 # A holder that gave no usable answer is avoided for this long.
 AVOID_S = 2.0
+# Time left to act on a holder that is silent until a table is overdue.
+ANSWER_MARGIN_S = 0.05
 # Rows up to this age serve an instance that starts during an outage of the
 # store, and the time in which another instance has to answer it.
 MAX_START_AGE_S = 60.0
@@ -142,10 +145,12 @@
         an answer that is still waited for is given up.
         """
         overdue_s = confirmed_at_s + MAX_UNCONFIRMED_S - boot_time_s()
-        if overdue_s > 0:
+        if overdue_s > ANSWER_MARGIN_S:
             with suppress(TimeoutError):
                 async with asyncio.timeout(overdue_s):
-                    return await self._await_next(table, after_version)
+                    return await self._await_next(
+                        table, after_version, overdue_s - ANSWER_MARGIN_S
+                    )
         if self._reads_members(table):
             return await self._read_members(after_version)
         return await self._poll_store(table, after_version)
@@ -158,22 +163,28 @@
         return table == MEMBERS_TABLE and self._members.own_seat is not None
 
     async def _await_next(
-        self, table: str, after_version: int
+        self, table: str, after_version: int, limit_s: float
     ) -> Result[RowsChanged, StoreError]:
         """Wait for the answer of a holder, or of the store without one."""
         seat_id = self._choose_holder()
         if seat_id is not None:
-            return await self._await_holder(seat_id, table, after_version)
+            return await self._await_holder(
+                seat_id, table, after_version, limit_s
+            )
         if self._reads_members(table):
             return await self._read_members_again(after_version)
         return await self._poll_store(table, after_version, POLL_WAIT_S)
 
     async def _await_holder(
-        self, seat_id: SeatId, table: str, after_version: int
+        self,
+        seat_id: SeatId,
+        table: str,
+        after_version: int,
+        limit_s: float,
     ) -> Result[RowsChanged, StoreError]:
         """Wait for a holder's answer; ask the store if it gives none."""
         asked_at_s = boot_time_s()
-        found = await self._ask_holder(seat_id, table, after_version)
+        found = await self._ask_holder(seat_id, table, after_version, limit_s)
         match found:
             case TableRows() as shared:
                 rows = _decode_rows(table, shared.rows)
@@ -232,16 +243,20 @@
         return Ok(RowsChanged(changed, found.version, read_at_s=read_at_s))
 
     async def _ask_holder(
-        self, seat_id: SeatId, table: str, after_version: int
+        self,
+        seat_id: SeatId,
+        table: str,
+        after_version: int,
+        limit_s: float = WHOLE_TABLE_LIMIT_S,
     ) -> TableRows | TableNotFollowed | None:
-        """Return a holder's answer, None if there is none to use."""
+        """Return a holder's answer, None if there is none to use in time."""
         wait_s = 0.0 if after_version == WHOLE_TABLE else FOLLOW_WAIT_S
         found = await self._links.request(
             self._members.rows_by_seat[seat_id].address,
             FollowTable(
                 table, after_version, wait_s, self._members.own_address
             ),
-            wait_s + FOLLOW_MARGIN_S,
+            limit_s,
         )
         match found:
             case Ok(TableRows() as rows) if rows.age_s <= MAX_SHARED_AGE_S:
--- a/tests/gateway/storage/test_silent_connections.py
+++ b/tests/gateway/storage/test_silent_connections.py
@@ -41,6 +41,7 @@
     def __init__(self) -> None:
         self.sharing_by_address: dict[str, TableSharing] = {}
         self.is_silent = False
+        self.timeout_count = 0
 
     async def request(
         self, address: str, message: FollowTable, timeout_s: float
@@ -52,6 +53,7 @@
                 sharing = self.sharing_by_address[address]
                 return Ok(await sharing._answer(message))
         except TimeoutError:
+            self.timeout_count += 1
             return Err(PeerError(PeerFault.LOST, 'timeout'))
 
 
@@ -163,3 +165,5 @@
             proxy.silence_connections()
         self.put('b')
         await self.until(follower, 'b')
+        # The link is told that it was silent, so that it is opened again.
+        self.assertEqual(self.links.timeout_count, 1)
