--- a/tests/gateway/rates/test_planned_stops.py
+++ b/tests/gateway/rates/test_planned_stops.py
@@ -91,6 +91,7 @@
             organisation_id=ORG,
             route=SimpleNamespace(is_open=False, keeps_turns=False),
             headers=SimpleNamespace(program_id='p'),
+            begins_program=False,
         )
         async with asyncio.timeout(3.0):
             return await admission.admit(call)  # type: ignore[arg-type]
