--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,103 +1,86 @@
-"""An input that was running as two workers crashed is refused everywhere."""
+"""A turn is lost with its chain, as another program's part was removed."""
 
 import asyncio
 from pathlib import Path
+import signal
 
+from standins.fleet import BOUNDS
 from standins.fleet import CannotRun
 from standins.fleet import Fleet
 from standins.fleet import run_case
-from standins.fleet import STABLE_S
 from standins.fleet import turns_route
 
-# Two of eight workers crash, one after the other, and are back after a while.
-WORKERS = 8
-CRASHES = 2
-DOWN_S = 3.0
-FIRST_EVENT_S = 0.4
-CRASH_AFTER_S = 0.15
-RETRY_S = 0.4
-# An input that many programs send.
-INPUT = b'go on\n'
-TRIES = 6
+RETENTION_S = 60.0
+# The second program goes on from the first one's turn at this age, the third
+# one from the second one's turn.
+SECOND_AFTER_S = 44.0
+THIRD_AFTER_S = 36.0
+# The sheets have closing = { kind = "kill_all", down_s = 0.58 to 1.2 }.
+DOWN_S = 1.0
+LAST_S = 4.0
+TRY_EACH_S = 1.0
 
 
 async def play(fleet: Fleet, is_troubled: bool) -> str | None:
-    """Crash two workers under one program, then go on with another one."""
-    await fleet.start([turns_route()])
-    zones = ('bahir-dar', 'gondar', 'bole')
-    for number in range(WORKERS):
-        await fleet.add_worker(
-            f'i-engine-{number}', 'engine', 'minds', zones[number % 3],
-            first_s=FIRST_EVENT_S, gap_s=0.02, events=5,
-        )
+    """Have three programs go on from one another's turns."""
+    await fleet.start([turns_route(RETENTION_S)])
+    await fleet.add_worker(
+        'i-engine-1', 'engine', 'minds', 'bahir-dar', first_s=0.1, events=6
+    )
     await fleet.wait_until_ready()
-    machine = fleet.machines[0]
-    first_id, answer = await fleet.turn(machine, 'p1', b'hello from p1\n')
+    first, second, _ = fleet.machines
+    first_id, answer = await fleet.turn(first, 'p1', b'input 1\n')
     if not is_whole(answer):
         raise CannotRun('the first turn was not answered whole')
-
-    # The turn is sent again after it has failed, as programs do.
-    crashes = CRASHES if is_troubled else 0
-    for attempt in range(CRASHES):
-        if attempt < crashes:
-            fleet.watchers.append(CrashOnce(fleet))
-        await fleet.turn(machine, 'p1', INPUT, first_id)
-        await asyncio.sleep(RETRY_S)
-    if is_troubled and fleet.crashed != CRASHES:
-        raise CannotRun('the workers did not crash as planned')
-    await asyncio.sleep(DOWN_S + STABLE_S + 2)
-
-    # Another program, at machines in touch, with all workers up and idle.
-    began_id, answer = await fleet.turn(machine, 'p2', b'hello from p2\n')
+    await asyncio.sleep(SECOND_AFTER_S)
+    second_id, answer = await fleet.turn(second, 'p2', b'input 2\n', first_id)
     if not is_whole(answer):
-        raise CannotRun('the other program did not begin')
-    statuses, firsts = [], []
-    for number in range(TRIES):
-        machine = fleet.machines[number % len(fleet.machines)]
-        turn_id, answer = await fleet.turn(
-            machine, 'p2', INPUT, began_id, Finish_Ms='8000'
+        raise CannotRun('the second turn was not answered whole')
+    answered_at = fleet.now()
+    await asyncio.sleep(THIRD_AFTER_S)
+
+    if is_troubled:
+        await kill_all(fleet)
+    began_at = fleet.now()
+    others = []
+    tries = []
+    number = 0
+    while fleet.now() < began_at + BOUNDS['recoverS']:
+        number += 1
+        # Without the fault, the machine that served the turn goes on.
+        machine = fleet.machines[number % 3] if is_troubled else second
+        third_id, answer = await fleet.turn(
+            machine, 'p3', b'input 3\n', second_id, Finish_Ms='9000'
         )
-        statuses.append(answer.status)
-        if fleet.ran(turn_id):
+        tries.append((fleet.now(), third_id, answer.status))
+        if fleet.ran(third_id):
             return None
-        other_id, _ = await fleet.turn(machine, f'q{number}', b'hello\n')
-        firsts.append(bool(fleet.ran(other_id)))
-        await asyncio.sleep(0.2)
-    if sum(firsts) < 0.9 * len(firsts):
-        fleet.note('fewer than nine tenths of first turns reached a worker')
+        _, answer = await fleet.turn(machine, f'q{number}', b'input q\n')
+        others.append((fleet.now(), is_whole(answer)))
+        await asyncio.sleep(TRY_EACH_S)
+    last = [ok for at, ok in others if at > fleet.now() - LAST_S]
+    fleet.note(f'other turns of the last {LAST_S} s: {last}')
+    if not last or sum(last) < 0.8 * len(last):
+        fleet.note('fewer than four fifths of the other turns were served')
         return None
+    age_s = fleet.now() - answered_at
     return (
-        f'LOST: a turn that names {began_id}, answered whole seconds ago, '
-        f'reached no worker in {TRIES} tries at machines in touch, with the '
-        f'statuses {statuses}, while {sum(firsts)} of {len(firsts)} first '
-        'turns did'
+        f'LOST: turn {second_id} was answered whole {age_s:.1f} s ago, less '
+        f'than retentionS (60 s); after the final fault a turn that names it '
+        f'reached no worker in {len(tries)} tries by recoverS, with the '
+        f'statuses {[status for _, _, status in tries]}, and {sum(last)} of '
+        f'{len(last)} other turns were served in the last {LAST_S} s'
     )
 
 
-class CrashOnce:
-    """Crashes the worker that next runs the input, before it answers."""
-
-    def __init__(self, fleet: Fleet) -> None:
-        self.fleet = fleet
-        self.fleet.crashed = getattr(fleet, 'crashed', 0)
-
-    def __call__(self, worker, told: dict) -> None:
-        """Take what a worker has told."""
-        if told['event'] != 'run' or not told['body'].endswith('go on\n'):
-            return
-        self.fleet.watchers.remove(self)
-        self.fleet.spawn(self._crash(worker))
-
-    async def _crash(self, worker) -> None:
-        await asyncio.sleep(CRASH_AFTER_S)
-        await worker.kill()
-        self.fleet.crashed += 1
-        await asyncio.sleep(DOWN_S)
-        number = worker.worker_id.rpartition('-')[2]
-        await self.fleet.add_worker(
-            f'i-engine-{number}b', 'engine', 'minds', 'bole',
-            first_s=FIRST_EVENT_S, gap_s=0.02, events=5,
-        )
+async def kill_all(fleet: Fleet) -> None:
+    """Kill all processes of the system and start them again."""
+    await asyncio.gather(
+        *(machine.stop(signal.SIGKILL) for machine in fleet.machines)
+    )
+    await asyncio.sleep(DOWN_S)
+    for machine in fleet.machines:
+        await machine.start()
 
 
 def is_whole(answer) -> bool:
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -25,6 +25,9 @@
 HOST = 'h1.example'
 KEY = 'key-of-tenant-one'
 TENANT = 'tenant-one'
+# The tenant's allotment, as in the bench's example.
+RATE_PER_S = 94
+BURST = 94
 ZONES = {'bahir-dar': 'amhara', 'gondar': 'amhara', 'bole': 'addis'}
 # The bounds of the users' first sites.
 BOUNDS = {
@@ -108,8 +111,8 @@
                 'name': TENANT,
                 'apiKeys': [KEY],
                 'priority': 1,
-                'ratePerS': 94,
-                'burst': 94,
+                'ratePerS': RATE_PER_S,
+                'burst': BURST,
             }
         ],
     }
@@ -291,6 +294,7 @@
     async def _read(self) -> None:
         while line := await self.process.stdout.readline():
             told = json.loads(line)
+            told['at'] = self.fleet.now()
             self.lines.append(told)
             self.fleet.worker_lines.append(told)
             event, request = told['event'], told['id']
