--- a/review/4/case.py
+++ b/review/4/case.py
@@ -15,7 +15,7 @@
 # one from the second one's turn.
 SECOND_AFTER_S = 44.0
 THIRD_AFTER_S = 36.0
-# The sheets have closing = { kind = "kill_all", down_s = 0.58 to 1.2 }.
+# The days of tub-agentes have kill_all with down_s 0.99 and 1.2.
 DOWN_S = 1.0
 LAST_S = 4.0
 TRY_EACH_S = 1.0
