--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -439,7 +439,7 @@
         headers = [
             (f'{PREFIX}Request-Id', request_id),
             (f'{PREFIX}Deadline-Ms', str(int(time_s * 1000))),
-            (f'{PREFIX}Credential', KEY),
+            (f'{PREFIX}Credential', more.pop('Credential', KEY)),
             *((PREFIX + n.replace('_', '-'), v) for n, v in more.items()),
         ]
         answer = await self.call(
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -7,6 +7,7 @@
 import asyncio
 from contextlib import suppress
 import json
+import os
 import secrets
 import sys
 import time
@@ -17,13 +18,16 @@
 
 PREFIX = 'X-Jackdawfield-'
 REQUEST_ID = 'x-jackdawfield-request-id'
+# A request with this in its body crashes the worker that begins to run it.
+POISON = b'POISON'
 
 
 class Worker:
     """Runs requests and tells what it ran.
 
     Options: `first_s` until the first event, `gap_s` between events, `events`
-    a turn, `framing` of streams (chunked or length), `work_s` of a plain
+    a turn, `slots` for requests at once, `queue` for those that wait for one,
+    `framing` of streams (chunked or length), `work_s` of a plain
     call, `fail_each`, so that each such call answers with `fail_status` after
     it has run, and `endless`, the number of the first streams that are bytes
     without end, in chunks of one byte, until the caller closes.
@@ -35,6 +39,9 @@
         self.options = options
         self.calls = 0
         self.lost = 0
+        self.waiting = 0
+        slots = int(options.get('slots', 1000))
+        self.slots = asyncio.Semaphore(slots)
 
     def number(self, name: str, default: float) -> float:
         """Return an option as a number."""
@@ -76,6 +83,22 @@
         if expected and expected != self.worker_id:
             self._refuse(request, writer, '421 Misdirected Request')
             return
+        if self.slots.locked() and self.waiting >= self.number('queue', 36):
+            self._refuse(request, writer, '503 Service Unavailable')
+            return
+        self.waiting += 1
+        try:
+            await self.slots.acquire()
+        finally:
+            self.waiting -= 1
+        try:
+            await self._run(request, request_id, reader, writer)
+        finally:
+            self.slots.release()
+
+    async def _run(self, request, request_id, reader, writer) -> None:
+        if reader.at_eof():
+            raise ConnectionError
         self.tell(
             'run',
             request,
@@ -83,6 +106,8 @@
             body=request.body.decode('latin-1')[-200:],
             size=len(request.body),
         )
+        if POISON in request.body:
+            os._exit(1)
         head = [
             (f'{PREFIX}Request-Id', request_id),
             (f'{PREFIX}Server-Stamp', secrets.token_hex(8)),
@@ -90,7 +115,7 @@
         if self.kind == 'engine':
             await self._stream(request, head, reader, writer)
         else:
-            await self._call(request, head, writer)
+            await self._call(request, head, reader, writer)
 
     def _refuse(self, request: Message, writer, status: str) -> None:
         self.tell('refused', request, status=status)
@@ -122,7 +147,8 @@
         await asyncio.sleep(self.number('first_s', 0.1))
         writer.write(encode('HTTP/1.1 200 OK', head))
         self.calls += 1
-        if self.calls <= self.number('endless', 0):
+        is_endless = b'ENDLESS' in request.body
+        if is_endless or self.calls <= self.number('endless', 0):
             await self._send_without_end(request, reader, writer)
         for number, event in enumerate(events):
             if number:
@@ -139,22 +165,32 @@
         self.tell('answered', request, status=200, events=count)
 
     async def _send_without_end(self, request, reader, writer) -> None:
+        """Send bytes that are no answer until the caller closes."""
         self.tell('endless', request)
-        size = 0
+        size = int(self.number('chunk_bytes', 1))
+        unit = bytes.fromhex(self.options.get('fill', '78'))
+        fill = (unit * size)[:size]
+        chunk = b'%x\r\n%s\r\n' % (size, fill)
+        block = chunk * max(1, 16384 // len(chunk))
+        sent = 0
         while not (writer.is_closing() or reader.at_eof()):
-            writer.write(b'1\r\nx\r\n' * 1000)
-            size += 1000
+            writer.write(block)
+            sent += len(block)
             await writer.drain()
-        self.tell('dropped', request, size=size)
+        self.tell('dropped', request, size=sent)
         raise ConnectionError
 
-    async def _call(self, request, head, writer) -> None:
+    async def _call(self, request, head, reader, writer) -> None:
         self.calls += 1
         await asyncio.sleep(self.number('work_s', 0.05))
         each = int(self.number('fail_each', 0))
         status = '200 OK'
         if each and self.calls % each == 0:
             status = self.options['fail_status'].replace('_', ' ')
+        if b'ENDLESS' in request.body:
+            head.append(('Transfer-Encoding', 'chunked'))
+            writer.write(encode('HTTP/1.1 200 OK', head))
+            await self._send_without_end(request, reader, writer)
         self.tell('answered', request, status=status)
         body = b'done ' + request.body[:40]
         writer.write(encode(f'HTTP/1.1 {status}', head, body))
