--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,87 +1,77 @@
-"""A request that crashes its workers is forgotten as all processes end."""
+"""Bytes without end from two workers keep a machine from serving anyone."""
 
 import asyncio
 from pathlib import Path
-import signal
 
 from standins.fleet import CannotRun
 from standins.fleet import Fleet
+from standins.fleet import route
 from standins.fleet import run_case
-from standins.fleet import STABLE_S
 from standins.fleet import turns_route
-from standins.fleet import WorkerProcess
 
-# Retries after the third crash that the rule allows.
-ALLOWED = 3
-# The workers are back after some seconds.
-BACK_S = 2.0
-# How long the machines are dark.
-DARK_S = 1.0
-KILLS = 4
-SENDS = 4
-PAUSE_S = 1.5
-
-
-async def keep_running(worker: WorkerProcess, zone: str, options) -> None:
-    """Start a worker again some seconds after each crash."""
-    while True:
-        await worker.process.wait()
-        worker.fleet.note(f'worker {worker.worker_id} has crashed')
-        await asyncio.sleep(BACK_S)
-        await worker.start('engine', 'minds', zone, **options)
+TIMEOUT_S = 1.2
+# The rule looks at what has no answer this long after the timeout.
+LATE_S = 0.5
+# A requester waits longer than the route's timeout.
+BUDGET_S = 3.0
+LOOKUPS = 200
+LOOKUPS_PER_S = 20
+# After so many lookups, two turns meet a worker in trouble.
+TROUBLE_AFTER = 40
+TURNS = 2
+# The rule counts from eight late requests on.
+LEAST = 8
 
 
 async def play(fleet: Fleet, is_troubled: bool) -> str | None:
-    """Send the request again and again; kill all machines meanwhile."""
-    await fleet.start([turns_route()])
-    options = {'first_s': 0.1, 'gap_s': 0.02, 'events': 4}
+    """Send lookups to one machine while two turns get bytes without end."""
+    routes = [
+        turns_route(),
+        route('look', 'safe', 'desk', timeoutMs=int(TIMEOUT_S * 1000)),
+    ]
+    await fleet.start(routes)
     for number, zone in enumerate(('bahir-dar', 'gondar', 'bole'), 1):
-        worker = await fleet.add_worker(
-            f'i-engine-{number}', 'engine', 'minds', zone, **options
+        await fleet.add_worker(
+            f'i-engine-{number}', 'engine', 'minds', zone,
+            first_s=0.05, gap_s=0.02, events=4, slots=12,
+            # A stream without end is made of line feeds.
+            chunk_bytes=4000, fill='0a',
+        )
+        await fleet.add_worker(
+            f'i-desk-{number}', 'plain', 'desk', zone, work_s=0.03, slots=6,
         )
-        fleet.spawn(keep_running(worker, zone, options))
     await fleet.wait_until_ready()
+    machine = fleet.machines[0]
+    took_s = []
 
-    sent = []
-
-    async def send_again() -> None:
-        for _ in range(SENDS):
-            machine = fleet.machines[len(sent) % len(fleet.machines)]
-            started_at = machine.started_at
-            request_id, _ = await fleet.turn(
-                machine, f'p{len(sent)}', b'POISON 7'
-            )
-            sent.append((request_id, machine.started_at == started_at))
-            _, other = await fleet.turn(machine, f'q{len(sent)}', b'sound')
-            if other.status not in (200, 502, 503):
-                raise CannotRun(f'a sound turn had {other.status}')
-            await asyncio.sleep(PAUSE_S)
-
-    await send_again()
-    for _ in range(KILLS):
-        if is_troubled:
-            await asyncio.gather(
-                *(m.stop(signal.SIGKILL) for m in fleet.machines)
-            )
-            await asyncio.sleep(DARK_S)
-            for machine in fleet.machines:
-                await machine.start()
-        await fleet.wait_until_ready()
-        await send_again()
+    async def look() -> None:
+        _, answer = await fleet.request(
+            machine, 'GET', '/look/x', time_s=BUDGET_S
+        )
+        took_s.append(answer.ended_at - answer.sent_at)
 
-    crashes = sorted(
-        line['at'] for request_id, _ in sent for line in fleet.ran(request_id)
-    )
-    fleet.note(f'crashes at {[round(at, 1) for at in crashes]}')
-    if len(crashes) < ALLOWED:
-        return None
-    later = [at for at in crashes if at > crashes[2] + STABLE_S]
-    if len(later) <= ALLOWED:
-        return None
-    return (
-        f'{len(crashes)} workers crashed under the request, {len(later)} of '
-        f'them over {STABLE_S} s after the third; {ALLOWED} are allowed'
+    for number in range(LOOKUPS):
+        if number == TROUBLE_AFTER:
+            body = b'ENDLESS ' if is_troubled else b'sound '
+            for turn in range(TURNS):
+                fleet.spawn(fleet.turn(machine, f'p{turn}', body))
+        fleet.spawn(look())
+        await asyncio.sleep(1 / LOOKUPS_PER_S)
+    await asyncio.sleep(BUDGET_S + 0.5)
+    if len(took_s) != LOOKUPS:
+        raise CannotRun(f'{len(took_s)} of {LOOKUPS} lookups have ended')
+    unanswered = [t for t in took_s if t > TIMEOUT_S]
+    late = [t for t in unanswered if t > TIMEOUT_S + LATE_S]
+    fleet.note(
+        f'{len(unanswered)} lookups had no answer at the timeout of '
+        f'{TIMEOUT_S} s, {len(late)} of them none {LATE_S} s later'
     )
+    if len(late) >= LEAST and 2 * len(late) > len(unanswered):
+        return (
+            f'{len(late)} of {len(unanswered)} requests without an answer at '
+            f'the timeout had none {LATE_S} s later'
+        )
+    return None
 
 
 run_case(Path(__file__).parent, play)
