--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -418,6 +418,9 @@
             writer = close_now(writer)
         except (OSError, asyncio.IncompleteReadError) as error:
             answer.reason = type(error).__name__
+        except asyncio.CancelledError:
+            writer = close_now(writer)
+            raise
         finally:
             if writer is not None:
                 self.spawn(close_later(writer))
