Withhold the end of a turn's answer also if it has a length (LOST)

Callers had an answer of status 200 with all the bytes that its length announced, and the next turn got 404 for good: the store was down while the turn was to be kept. The end of a turn's answer is withheld until the turn is in the store, but Reply.set_head passed the server's Content-Length on, so that the last byte of the body was the end.

The head of a successful answer on a streaming route now goes out without a length: in chunks, or ended by its connection for HTTP/1.0. One place decides it.

--- a/jackdawfield/gateway/http/reply.py
+++ b/jackdawfield/gateway/http/reply.py
@@ -24,6 +24,7 @@
 
 LOG = logging.getLogger(__name__)
 PHRASES_BY_STATUS = responses
+LENGTH_HEADER = 'content-length'
 
 
 class Reply:
@@ -80,23 +81,31 @@
         ignore_write_error(self._write(body if self._has_body else b''))
         self.finish()
 
-    def set_head(self, head: ResponseHead) -> None:
+    def set_head(
+        self, head: ResponseHead, withholds_end: bool = False
+    ) -> None:
         """Set the head from that of a backend server's response.
 
-        Headers of the connection to the server are left out.
+        Headers of the connection to the server are left out. With
+        `withholds_end` a length is left out too: it would make the response
+        whole with the last byte of its body, before it is finished.
         """
         headers = HTTPHeaders()
         for name, value in head.headers:
-            if name.lower() not in CONNECTION_HEADERS:
-                headers.add(name, value)
+            if name.lower() in CONNECTION_HEADERS:
+                continue
+            if withholds_end and name.lower() == LENGTH_HEADER:
+                continue
+            headers.add(name, value)
+        has_length = head.framing is Framing.LENGTH and not withholds_end
         self._head = _start_line(head.status), headers
-        self._is_unframed = self._needs_no_framing(head)
+        self._is_unframed = self._needs_no_framing(head, has_length)
         self.status = head.status
 
-    def _needs_no_framing(self, head: ResponseHead) -> bool:
+    def _needs_no_framing(self, head: ResponseHead, has_length: bool) -> bool:
         if not self._has_body or head.status in STATUSES_WITHOUT_BODY:
             return False
-        if head.framing is Framing.LENGTH:
+        if has_length:
             return False
         return head.framing is Framing.CONNECTION or not self._accepts_chunks
 
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -212,7 +212,10 @@
         sent: SentCall,
         reply: Reply,
     ) -> Relayed:
-        reply.set_head(sent.response.head)
+        head = sent.response.head
+        # The stream may be resumed with another length, and its turn has to
+        # be kept before it is whole.
+        reply.set_head(head, withholds_end=head.status == STATUS_OK)
 
         async def write(data: bytes, events: tuple[StreamEvent, ...]) -> bool:
             if not await stream.record_events(events):
@@ -250,6 +253,7 @@
         if call.route.keeps_turns and succeeded:
             reply.stage = Stage.COMMIT
             if not await self._commit(stream, relayed):
+                self._metrics.count_reason(call.route.name, 0, 'turn not kept')
                 reply.abort()
                 return None
         reply.finish()
@@ -285,6 +289,7 @@
             program=stream.program.text,
             depth=len(stream.chain),
             server=server_id,
+            framing=relayed.sent.response.head.framing.value,
             first_ms=round(relayed.first_piece_s * 1000),
             prompt=call.headers.prompt_tokens,
             granted=self._accounts.granted_tokens(stream.program),
