--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -11,7 +11,7 @@
 from jackdawfield.gateway.calls import Stage
 from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.http.caller_exchange import IncomingRequest
-from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.messages import BodyEnd
 from jackdawfield.gateway.http.reply import Reply
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import CallKind
--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -9,8 +9,8 @@
 from result import Result
 
 from jackdawfield.gateway.http.connection import Connection
-from jackdawfield.gateway.http.connection import ExchangeError
-from jackdawfield.gateway.http.connection import Fault
+from jackdawfield.gateway.http.messages import ExchangeError
+from jackdawfield.gateway.http.messages import Fault
 
 SWEEP_INTERVAL_S = 1.0
 
--- a/jackdawfield/gateway/http/reply.py
+++ b/jackdawfield/gateway/http/reply.py
@@ -16,10 +16,10 @@
 from jackdawfield.gateway.calls import Stage
 from jackdawfield.gateway.http.caller_stream import CallerStream
 from jackdawfield.gateway.http.caller_stream import CloseReason
-from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.connection import Framing
-from jackdawfield.gateway.http.connection import ResponseHead
-from jackdawfield.gateway.http.connection import STATUSES_WITHOUT_BODY
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import Framing
+from jackdawfield.gateway.http.messages import ResponseHead
+from jackdawfield.gateway.http.messages import STATUSES_WITHOUT_BODY
 from jackdawfield.sockets import reset_at_close
 
 LOG = logging.getLogger(__name__)
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -10,7 +10,7 @@
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.calls import Stage
-from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.messages import BodyEnd
 from jackdawfield.gateway.http.reply import Reply
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import FleetConfiguration
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -13,8 +13,8 @@
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import Refusal
-from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.connection import Framing
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import Framing
 from jackdawfield.gateway.servers.call_queue import needs_slot
 from jackdawfield.gateway.servers.choice import ServerCriteria
 from jackdawfield.gateway.servers.choice import ServerState
--- a/jackdawfield/gateway/servers/exchange.py
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -11,10 +11,10 @@
 
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import ForwardedHeaders
-from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import Connection
-from jackdawfield.gateway.http.connection import OutgoingRequest
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import OutgoingRequest
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.http.pool import Listening
 from jackdawfield.gateway.model import CallKind
--- a/jackdawfield/gateway/servers/relay_server.py
+++ b/jackdawfield/gateway/servers/relay_server.py
@@ -12,10 +12,10 @@
 from result import Err
 
 from jackdawfield.drivers.peers import PeerServer
-from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import Connection
-from jackdawfield.gateway.http.connection import OutgoingRequest
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import OutgoingRequest
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.http.pool import Listening
 from jackdawfield.gateway.servers.choice import ServerState
--- a/jackdawfield/gateway/servers/response.py
+++ b/jackdawfield/gateway/servers/response.py
@@ -7,8 +7,8 @@
 import time
 
 from jackdawfield.gateway.calls import Call
-from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.server_paths import ServerConnection
 
--- a/jackdawfield/gateway/storage/path.py
+++ b/jackdawfield/gateway/storage/path.py
@@ -15,8 +15,8 @@
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.hedging import first_answer
 from jackdawfield.gateway.hedging import Source
-from jackdawfield.gateway.http.connection import ExchangeError
-from jackdawfield.gateway.http.connection import Fault
+from jackdawfield.gateway.http.messages import ExchangeError
+from jackdawfield.gateway.http.messages import Fault
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.storage.connections import StoreConnections
 from jackdawfield.logs import log_event
--- a/jackdawfield/gateway/streams/relay.py
+++ b/jackdawfield/gateway/streams/relay.py
@@ -11,9 +11,9 @@
 from jackdawfield.event_stream import StreamEvent
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Failure
-from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.connection import Framing
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import Framing
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.servers.dispatch import Dispatcher
 from jackdawfield.gateway.servers.dispatch import SentCall
 from jackdawfield.gateway.streams.progress import Complete
--- a/jackdawfield/platform/headers.py
+++ b/jackdawfield/platform/headers.py
@@ -8,7 +8,7 @@
 from jackdawfield.gateway.calls import CallHeaders
 from jackdawfield.gateway.calls import CONNECTION_HEADERS
 from jackdawfield.gateway.calls import ForwardedHeaders
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.model import TurnId
 from jackdawfield.logs import log_event
 from jackdawfield.model import ProgramId
--- a/jackdawfield/platform/store.py
+++ b/jackdawfield/platform/store.py
@@ -14,8 +14,8 @@
 from jackdawfield.decisions.table import NotApplied
 from jackdawfield.decisions.table import OutcomeUnknown
 from jackdawfield.decoding import DECODE_ERRORS
-from jackdawfield.gateway.http.connection import ExchangeError
-from jackdawfield.gateway.http.connection import Fault
+from jackdawfield.gateway.http.messages import ExchangeError
+from jackdawfield.gateway.http.messages import Fault
 from jackdawfield.gateway.storage.path import StorePath
 from jackdawfield.gateway.storage.rows import RowConflict
 from jackdawfield.gateway.storage.rows import RowKey
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,12 +12,12 @@
 from result import Ok
 from result import Result
 
-from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import Connection
-from jackdawfield.gateway.http.connection import ExchangeError
-from jackdawfield.gateway.http.connection import Fault
-from jackdawfield.gateway.http.connection import OutgoingRequest
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import ExchangeError
+from jackdawfield.gateway.http.messages import Fault
+from jackdawfield.gateway.http.messages import OutgoingRequest
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
 from soak.backend import short_digest
 from soak.instances import CALLER_PORT
--- a/soak/cuts.py
+++ b/soak/cuts.py
@@ -16,8 +16,8 @@
 
 from jackdawfield.gateway.daemon import Gateway
 from jackdawfield.gateway.http.connection import Connection
-from jackdawfield.gateway.http.connection import ExchangeError
-from jackdawfield.gateway.http.connection import Fault
+from jackdawfield.gateway.http.messages import ExchangeError
+from jackdawfield.gateway.http.messages import Fault
 from jackdawfield.gateway.http.pool import ConnectionPool
 
 CUT_FILE_VARIABLE = 'SOAK_CUT_FILE'
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 from jackdawfield.gateway.daemon import Gateway
-from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.connection import OutgoingRequest
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import OutgoingRequest
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.storage.rows import RowKey
--- a/tests/gateway/http/test_connection.py
+++ b/tests/gateway/http/test_connection.py
@@ -4,14 +4,14 @@
 
 from result import Err
 
-from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import Connection
-from jackdawfield.gateway.http.connection import Fault
 from jackdawfield.gateway.http.connection import KEEPALIVE_IDLE_S
 from jackdawfield.gateway.http.connection import KEEPALIVE_INTERVAL_S
-from jackdawfield.gateway.http.connection import OutgoingRequest
-from jackdawfield.gateway.http.connection import ResponseHead
 from jackdawfield.gateway.http.connection import TCP_USER_TIMEOUT_MS
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import Fault
+from jackdawfield.gateway.http.messages import OutgoingRequest
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
 from tests.gateway.scripted_server import answer
 from tests.gateway.scripted_server import ReceivedRequest
--- a/tests/gateway/http/test_pool.py
+++ b/tests/gateway/http/test_pool.py
@@ -5,10 +5,10 @@
 import socket
 import unittest
 
-from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import Connection
-from jackdawfield.gateway.http.connection import OutgoingRequest
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import OutgoingRequest
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
 from tests.gateway.scripted_server import answer
 from tests.gateway.scripted_server import ReceivedRequest
--- a/tests/gateway/servers/test_dispatch.py
+++ b/tests/gateway/servers/test_dispatch.py
@@ -9,8 +9,8 @@
 from jackdawfield.gateway.calls import Failure
 from jackdawfield.gateway.calls import ForwardedHeaders
 from jackdawfield.gateway.calls import Refusal
-from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import CallKind
--- a/tests/gateway/servers/test_rate_limit.py
+++ b/tests/gateway/servers/test_rate_limit.py
@@ -1,6 +1,6 @@
 import unittest
 
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.servers.rate_limit import MIN_PER_S
 from jackdawfield.gateway.servers.rate_limit import RateLimit
 from jackdawfield.gateway.servers.rate_limit import VALID_S
--- a/tests/gateway/storage/test_path.py
+++ b/tests/gateway/storage/test_path.py
@@ -7,7 +7,7 @@
 from jackdawfield.decisions.table import OutcomeUnknown
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
-from jackdawfield.gateway.http.connection import Fault
+from jackdawfield.gateway.http.messages import Fault
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.storage.path import StorePath
 from jackdawfield.gateway.storage.rows import RowKey
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -6,10 +6,10 @@
 from jackdawfield.gateway.daemon import STOP_MARGIN_S
 from jackdawfield.gateway.fleet.ownership import TAKEOVER_WAIT_S
 from jackdawfield.gateway.fleet.shared_tables import MEMBERS_INTERVAL_S
-from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.connection import OutgoingRequest
-from jackdawfield.gateway.http.connection import ResponseHead
 from jackdawfield.gateway.http.drain import LISTEN_AFTER_STOP_S
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import OutgoingRequest
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.storage.rows import RowKey
 from tests.gateway.harness import configuration
 from tests.gateway.harness import engine
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -15,11 +15,11 @@
 from result import Result
 
 from jackdawfield.gateway.daemon import Gateway
-from jackdawfield.gateway.http.connection import BodyEnd
 from jackdawfield.gateway.http.connection import Connection
-from jackdawfield.gateway.http.connection import ExchangeError
-from jackdawfield.gateway.http.connection import Fault
-from jackdawfield.gateway.http.connection import OutgoingRequest
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import ExchangeError
+from jackdawfield.gateway.http.messages import Fault
+from jackdawfield.gateway.http.messages import OutgoingRequest
 from jackdawfield.gateway.servers.reachability import Path
 from jackdawfield.gateway.servers.relay_server import MAX_RELAYED
 from jackdawfield.gateway.storage.rows import RowKey
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -5,9 +5,9 @@
 import time
 import unittest
 
-from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.connection import OutgoingRequest
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import OutgoingRequest
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.storage.rows import RowKey
 from tests.gateway.harness import Answer
 from tests.gateway.harness import Fleet
--- a/tests/gateway/test_withheld_ends.py
+++ b/tests/gateway/test_withheld_ends.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 import unittest
 
-from jackdawfield.gateway.http.connection import BodyEnd
+from jackdawfield.gateway.http.messages import BodyEnd
 from tests.gateway.harness import Answer
 from tests.gateway.harness import Fleet
 from tests.gateway.harness import HOST
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -5,8 +5,8 @@
 import socket
 import unittest
 
-from jackdawfield.gateway.http.connection import BodyEnd
-from jackdawfield.gateway.http.connection import OutgoingRequest
+from jackdawfield.gateway.http.messages import BodyEnd
+from jackdawfield.gateway.http.messages import OutgoingRequest
 from soak.callers import CallerConnection
 from soak.callers import CallerPool
 
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -1,9 +1,9 @@
 import unittest
 
 from jackdawfield.decoding import parse_count
-from jackdawfield.gateway.http.connection import DEFAULT_IDLE_S
-from jackdawfield.gateway.http.connection import idle_limit_s
-from jackdawfield.gateway.http.connection import ResponseHead
+from jackdawfield.gateway.http.messages import DEFAULT_IDLE_S
+from jackdawfield.gateway.http.messages import idle_limit_s
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.streams.progress import _number
 from jackdawfield.platform.headers import decode_headers
 
