Handle bytes without end in slices, and end answers that are none (CONFIG)

Two streams without end in chunks of one byte kept an instance from answering anybody, also after their callers had left. Each chunk was a piece of its own from the parser to the caller, and nothing on that way suspends while data is there: the loop ran no timer, no close and no other call. The bounds counted bytes, the cost lies in pieces.

A connection now parses a slice of pieces at a time, with reading paused; the slices of all connections run one after another with a pause before each, so that a dozen such servers take no more than one. Pieces are joined where they arrive, on direct and relayed connections.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -30,6 +30,7 @@
 from jackdawfield.gateway.http.listener import HttpListener
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.http.reply import Reply
+from jackdawfield.gateway.loop_watch import LoopWatch
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.model import GatewaySettings
@@ -70,6 +71,7 @@
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import RowStore
 from jackdawfield.gateway.storage.rows import StoredRow
+from jackdawfield.gateway.work_slices import WorkSlices
 from jackdawfield.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -113,6 +115,8 @@
         self._adapter = adapter
         self._incarnation = secrets.token_hex(4)
         self._tasks = BackgroundTasks()
+        self.work_slices = WorkSlices()
+        self.loop_watch = LoopWatch()
         self.is_stopping = False
         self.metrics = GatewayMetrics(settings.instance_id)
         self._build_store()
@@ -127,7 +131,7 @@
         settings = self.settings
         self.links = PeerLinks()
         self.peers = PeerServer()
-        self.store_pool = ConnectionPool()
+        self.store_pool = ConnectionPool(self.work_slices)
         self.store_path = StorePath(
             self.store_pool,
             settings.store_host,
@@ -153,7 +157,7 @@
         self.servers = Servers(
             settings.domain_id, dict(settings.regions_by_domain)
         )
-        self.server_pool = ConnectionPool()
+        self.server_pool = ConnectionPool(self.work_slices)
         self.slot_queue = SlotQueue(self.servers, self.metrics)
         self._build_broadcasts()
         self._build_server_paths()
@@ -257,6 +261,7 @@
             self.expiry,
             self.admission,
             self.metrics,
+            self.work_slices,
         )
 
     @property
@@ -345,7 +350,7 @@
 
     async def _run_checks(self) -> None:
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await self.loop_watch.sleep(CHECK_INTERVAL_S)
             for server_id in self.servers.expire(time.monotonic()):
                 log_event(LOG, 'server_gone', server=server_id)
             if self.rate_owner.ownership.older_views_expired(boot_time_s()):
--- a/jackdawfield/gateway/gauges.py
+++ b/jackdawfield/gateway/gauges.py
@@ -30,6 +30,8 @@
         g.quarantine.quarantined(time.monotonic())
     ),
     'requests_suspected': lambda g: g.quarantine.suspect_count(),
+    'loop_longest_pause_s': lambda g: g.loop_watch.longest_pause_s,
+    'slices_deferred': lambda g: g.work_slices.deferred_count,
     'tasks_restarted': lambda g: g.restarted_task_count,
     'servers_ended': lambda g: g.ended_servers.ended_count,
 }
--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -26,6 +26,9 @@
 from jackdawfield.gateway.http.messages import OutgoingRequest
 from jackdawfield.gateway.http.messages import Part
 from jackdawfield.gateway.http.messages import ResponseHead
+from jackdawfield.gateway.http.part_queue import PartQueue
+from jackdawfield.gateway.work_slices import SLICE_PIECES
+from jackdawfield.gateway.work_slices import WorkSlices
 from jackdawfield.sockets import has_unread_input
 
 MAX_HEAD_BYTES = 65536
@@ -51,15 +54,16 @@
     A request is never sent again.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, slices: WorkSlices) -> None:
+        self._slices = slices
         self._transport: asyncio.Transport | None = None
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
-        self._parts: deque[Part] = deque()
-        self._buffered_bytes = 0
+        self._parts = PartQueue()
+        # Whether received bytes wait to be parsed in a later slice.
+        self._has_unparsed = False
         self._is_paused = False
-        self._waiter: asyncio.Future[None] | None = None
         self._request: OutgoingRequest | None = None
         self._framing = Framing.LENGTH
         self._is_late_response = False
@@ -88,7 +92,8 @@
             self.abort('bytes without a request')
             return
         self._parser.receive_data(data)
-        self._parse()
+        if not self._has_unparsed:
+            self._parse()
 
     def eof_received(self) -> bool:
         """Handle the end of data, which ends a response without a length."""
@@ -118,16 +123,34 @@
         self._is_lost = True
         self.lost_reason = reason
         if self._request is not None and not self._has_ended:
-            self._push(BodyEnd.CUT)
+            self._parts.put(BodyEnd.CUT)
 
     def _parse(self) -> None:
+        """Parse what has arrived, at most one slice of it at once.
+
+        Nothing more is read until the rest was parsed.
+        """
         try:
-            self._parse_events()
+            self._has_unparsed = self._parse_slice()
         except h11.RemoteProtocolError as error:
             self.abort(f'malformed answer: {error}')
+            return
+        if self._has_unparsed:
+            self._slices.resume_later(self._parse_rest)
+        self._pause_reading()
 
-    def _parse_events(self) -> None:
-        while not self._has_ended and not self._is_lost:
+    def _parse_rest(self) -> None:
+        self._has_unparsed = False
+        if self._is_lost or self._has_ended:
+            return
+        self._parse()
+        self._resume_reading()
+
+    def _parse_slice(self) -> bool:
+        """Parse one slice; return whether more may be parsed."""
+        for _ in range(SLICE_PIECES):
+            if self._has_ended or self._is_lost:
+                return False
             event = self._parser.next_event()
             match event:
                 case h11.Response():
@@ -136,20 +159,15 @@
                     self._skip_response()
                 case h11.Data(data=data):
                     if not self._is_late_response:
-                        self._buffered_bytes += len(data)
-                        self._push(bytes(data))
+                        self._parts.put(bytes(data))
                 case h11.EndOfMessage():
                     self._handle_end()
                 case h11.ConnectionClosed():
                     self._mark_lost('closed by the server')
-                    return
+                    return False
                 case h11.NEED_DATA | h11.PAUSED:
-                    break
-        if self._is_paused or self._buffered_bytes <= READ_PAUSE_BYTES:
-            return
-        if self._transport is not None:
-            self._is_paused = True
-            self._transport.pause_reading()
+                    return False
+        return not self._has_ended and not self._is_lost
 
     def _handle_head(self, event: h11.Response) -> None:
         request = self._request
@@ -177,7 +195,7 @@
                 return
         self._framing = head.framing
         self._idle_limit_s = idle_limit_s(head)
-        self._push(head)
+        self._parts.put(head)
 
     def _skip_response(self) -> None:
         """Count a skipped response; close the connection after too many."""
@@ -189,7 +207,9 @@
         if not self._is_late_response:
             self._has_ended = True
             is_confirmed = self._framing is not Framing.CONNECTION
-            self._push(BodyEnd.WHOLE if is_confirmed else BodyEnd.UNCONFIRMED)
+            self._parts.put(
+                BodyEnd.WHOLE if is_confirmed else BodyEnd.UNCONFIRMED
+            )
             return
         rest, closed = self._parser.trailing_data
         self._is_late_response = False
@@ -205,11 +225,6 @@
         if rest:
             self._parser.receive_data(rest)
 
-    def _push(self, part: Part) -> None:
-        self._parts.append(part)
-        if self._waiter is not None and not self._waiter.done():
-            self._waiter.set_result(None)
-
     @property
     def is_usable(self) -> bool:
         """Return whether the connection can carry another request."""
@@ -257,17 +272,22 @@
 
     async def next_part(self) -> Part:
         """Return the response's head, next its body's pieces, last its end."""
-        while not self._parts:
-            self._waiter = asyncio.get_running_loop().create_future()
-            await self._waiter
-        part = self._parts.popleft()
-        if isinstance(part, bytes):
-            self._buffered_bytes -= len(part)
-            self._resume_reading()
+        part = await self._parts.get()
+        self._resume_reading()
         return part
 
+    def _pause_reading(self) -> None:
+        """Stop reading while much that has arrived is not yet taken."""
+        is_full = self._parts.body_bytes > READ_PAUSE_BYTES
+        if self._is_paused or not (is_full or self._has_unparsed):
+            return
+        if self._transport is not None:
+            self._is_paused = True
+            self._transport.pause_reading()
+
     def _resume_reading(self) -> None:
-        if not self._is_paused or self._buffered_bytes > READ_PAUSE_BYTES // 2:
+        is_full = self._parts.body_bytes > READ_PAUSE_BYTES // 2
+        if not self._is_paused or is_full or self._has_unparsed:
             return
         if self.is_usable and self._transport is not None:
             self._is_paused = False
@@ -297,6 +317,7 @@
         parser.start_next_cycle()
         self._request = None
         self._parts.clear()
+        self._resume_reading()
         self._is_reused = True
         self.wait_for_use()
         return True
--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -11,6 +11,7 @@
 from jackdawfield.gateway.http.connection import Connection
 from jackdawfield.gateway.http.messages import ExchangeError
 from jackdawfield.gateway.http.messages import Fault
+from jackdawfield.gateway.work_slices import WorkSlices
 
 SWEEP_INTERVAL_S = 1.0
 
@@ -26,7 +27,8 @@
 class ConnectionPool:
     """Holds idle connections by address, the last used first."""
 
-    def __init__(self) -> None:
+    def __init__(self, slices: WorkSlices | None = None) -> None:
+        self._slices = slices or WorkSlices()
         self._idle_by_address: dict[tuple[str, int], list[Connection]] = {}
         self.opened_count = 0
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -73,7 +75,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    Connection, host, port
+                    lambda: Connection(self._slices), host, port
                 )
         except (OSError, ValueError, OverflowError) as error:
             reason = f'{type(error).__name__} {error}'.strip()
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -36,6 +36,7 @@
 from jackdawfield.gateway.streams.relay import Relayed
 from jackdawfield.gateway.streams.relay import stream_limits
 from jackdawfield.gateway.streams.relay import StreamRelay
+from jackdawfield.gateway.work_slices import WorkSlices
 from jackdawfield.logs import log_event
 from jackdawfield.model import ServiceName
 
@@ -86,7 +87,9 @@
         expiry: RowExpiry,
         admission: Admission,
         metrics: GatewayMetrics,
+        slices: WorkSlices,
     ) -> None:
+        self._slices = slices
         self._metrics = metrics
         self._dispatcher = dispatcher
         self._admission = admission
@@ -230,7 +233,9 @@
             return await reply.write(data)
 
         limits = stream_limits(stream.call, self._tokens_per_event(service))
-        relay = StreamRelay(self._dispatcher, sent, limits, write)
+        relay = StreamRelay(
+            self._dispatcher, sent, limits, write, self._slices
+        )
         return await relay.run()
 
     async def _end(
--- a/jackdawfield/gateway/servers/relay_client.py
+++ b/jackdawfield/gateway/servers/relay_client.py
@@ -20,6 +20,7 @@
 from jackdawfield.gateway.http.messages import OutgoingRequest
 from jackdawfield.gateway.http.messages import Part
 from jackdawfield.gateway.http.messages import ResponseHead
+from jackdawfield.gateway.http.part_queue import PartQueue
 from jackdawfield.gateway.http.pool import Listening
 from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.servers.relay_server import WINDOW_BYTES
@@ -64,7 +65,7 @@
         self._links = links
         self._relay_id = relay_id
         self._tasks = tasks
-        self._parts: asyncio.Queue[Part] = asyncio.Queue()
+        self._parts = PartQueue()
         self._unreported_bytes = 0
         self._has_ended = False
         self.lost_reason = ''
@@ -98,11 +99,11 @@
             match answer:
                 case Ok(RelayHead(status, reason, headers, framing)):
                     pairs = tuple((name, value) for name, value in headers)
-                    self._parts.put_nowait(
+                    self._parts.put(
                         ResponseHead(status, reason, pairs, Framing(framing))
                     )
                 case Ok(RelayPiece(data)):
-                    self._parts.put_nowait(data)
+                    self._parts.put(data)
                 case Ok(RelayEnd() as end):
                     self.lost_reason = end.reason
                     self.is_unsent = end.is_unsent
@@ -116,7 +117,7 @@
 
     def _end(self, end: BodyEnd) -> None:
         self._has_ended = True
-        self._parts.put_nowait(end)
+        self._parts.put(end)
 
     async def next_part(self) -> Part:
         """Return the response's head, next its body's pieces, last its end."""
--- a/jackdawfield/gateway/servers/response.py
+++ b/jackdawfield/gateway/servers/response.py
@@ -1,5 +1,6 @@
 """Read the response of a backend server whose head has arrived."""
 
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -27,7 +28,8 @@
     head: ResponseHead
     confirm_end: Callable[[ServerState], Awaitable[BodyEnd]]
     record_heard: Callable[[], None]
-    pieces: list[bytes] = field(default_factory=list)
+    # Pieces that were read ahead.
+    pieces: collections.deque[bytes] = field(default_factory=collections.deque)
     end: BodyEnd | None = None
     sent_at_s: float = 0.0
     # Time until the first piece of the body, None before it arrived.
@@ -66,7 +68,7 @@
 
     async def _next_part(self) -> bytes | BodyEnd:
         if self.pieces:
-            return self.pieces.pop(0)
+            return self.pieces.popleft()
         if self.end is not None:
             return self.end
         return await self.read_part()
--- a/jackdawfield/gateway/streams/progress.py
+++ b/jackdawfield/gateway/streams/progress.py
@@ -17,15 +17,17 @@
 class StreamLimits:
     """Holds what a route and a call allow for a stream.
 
-    `max_gap_s` is the longest time without a complete event, after which
-    callers abandon a stream. Without `resume_gap_s` a silent stream is not
-    resumed before it fails. `max_events` is None without a token budget.
+    `max_gap_s` is the longest time without a complete event with data, after
+    which callers abandon a stream. Without `resume_gap_s` a silent stream is
+    not resumed before it fails. `max_events` is None without a token budget,
+    `max_bytes` if what was passed on is not kept.
     """
 
     max_gap_s: float
     max_resumptions: int = 0
     resume_gap_s: float | None = None
     max_events: int | None = None
+    max_bytes: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,6 +124,7 @@
         self._limits = limits
         self.last_event_id = last_event_id
         self.events_passed = 0
+        self._passed_bytes = 0
         self.resumptions = 0
         # Time of the last complete event, first that of the call's arrival.
         self._progress_at_s = started_at_s
@@ -186,16 +189,28 @@
             if not self._is_repeated(event):
                 passed.append(event)
                 self._record(event)
-        if passed:
+        if any(event.data is not None for event in passed):
             self._progress_at_s = now_s
+        if passed:
             raw = b''.join(event.raw for event in passed)
+            self._passed_bytes += len(raw)
             actions.append(PassOn(raw, tuple(passed)))
         if failure is not None:
             actions.append(failure)
         elif parser.is_oversized:
             actions.append(self._resume_or_fail('endless event', now_s))
+        elif self._is_too_large:
+            actions.append(Fail('larger than a turn may be'))
+        else:
+            # Bytes that complete no event with data are as good as silence.
+            actions.extend(self._on_time_passed(now_s))
         return tuple(actions)
 
+    @property
+    def _is_too_large(self) -> bool:
+        limit_bytes = self._limits.max_bytes
+        return limit_bytes is not None and self._passed_bytes > limit_bytes
+
     def _is_repeated(self, event: StreamEvent) -> bool:
         """Return whether the caller already has an event."""
         if event.event_id is None or self.last_event_id is None:
--- a/jackdawfield/gateway/streams/relay.py
+++ b/jackdawfield/gateway/streams/relay.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
 from dataclasses import dataclass
 import logging
 import math
@@ -27,6 +28,8 @@
 from jackdawfield.gateway.streams.progress import StreamLimits
 from jackdawfield.gateway.streams.progress import StreamProgress
 from jackdawfield.gateway.streams.progress import TimePassed
+from jackdawfield.gateway.work_slices import SLICE_PIECES
+from jackdawfield.gateway.work_slices import WorkSlices
 from jackdawfield.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -44,6 +47,9 @@
 RESUME_GAP_SHARE = 0.6
 MAX_RESUMPTIONS = 3
 
+# A turn's answer is held in memory until it is kept.
+MAX_TURN_BYTES = 4 * 1024 * 1024
+
 Write = Callable[[bytes, tuple[StreamEvent, ...]], Awaitable[bool]]
 
 
@@ -80,6 +86,7 @@
         MAX_RESUMPTIONS if route.is_resumable else 0,
         resume_gap_s,
         max_events,
+        MAX_TURN_BYTES if route.keeps_turns else None,
     )
 
 
@@ -92,7 +99,11 @@
         sent: SentCall,
         limits: StreamLimits,
         write: Write,
+        slices: WorkSlices,
     ) -> None:
+        self._slices = slices
+        # The rest of the last piece, in slices.
+        self._rest: Iterator[bytes] = iter(())
         self._dispatcher = dispatcher
         self._sent = sent
         self._write = write
@@ -136,6 +147,10 @@
             event = await self._next_event()
 
     async def _next_event(self) -> StreamInput:
+        rest = next(self._rest, None)
+        if rest is not None:
+            await self._slices.pause()
+            return PieceArrived(rest, time.monotonic())
         response = self._sent.response
         check_in_s = self._progress.next_check_s() - time.monotonic()
         try:
@@ -146,7 +161,8 @@
         if self._first_piece_s is None:
             self._first_piece_s = response.first_piece_s
         if isinstance(part, bytes):
-            return PieceArrived(part, time.monotonic())
+            self._rest = split_lines(part, SLICE_PIECES)
+            return PieceArrived(next(self._rest), time.monotonic())
         return StreamEnded(
             part is not BodyEnd.CUT,
             time.monotonic(),
@@ -155,6 +171,7 @@
 
     async def _resume(self, action: Resume) -> Failure | None:
         self._release(BodyEnd.CUT)
+        self._rest = iter(())
         log_event(
             LOG,
             'stream_broken',
@@ -192,6 +209,20 @@
         return Relayed(end, self._sent, self._first_piece_s or 0.0, reason)
 
 
+def split_lines(piece: bytes, count: int) -> Iterator[bytes]:
+    """Yield a piece that is not empty in parts of at most so many lines."""
+    start = 0
+    while start < len(piece):
+        end = start
+        for _ in range(count):
+            end = piece.find(b'\n', end) + 1
+            if not end:
+                end = len(piece)
+                break
+        yield piece[start:end]
+        start = end
+
+
 def _head_event(head: ResponseHead) -> HeadArrived:
     content_type = (head.get('content-type') or '').lower()
     is_event_stream = content_type.startswith(EVENT_STREAM_TYPE)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,7 @@
 from jackdawfield.gateway.http.messages import OutgoingRequest
 from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.work_slices import WorkSlices
 from soak.backend import short_digest
 from soak.instances import CALLER_PORT
 from soak.instances import Instance
@@ -95,7 +96,7 @@
     """
 
     def __init__(self) -> None:
-        super().__init__()
+        super().__init__(WorkSlices())
         self.is_closed_in_order = False
 
     def eof_received(self) -> bool:
--- a/tests/gateway/streams/test_progress.py
+++ b/tests/gateway/streams/test_progress.py
@@ -244,6 +244,34 @@
             self.assertIsInstance(actions[0], expected)
             self.assertEqual(self.passed, event(0))
 
+    # Guards against a stream that never ends since bytes keep coming, so that
+    # nobody looks at the time.
+    def test_bytes_that_complete_no_event_are_as_good_as_silence(self) -> None:
+        for fill in (b'x', b'\n', b':\n\n', b'id: 9\n\n', b'event: x\n\n'):
+            with self.subTest(fill):
+                self.begin(NOT_RESUMABLE)
+                self.piece(event(0), 1.0)
+                self.assertEqual(self.piece(fill, 1.0 + GAP_S / 2), [])
+                self.assertEqual(
+                    self.piece(fill, 1.0 + GAP_S),
+                    [Fail('no complete event in time')],
+                )
+
+    def test_events_keep_a_stream_alive(self) -> None:
+        self.begin(NOT_RESUMABLE)
+        for number in range(6):
+            self.assertEqual(self.piece(event(number), number * 2.0), [])
+
+    # Guards against an answer that is kept in memory without a limit.
+    def test_turn_is_bounded_by_its_bytes(self) -> None:
+        limit = 4 * len(event(0))
+        self.begin(StreamLimits(GAP_S, max_bytes=limit))
+        for number in range(4):
+            self.assertEqual(self.piece(event(number)), [])
+        self.assertEqual(
+            self.piece(event(4)), [Fail('larger than a turn may be')]
+        )
+
     def test_more_events_than_the_call_allows_are_not_passed_on(self) -> None:
         self.begin(StreamLimits(GAP_S, max_events=3))
         actions = self.piece(stream(0, 9))
