--- a/jackdawfield/gateway/calls.py
+++ b/jackdawfield/gateway/calls.py
@@ -37,6 +37,8 @@
     """Names the step that a call in progress is waiting for."""
 
     RATE = 'rate'
+    # A free slot at a server, before the call is sent to any.
+    SLOT = 'slot'
     SERVER = 'server'
     CHAIN = 'chain'
     BUDGET = 'budget'
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -65,6 +65,7 @@
 from jackdawfield.gateway.servers.server_paths import ServerPaths
 from jackdawfield.gateway.servers.server_table import ServerTable
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
+from jackdawfield.gateway.stop_rule import StopRule
 from jackdawfield.gateway.storage.follower import TableFollower
 from jackdawfield.gateway.storage.measured import MeasuredStore
 from jackdawfield.gateway.storage.path import StorePath
@@ -117,6 +118,7 @@
         self._tasks = BackgroundTasks()
         self.work_slices = WorkSlices()
         self.loop_watch = LoopWatch()
+        self.stop_rule = StopRule()
         self.is_stopping = False
         self.metrics = GatewayMetrics(settings.instance_id)
         self._build_store()
@@ -184,7 +186,11 @@
         )
         guard = CallGuard(self.quarantine, self.ended_servers)
         self.dispatcher = Dispatcher(
-            self.slot_queue, exchange, guard, self.server_limits
+            self.slot_queue,
+            exchange,
+            guard,
+            self.server_limits,
+            self.stop_rule,
         )
         self.rate_owner = RateOwner(
             settings.bounds,
@@ -198,7 +204,11 @@
         )
         self._build_programs()
         self.call_handler = CallHandler(
-            self.dispatcher, self.stream_calls, self.admission, self.metrics
+            self.dispatcher,
+            self.stream_calls,
+            self.admission,
+            self.metrics,
+            self.stop_rule,
         )
 
     def _build_broadcasts(self) -> None:
@@ -432,17 +442,29 @@
         log_event(LOG, 'stopping', in_flight=self.caller_listener.in_flight)
         self.detector.is_leaving = True
         self.rate_owner.hand_over_all()
-        await self.seat_holder.leave()
+        # A store that is slow or away must not delay what callers wait for.
+        leaving = asyncio.create_task(self.seat_holder.leave())
         await drain(
             self.caller_listener,
             started_s,
             drain_until_s,
-            self.call_handler.refuse_calls_due_after,
+            self.stop_rule.refuse_calls_due_after,
         )
         await self.relay_server.drain(drain_until_s)
+        await self._wait_until_left(leaving, drain_until_s)
         log_event(LOG, 'stopped', in_flight=self.caller_listener.in_flight)
         await self.close()
 
+    async def _wait_until_left(
+        self, leaving: asyncio.Task[None], until_s: float
+    ) -> None:
+        """Wait until the seats are left, at most until a monotonic time."""
+        left_s = max(0.0, until_s - time.monotonic())
+        _, pending = await asyncio.wait((leaving,), timeout=left_s)
+        if pending:
+            leaving.cancel()
+            log_event(LOG, 'seats_not_left', logging.WARNING)
+
     async def close(self) -> None:
         """Cancel the background tasks and close all connections."""
         self._tasks.cancel()
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -22,6 +22,8 @@
 from jackdawfield.gateway.routes import find_route
 from jackdawfield.gateway.servers.dispatch import Dispatcher
 from jackdawfield.gateway.servers.dispatch import SentCall
+from jackdawfield.gateway.stop_rule import RETRY_AT_STOP_S
+from jackdawfield.gateway.stop_rule import StopRule
 from jackdawfield.gateway.storage.follower import TableFollower
 from jackdawfield.logs import log_event
 from jackdawfield.model import OrganisationId
@@ -37,10 +39,8 @@
 CONFIRM_TIMEOUT_S = 0.3
 # Retry-After of refusals before a configuration was received or confirmed.
 RETRY_UNCONFIGURED_S = 0.3
-# Retry-After of refusals at a planned stop; other instances serve at once.
-RETRY_AT_STOP_S = 0.05
 # Stages in which nothing of a call was sent to a backend server yet.
-UNSENT_STAGES = frozenset((Stage.RATE, Stage.CHAIN, Stage.BUDGET))
+UNSENT_STAGES = frozenset((Stage.RATE, Stage.CHAIN, Stage.BUDGET, Stage.SLOT))
 # Metric label for the route of a request that was refused without a call.
 NO_ROUTE = 'none'
 
@@ -54,22 +54,15 @@
         stream_calls: StreamCalls,
         admission: Admission,
         metrics: GatewayMetrics,
+        stop_rule: StopRule,
     ) -> None:
         self._metrics = metrics
+        self._stop_rule = stop_rule
         self._dispatcher = dispatcher
         self._stream_calls = stream_calls
         self._admission = admission
         self.configuration: FleetConfiguration | None = None
         self.configuration_table: TableFollower | None = None
-        # Calls that are due later are refused; None unless stopping.
-        self._latest_deadline_s: float | None = None
-
-    def refuse_calls_due_after(self, deadline_s: float) -> None:
-        """Refuse from now on the calls whose deadline is after a time.
-
-        Both are by the monotonic clock.
-        """
-        self._latest_deadline_s = deadline_s
 
     async def serve(
         self, request: IncomingRequest, headers: CallHeaders, reply: Reply
@@ -158,10 +151,7 @@
         if headers.time_left_s is not None:
             time_left_s = min(time_left_s, headers.time_left_s)
         deadline_s = request.arrived_at_s + time_left_s
-        latest_s = self._latest_deadline_s
-        if latest_s is not None and deadline_s > latest_s:
-            return Refusal(503, 'instance stops', RETRY_AT_STOP_S)
-        return Call(
+        call = Call(
             request_id=headers.request_id,
             method=request.method,
             target=request.target,
@@ -172,6 +162,7 @@
             arrived_at_s=request.arrived_at_s,
             deadline_s=deadline_s,
         )
+        return self._stop_rule.check(call) or call
 
     async def _run(self, call: Call, reply: Reply) -> None:
         service = choose_service(call.route, call.request_id)
@@ -210,8 +201,10 @@
             refusal = await self._admission.admit(call)
         if refusal is not None:
             return refusal
-        reply.stage = Stage.SERVER
-        sent = await self._dispatcher.start(call, service, call.body, None)
+        reply.stage = Stage.SLOT
+        sent = await self._dispatcher.start(
+            call, service, call.body, None, reply.record_sent
+        )
         if isinstance(sent, Refusal):
             self._admission.return_token(call)
         if not isinstance(sent, SentCall):
--- a/jackdawfield/gateway/http/reply.py
+++ b/jackdawfield/gateway/http/reply.py
@@ -65,6 +65,10 @@
         """Return what closed the connection, None while it is open."""
         return self._stream.close_reason if self._stream.closed() else None
 
+    def record_sent(self) -> None:
+        """Record that the call is sent to a server, so that it may run."""
+        self.stage = Stage.SERVER
+
     def send(
         self, status: int, text: str, retry_after_s: float | None = None
     ) -> None:
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -189,9 +189,13 @@
         call = stream.call
         parent = stream.parent
         prompt = build_prompt(stream.chain, call.body)
-        reply.stage = Stage.SERVER
+        reply.stage = Stage.SLOT
         sent = await self._dispatcher.start(
-            call, service, prompt, parent.server_id if parent else None
+            call,
+            service,
+            prompt,
+            parent.server_id if parent else None,
+            reply.record_sent,
         )
         if not isinstance(sent, SentCall):
             return sent
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -4,6 +4,7 @@
 executed.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
@@ -30,6 +31,7 @@
 from jackdawfield.gateway.servers.server_limits import ServerLimits
 from jackdawfield.gateway.servers.slot_queue import RETRY_AFTER_S
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
+from jackdawfield.gateway.stop_rule import StopRule
 from jackdawfield.logs import log_event
 from jackdawfield.model import ServerId
 from jackdawfield.model import ServiceName
@@ -98,7 +100,9 @@
         exchange: ServerExchange,
         guard: CallGuard,
         limits: ServerLimits,
+        stop_rule: StopRule,
     ) -> None:
+        self._stop_rule = stop_rule
         self._slot_queue = slot_queue
         self._limits = limits
         self._exchange = exchange
@@ -116,8 +120,12 @@
         service: ServiceName,
         body: bytes,
         preferred_id: ServerId | None,
+        on_sent: Callable[[], None],
     ) -> SentCall | Refusal | Failure:
-        """Return the response once it has begun, or why it has not."""
+        """Return the response once it has begun, or why it has not.
+
+        `on_sent` is called before anything of the call is sent to a server.
+        """
         tries = ServerTries(call.route.attempt_limit)
         may_have_run = False
         reason = 'no backend server'
@@ -136,13 +144,15 @@
                 return server
             if server is None or isinstance(server, Refusal):
                 break
-            # The request may have been suspected while the call was queued.
-            refusal = self._guard.check(call)
+            # The request may have been suspected while the call was queued,
+            # or a planned stop has come so far that it may not end in time.
+            refusal = self._guard.check(call) or self._stop_rule.check(call)
             if refusal is not None:
-                self._slot_queue.release(server)
+                self._slot_queue.release_unused(server)
                 if not may_have_run:
                     return refusal
                 break
+            on_sent()
             outcome = await self._try(call, server, body, tries)
             match outcome:
                 case ResponseStream():
@@ -222,6 +232,9 @@
             if not self._guard.may_send_again(call):
                 reason = 'its servers ended'
                 break
+            if self._stop_rule.check(call) is not None:
+                reason = 'instance stops'
+                break
             self._slot_queue.take(server)
             if await self._take_token(call, server, True) is not None:
                 reason = AT_LIMITS
--- a/tests/gateway/servers/test_dispatch.py
+++ b/tests/gateway/servers/test_dispatch.py
@@ -27,6 +27,7 @@
 from jackdawfield.gateway.servers.guard import CallGuard
 from jackdawfield.gateway.servers.quarantine import Quarantine
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
+from jackdawfield.gateway.stop_rule import StopRule
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
 from jackdawfield.model import RouteName
@@ -145,6 +146,10 @@
     await asyncio.sleep(1.5)
 
 
+def ignore_sent() -> None:
+    pass
+
+
 class DispatchTest(unittest.IsolatedAsyncioTestCase):
     async def dispatch(
         self, call: Call, scripts: Iterable[Script]
@@ -187,8 +192,13 @@
         ended = EndedServers(servers, paths, quarantine, lambda: None)
         self.addCleanup(ended.close)
         guard = CallGuard(quarantine, ended)
-        self.dispatcher = Dispatcher(slot_queue, exchange, guard, limits)
-        return await self.dispatcher.start(call, SERVICE, b'body', None)
+        self.stop_rule = StopRule()
+        self.dispatcher = Dispatcher(
+            slot_queue, exchange, guard, limits, self.stop_rule
+        )
+        return await self.dispatcher.start(
+            call, SERVICE, b'body', None, ignore_sent
+        )
 
     @property
     def request_counts(self) -> list[int]:
@@ -212,7 +222,7 @@
         busy.concurrency_limit.limit = 1.0
         busy.in_flight = 1
         waiting = asyncio.create_task(
-            self.dispatcher.start(call, SERVICE, b'body', None)
+            self.dispatcher.start(call, SERVICE, b'body', None, ignore_sent)
         )
         await asyncio.sleep(0.3)
         self.assertFalse(waiting.done())
@@ -293,7 +303,7 @@
                 self.assertIs(await response.next_part(), BodyEnd.UNCONFIRMED)
                 # The look at the server has left a connection for later.
                 await self.dispatcher.start(
-                    make_call(kind), SERVICE, b'', None
+                    make_call(kind), SERVICE, b'', None, ignore_sent
                 )
                 self.assertEqual(connections[-2:], [1, 2])
 
@@ -324,6 +334,19 @@
         self.assertEqual(outcome.status, 502)
         self.assertEqual(self.request_counts, [1, 0])
 
+    # Guards against a second try late in a planned stop, which may not end
+    # before the instance does.
+    async def test_stopping_instance_does_not_send_a_call_again(self) -> None:
+        async def close_at_stop(received: ReceivedRequest) -> None:
+            self.stop_rule.refuse_calls_due_after(time.monotonic())
+            received.writer.close()
+
+        call = make_call(CallKind.IDEMPOTENT)
+        outcome = await self.dispatch(call, [close_at_stop, complete])
+        assert isinstance(outcome, Failure)
+        self.assertEqual(outcome.status, 502)
+        self.assertEqual(self.request_counts, [1, 0])
+
     async def test_attempts_stay_within_the_limit(self) -> None:
         call = make_call(CallKind.IDEMPOTENT, attempts=2)
         outcome = await self.dispatch(
@@ -338,7 +361,9 @@
         await self.servers[0].stop()
         self.pool.close()
         await asyncio.sleep(0.05)
-        outcome = await self.dispatcher.start(call, SERVICE, b'', None)
+        outcome = await self.dispatcher.start(
+            call, SERVICE, b'', None, ignore_sent
+        )
         self.assertIsInstance(outcome, SentCall)
 
     async def test_failures_are_reported(self) -> None:
