Leave alone the servers whose answers say that they leave (DRAIN)

What the head of an answer says of its server is now decoded once in the adapter and recorded where heads arrive, for own and relayed calls, under the start of the server. The choice of servers asks one rule, whoever says it: others with room first, the server itself while it may be used, then a refusal at once. A server that leaves is neither reported nor blamed.

The instances do not tell each other.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -55,6 +55,7 @@
 from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.failures import FailureReports
 from jackdawfield.gateway.servers.guard import CallGuard
+from jackdawfield.gateway.servers.notices import NoticeRecorder
 from jackdawfield.gateway.servers.quarantine import Quarantine
 from jackdawfield.gateway.servers.quarantine_page import QuarantinePage
 from jackdawfield.gateway.servers.quarantine_sharing import QuarantineSharing
@@ -181,7 +182,7 @@
             self.server_pool,
             self.server_paths,
             self._adapter.header_format,
-            self.server_limits,
+            self.notices,
             self.failure_reports.report,
         )
         guard = CallGuard(self.quarantine, self.ended_servers)
@@ -218,6 +219,11 @@
         self.server_limits = ServerLimits(
             self.servers, self.members, self.links, self.broadcast
         )
+        self.notices = NoticeRecorder(
+            self.server_limits,
+            self._adapter.header_format.decode_notices,
+            self.settings.bounds.drain_s,
+        )
         self.failure_reports = FailureReports(
             self.servers, self.settings.region_id, self.broadcast
         )
@@ -232,7 +238,7 @@
             self.server_pool,
             self.reachability,
             self.server_limits,
-            self._adapter.header_format.decode_limit,
+            self.notices,
             lambda: self.is_stopping,
         )
         self.server_paths = ServerPaths(
--- a/jackdawfield/gateway/gauges.py
+++ b/jackdawfield/gateway/gauges.py
@@ -10,6 +10,7 @@
     'requests_in_flight': lambda g: g.caller_listener.in_flight,
     'caller_connections': lambda g: g.caller_listener.open_connections,
     'servers_listed': lambda g: len(g.servers.by_id),
+    'servers_leaving': lambda g: g.servers.leaving_count,
     'unframed_responses': lambda g: g.dispatcher.unframed_count,
     'cut_from_servers': lambda g: g.reachability.cut_since_s is not None,
     'server_paths_lost': lambda g: g.reachability.lost_path_count,
--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -125,10 +125,12 @@
 
     In a window of rate_window_s, the fleet may admit more requests than rate
     and burst allow: the share rate_overshoot of those, and rate_slack more.
-    A graceful stop of an instance takes at most grace_s.
+    A graceful stop of an instance takes at most grace_s. A backend server
+    gets no call later than drain_s after it said that it leaves.
     """
 
     grace_s: float
+    drain_s: float
     rate_window_s: float
     rate_overshoot: float
     rate_slack: float
--- a/jackdawfield/gateway/servers/choice.py
+++ b/jackdawfield/gateway/servers/choice.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
+import math
 import random
 
 from jackdawfield.decisions.placement import rendezvous_score
@@ -62,6 +63,9 @@
     avoid_until_s: float = 0.0
     full_until_s: float = 0.0
     missing_since_s: float | None = None
+    # A server that said in an answer that it leaves is sent no call from
+    # then on; its listed entry does not undo that.
+    announced_end_s: float = math.inf
     # A server that has ended is chosen only in place of none until then.
     absent_until_s: float = 0.0
     ejection: EjectionState = field(default_factory=EjectionState)
@@ -94,6 +98,20 @@
         self._waited_at_s = now_s
         self.concurrency_limit.record_wait(waited_s, self.in_flight, now_s)
 
+    @property
+    def has_announced_leaving(self) -> bool:
+        """Return whether the server said in an answer that it leaves."""
+        return self.announced_end_s < math.inf
+
+    @property
+    def is_leaving(self) -> bool:
+        """Return whether the server leaves, as listed or as it said."""
+        return self.entry.is_draining or self.has_announced_leaving
+
+    def takes_calls(self, now_s: float) -> bool:
+        """Return whether a call may be sent to the server."""
+        return not self.entry.is_draining and now_s < self.announced_end_s
+
     @property
     def has_room(self) -> bool:
         """Return whether one more call may be sent to the server."""
@@ -200,7 +218,7 @@
             state
             for state in self.by_id.values()
             if state.entry.service == criteria.service
-            and not state.entry.is_draining
+            and state.takes_calls(now_s)
             and state.entry.server_id not in criteria.excluded_ids
         ]
         if not usable:
@@ -222,10 +240,15 @@
         )
 
     def is_usable(self, state: ServerState) -> bool:
-        """Return whether a server still takes new requests."""
+        """Return whether a server is listed and does not leave."""
         if self.by_id.get(state.entry.server_id) is not state:
             return False
-        return not state.entry.is_draining and state.missing_since_s is None
+        return not state.is_leaving and state.missing_since_s is None
+
+    @property
+    def leaving_count(self) -> int:
+        """Return how many listed servers leave."""
+        return sum(state.is_leaving for state in self.by_id.values())
 
     def others_respond(self, state: ServerState, now_s: float) -> bool:
         """Return whether a service's other servers respond in time."""
@@ -241,7 +264,7 @@
 
     def _cost(
         self, state: ServerState, criteria: ServerCriteria, now_s: float
-    ) -> tuple[bool, bool, float, int]:
+    ) -> tuple[bool, bool, bool, float, int]:
         """Return a server's sort key, lowest for the server to choose."""
         entry = state.entry
         cost = state.wait_s(now_s) + FULL_LOAD_COST_S * state.load
@@ -256,7 +279,8 @@
         rank = -rendezvous_score(criteria.key, entry.server_id)
         has_no_room = criteria.needs_slot and not state.has_room
         is_full = has_no_room or limit_wait_s > 0
-        return is_full, state.full_until_s > now_s, cost, rank
+        is_paused = state.full_until_s > now_s
+        return is_full, state.is_leaving, is_paused, cost, rank
 
 
 def _without_ejected(
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -263,10 +263,15 @@
         servers = self._slot_queue.servers
         last = sent.response.server
         last_id = last.entry.server_id
+        now_s = time.monotonic()
+        is_listed = servers.by_id.get(last_id) is last
         can_use_last = (
-            servers.is_usable(last) and last_id not in tries.unreached_ids
+            is_listed
+            and last.missing_since_s is None
+            and last.takes_calls(now_s)
+            and last_id not in tries.unreached_ids
         )
-        if can_use_last and not elsewhere:
+        if can_use_last and not elsewhere and not last.is_leaving:
             return last
         if tries.may_try_another:
             criteria = ServerCriteria(
@@ -274,7 +279,7 @@
                 sent.call.headers.session_id or sent.call.request_id,
                 excluded_ids=tries.excluded_ids,
             )
-            other = servers.choose(criteria, time.monotonic())
+            other = servers.choose(criteria, now_s)
             if other is not None:
                 return other
         return last if can_use_last else None
--- a/jackdawfield/gateway/servers/exchange.py
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -24,10 +24,11 @@
 from jackdawfield.gateway.servers.choice import record_success
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.choice import ServerState
+from jackdawfield.gateway.servers.notices import NoticeRecorder
+from jackdawfield.gateway.servers.notices import ServerNotices
 from jackdawfield.gateway.servers.reachability import SILENCE_S
 from jackdawfield.gateway.servers.relay_client import RelayedConnection
 from jackdawfield.gateway.servers.response import ResponseStream
-from jackdawfield.gateway.servers.server_limits import ServerLimits
 from jackdawfield.gateway.servers.server_paths import ServerConnection
 from jackdawfield.gateway.servers.server_paths import ServerPaths
 from jackdawfield.logs import log_event
@@ -65,8 +66,7 @@
     not_run: str
     server_stamp: str
     encode: Callable[[ForwardedHeaders], list[tuple[str, str]]]
-    # Returns the limit in requests per second that an answer names.
-    decode_limit: Callable[[ResponseHead], float | None]
+    decode_notices: Callable[[ResponseHead], ServerNotices]
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,14 +114,14 @@
         pool: ConnectionPool,
         paths: ServerPaths,
         header_format: HeaderFormat,
-        limits: ServerLimits,
+        notices: NoticeRecorder,
         report_failure: Callable[[ServerState], None],
     ) -> None:
         self._servers = servers
         self._pool = pool
         self._paths = paths
         self._header_format = header_format
-        self._limits = limits
+        self._notices = notices
         self._report_failure = report_failure
 
     async def start(self, attempt: Attempt) -> ExchangeOutcome:
@@ -234,9 +234,7 @@
         if not isinstance(head, ResponseHead):
             return None
         self._record_heard(attempt.server, connection)
-        self._limits.record_answer(
-            attempt.server, self._header_format.decode_limit(head), sent_at_s
-        )
+        self._notices.record(attempt.server, head, sent_at_s)
         response = ResponseStream(
             attempt.call,
             attempt.server,
@@ -335,7 +333,12 @@
         self._give_back(server, response.connection)
 
     def _report(self, server: ServerState) -> None:
-        """Report a failure to the others unless the path is at fault."""
+        """Report a failure to the others unless the path is at fault.
+
+        A server that leaves may end at any time.
+        """
+        if server.is_leaving:
+            return
         report = partial(self._report_failure, server)
         self._paths.run_if_path_is_sound(server.entry, report)
 
--- a/jackdawfield/gateway/servers/relay_server.py
+++ b/jackdawfield/gateway/servers/relay_server.py
@@ -19,6 +19,7 @@
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.http.pool import Listening
 from jackdawfield.gateway.servers.choice import ServerState
+from jackdawfield.gateway.servers.notices import NoticeRecorder
 from jackdawfield.gateway.servers.reachability import CONNECT_TIMEOUT_S
 from jackdawfield.gateway.servers.reachability import Path
 from jackdawfield.gateway.servers.reachability import Reachability
@@ -72,12 +73,12 @@
         pool: ConnectionPool,
         reachability: Reachability,
         limits: ServerLimits,
-        decode_limit: Callable[[ResponseHead], float | None],
+        notices: NoticeRecorder,
         is_stopping: Callable[[], bool],
     ) -> None:
         self._slot_queue = slot_queue
         self._limits = limits
-        self._decode_limit = decode_limit
+        self._notices = notices
         self._pool = pool
         self._reachability = reachability
         self._is_stopping = is_stopping
@@ -117,6 +118,8 @@
             return RelayRefused('too many relayed calls', False)
         if state is None:
             return RelayRefused('server not listed here', False)
+        if not state.takes_calls(time.monotonic()):
+            return RelayRefused('server is leaving', False)
         address = (state.entry.host, state.entry.port)
         if self._reachability.path(address) is not Path.DIRECT:
             return RelayRefused('not reached from here either', False)
@@ -177,9 +180,7 @@
             await relay.wait_for_window()
             match await connection.next_part():
                 case ResponseHead() as head:
-                    self._limits.record_answer(
-                        state, self._decode_limit(head), sent_at_s
-                    )
+                    self._notices.record(state, head, sent_at_s)
                     yield RelayHead(
                         head.status,
                         head.reason,
--- a/jackdawfield/platform/__main__.py
+++ b/jackdawfield/platform/__main__.py
@@ -14,7 +14,7 @@
 from jackdawfield.platform.configuration import decode_configuration
 from jackdawfield.platform.configuration import decode_server
 from jackdawfield.platform.headers import decode_headers
-from jackdawfield.platform.headers import decode_limit
+from jackdawfield.platform.headers import decode_notices
 from jackdawfield.platform.headers import encode_headers
 from jackdawfield.platform.headers import NOT_RUN
 from jackdawfield.platform.headers import REQUEST_ID
@@ -26,7 +26,7 @@
 EXIT_SETTINGS = 2
 ADAPTER = Adapter(
     header_format=HeaderFormat(
-        REQUEST_ID, NOT_RUN, SERVER_STAMP, encode_headers, decode_limit
+        REQUEST_ID, NOT_RUN, SERVER_STAMP, encode_headers, decode_notices
     ),
     configuration_row=RowKey('op', '', 'config'),
     servers_table='servers',
--- a/jackdawfield/platform/headers.py
+++ b/jackdawfield/platform/headers.py
@@ -10,6 +10,7 @@
 from jackdawfield.gateway.calls import ForwardedHeaders
 from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.model import TurnId
+from jackdawfield.gateway.servers.notices import ServerNotices
 from jackdawfield.logs import log_event
 from jackdawfield.model import ProgramId
 from jackdawfield.platform.settings import MS_PER_S
@@ -34,6 +35,9 @@
 LAST_EVENT = 'last-event-id'
 # Requests per second that a server takes from all instances together.
 SERVER_LIMIT = 'server-limit'
+# Says that the server leaves for good.
+SERVER_LEAVING = 'server-leaving'
+LEAVING = '1'
 LIMIT_NUMBER = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
 
 # Set on requests to backend servers by the gateway only; a caller's headers of
@@ -82,6 +86,23 @@
     return min(limits, default=None)
 
 
+def decode_leaving(head: ResponseHead) -> bool:
+    """Decode whether a server says that it leaves.
+
+    Any value but the one that is defined says nothing.
+    """
+    values = [v for name, v in head.headers if name.lower() == SERVER_LEAVING]
+    for value in values:
+        if value != LEAVING:
+            log_event(LOG, 'server_leaving_unreadable', value=value[:40])
+    return LEAVING in values
+
+
+def decode_notices(head: ResponseHead) -> ServerNotices:
+    """Decode what the head of an answer says of its server."""
+    return ServerNotices(decode_limit(head), decode_leaving(head))
+
+
 def decode_headers(pairs: Iterable[tuple[str, str]]) -> CallHeaders:
     """Decode the headers of a caller's request.
 
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -36,6 +36,7 @@
 
 class _Bounds(msgspec.Struct, rename='camel'):
     grace_s: float = 8
+    drain_ms: float = 2500
     quota_window_s: float = 5
     quota_overshoot: float = 0.1
     quota_slack: float = 20
@@ -111,6 +112,7 @@
         row_bytes=wire.platform.row_bytes,
         bounds=PromisedLimits(
             grace_s=bounds.grace_s,
+            drain_s=bounds.drain_ms / MS_PER_S,
             rate_window_s=bounds.quota_window_s,
             rate_overshoot=bounds.quota_overshoot,
             rate_slack=bounds.quota_slack,
--- a/tests/gateway/rates/test_owner.py
+++ b/tests/gateway/rates/test_owner.py
@@ -76,7 +76,7 @@
         self.members = Members()
         self.links = Links()
         self.owner = RateOwner(
-            PromisedLimits(8.0, 5.0, 0.1, 20.0),
+            PromisedLimits(8.0, 2.5, 5.0, 0.1, 20.0),
             self.members,  # type: ignore[arg-type]
             Holder(),  # type: ignore[arg-type]
             None,  # type: ignore[arg-type]
--- a/tests/gateway/rates/test_tokens.py
+++ b/tests/gateway/rates/test_tokens.py
@@ -14,7 +14,7 @@
 
 ORGANISATION = OrganisationId('org')
 CONTRACT = Contract(20.0, 20)
-BOUNDS = PromisedLimits(8.0, 5.0, 0.1, 20.0)
+BOUNDS = PromisedLimits(8.0, 2.5, 5.0, 0.1, 20.0)
 
 
 def ask(continuing: int = 0, beginning: int = 0, spare: int = 0) -> AskTokens:
--- a/tests/gateway/servers/test_dispatch.py
+++ b/tests/gateway/servers/test_dispatch.py
@@ -25,6 +25,8 @@
 from jackdawfield.gateway.servers.exchange import HeaderFormat
 from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.guard import CallGuard
+from jackdawfield.gateway.servers.notices import NoticeRecorder
+from jackdawfield.gateway.servers.notices import ServerNotices
 from jackdawfield.gateway.servers.quarantine import Quarantine
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.stop_rule import StopRule
@@ -51,13 +53,14 @@
     ] + [('X-Left', left_ms)]
 
 
-def decode_limit(head: ResponseHead) -> float | None:
+def decode_notices(head: ResponseHead) -> ServerNotices:
     value = head.get('x-limit')
-    return float(value) if value is not None else None
+    limit_per_s = float(value) if value is not None else None
+    return ServerNotices(limit_per_s, head.get('x-leaving') is not None)
 
 
 HEADER_FORMAT = HeaderFormat(
-    'x-id', 'x-not-run', 'x-sign', encode, decode_limit
+    'x-id', 'x-not-run', 'x-sign', encode, decode_notices
 )
 
 
@@ -185,7 +188,7 @@
             self.pool,
             paths,
             HEADER_FORMAT,
-            limits,
+            NoticeRecorder(limits, decode_notices, 2.5),
             self.reported.append,
         )
         quarantine = Quarantine()
@@ -334,6 +337,27 @@
         self.assertEqual(outcome.status, 502)
         self.assertEqual(self.request_counts, [1, 0])
 
+    # Guards against a sound server that the instances report to each other as
+    # failing, since it ends as it has announced.
+    async def test_end_of_a_leaving_server_is_no_failure(self) -> None:
+        async def leave(received: ReceivedRequest) -> None:
+            if len(self.servers[0].requests) > 1:
+                received.writer.close()
+                return
+            received.writer.write(
+                received.answer(b'ok', extra='X-Leaving: 1\r\n')
+            )
+
+        call = make_call(CallKind.AT_MOST_ONCE)
+        await self.dispatch(call, [leave])
+        outcome = await self.dispatcher.start(
+            call, SERVICE, b'', None, ignore_sent
+        )
+        assert isinstance(outcome, Failure)
+        self.assertEqual(self.request_counts, [2])
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.reported, [])
+
     # Guards against a second try late in a planned stop, which may not end
     # before the instance does.
     async def test_stopping_instance_does_not_send_a_call_again(self) -> None:
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -299,6 +299,36 @@
             lambda: all(state.in_flight == 0 for state in states)
         )
 
+    # Guards against an instance that passes on that a server leaves, and goes
+    # on sending to it, be it for itself or for others.
+    async def test_relayed_answer_tells_both_that_a_server_leaves(
+        self,
+    ) -> None:
+        async def leave(received: ReceivedRequest) -> None:
+            request_id = received.header('x-jackdawfield-request-id')
+            received.writer.write(
+                f'HTTP/1.1 200 OK\r\n{PREFIX}Request-Id: {request_id}\r\n'
+                f'{PREFIX}Server-Stamp: stamp\r\nServer-Leaving: 1\r\n'
+                'Content-Length: 2\r\n\r\nok'.encode()
+            )
+
+        for gateway in self.fleet.gateways:
+            gateway.notices.drain_s = 0.0
+        await self.lose_all_paths(self.first)
+        self.script_all(leave)
+        for number in range(3 * MODEL_SERVERS):
+            await self.fleet.call(self.first, f'r{number}', '/tool/x')
+        self.assertEqual(self.first.servers.leaving_count, MODEL_SERVERS)
+        relaying = [
+            gateway.servers.leaving_count
+            for gateway in (self.second, self.third)
+        ]
+        self.assertEqual(sum(relaying), MODEL_SERVERS)
+        before = self.request_count
+        for gateway in self.fleet.gateways:
+            await self.fleet.call(gateway, f'late{id(gateway)}', '/tool/x')
+        self.assertLessEqual(self.request_count - before, 2)
+
     # Guards against sound servers that are ejected by reports of an instance
     # which does not reach them.
     async def test_cut_instance_ejects_no_server(self) -> None:
