Let each spare token expire by its own grant (QUOTA)

175 to 183 requests of an organisation ran in 5 s where 152 are allowed: tokens of refused requests became spare ones whose life each new one extended, and requests that take no token gave one back. A token now expires 1 s after its grant, a returned one counts as granted when its request arrived, and only what took a token gives one back.

The new tests don't run on the code before, whose calls have other arguments.

--- a/jackdawfield/gateway/rates/admission.py
+++ b/jackdawfield/gateway/rates/admission.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 import logging
+import time
 
 from result import Ok
 
@@ -71,12 +72,7 @@
     async def admit(self, call: Call) -> Refusal | None:
         """Take a token for a request, or return its refusal."""
         organisation_id = call.organisation_id
-        if organisation_id is None or call.route.is_open:
-            return None
-        contract = self._rate_owner.contracts_by_organisation.get(
-            organisation_id
-        )
-        if contract is None:
+        if organisation_id is None or not self._needs_token(call):
             return None
         now_s = boot_time_s()
         account = self._accounts_by_id.get(organisation_id)
@@ -92,13 +88,23 @@
             return early_refusal
         return await self._wait_for_token(organisation_id, account, begins)
 
+    def _needs_token(self, call: Call) -> bool:
+        contracts = self._rate_owner.contracts_by_organisation
+        return not call.route.is_open and call.organisation_id in contracts
+
     def return_token(self, call: Call) -> None:
-        """Return the token of a request that has not run, as a spare one."""
-        if call.organisation_id is None:
+        """Return the token of a request that has not run, as a spare one.
+
+        It expires as if it had been granted when the request arrived.
+        """
+        if call.organisation_id is None or not self._needs_token(call):
             return
         account = self._accounts_by_id.get(call.organisation_id)
-        if account is not None:
-            account.local_tokens.add_spare(1, boot_time_s())
+        if account is None:
+            return
+        now_s = boot_time_s()
+        age_s = time.monotonic() - call.arrived_at_s
+        account.local_tokens.add_spare(1, now_s - age_s, now_s)
 
     def _recent_refusal(
         self, account: _Account, begins: bool, now_s: float
@@ -167,7 +173,7 @@
                 account.owner_unreachable_until_s = now_s + OWNER_RETRY_S
             await self._admit_by_fallback(organisation_id, waiters)
             return
-        account.local_tokens.add_spare(granted.spare, now_s)
+        account.local_tokens.add_spare(granted.spare, now_s, now_s)
         self._distribute(
             organisation_id, account, contract, waiters, granted, now_s
         )
--- a/jackdawfield/gateway/rates/tokens.py
+++ b/jackdawfield/gateway/rates/tokens.py
@@ -111,35 +111,60 @@
         return taken
 
 
+@dataclass(slots=True)
+class _SpareTokens:
+    """Holds spare tokens that expire together."""
+
+    count: int
+    expires_at_s: float
+
+
 class LocalTokens:
-    """Holds an organisation's spare tokens at one instance."""
+    """Holds an organisation's spare tokens at one instance.
+
+    Each token expires SPARE_TTL_S after it was granted, whatever is added
+    later: all instances together hold no more than the owner granted in that
+    time.
+    """
 
     def __init__(self, now_s: float) -> None:
-        self._spare_tokens = 0
-        self._expires_at_s = 0.0
+        # The first to expire come first.
+        self._spare: list[_SpareTokens] = []
         self.demand = DemandMeter(now_s)
         self.continuing_refused_until_s = 0.0
         self.beginning_refused_until_s = 0.0
 
     def take_spare(self, now_s: float) -> bool:
         """Spend a spare token; False if there is none."""
-        if self._spare_tokens < 1 or now_s >= self._expires_at_s:
+        self._drop_expired(now_s)
+        if not self._spare:
             return False
-        self._spare_tokens -= 1
+        first = self._spare[0]
+        first.count -= 1
+        if not first.count:
+            self._spare.pop(0)
         return True
 
-    def add_spare(self, tokens: int, now_s: float) -> None:
-        """Add spare tokens, which extends the validity of the present ones."""
-        if now_s >= self._expires_at_s:
-            self._spare_tokens = 0
-        self._spare_tokens += tokens
-        if tokens:
-            self._expires_at_s = now_s + SPARE_TTL_S
+    def add_spare(
+        self, tokens: int, granted_at_s: float, now_s: float
+    ) -> None:
+        """Add spare tokens that were granted at a time, unless expired."""
+        self._drop_expired(now_s)
+        expires_at_s = granted_at_s + SPARE_TTL_S
+        if tokens < 1 or expires_at_s <= now_s:
+            return
+        self._spare.append(_SpareTokens(tokens, expires_at_s))
+        self._spare.sort(key=lambda spare: spare.expires_at_s)
+
+    def _drop_expired(self, now_s: float) -> None:
+        while self._spare and self._spare[0].expires_at_s <= now_s:
+            self._spare.pop(0)
 
     def spare_to_request(self, now_s: float) -> int:
         """Return how many spare tokens to request for the expected demand."""
         expected = math.floor(
             self.demand.arrivals_per_s(now_s) * SPARE_TTL_S / 2
         )
-        available = self._spare_tokens if now_s < self._expires_at_s else 0
+        self._drop_expired(now_s)
+        available = sum(spare.count for spare in self._spare)
         return max(0, expected - available)
--- a/tests/gateway/rates/test_tokens.py
+++ b/tests/gateway/rates/test_tokens.py
@@ -71,10 +71,37 @@
 class LocalTokensTest(unittest.TestCase):
     def test_spare_tokens_expire(self) -> None:
         tokens = LocalTokens(0.0)
-        tokens.add_spare(2, 0.0)
+        tokens.add_spare(2, 0.0, 0.0)
         self.assertTrue(tokens.take_spare(SPARE_TTL_S / 2))
         self.assertFalse(tokens.take_spare(SPARE_TTL_S + 0.1))
 
+    # Guards against returned tokens that keep each other from expiring, and
+    # add up beside a bucket that fills again.
+    def test_spare_tokens_of_many_returns_do_not_add_up(self) -> None:
+        tokens = LocalTokens(0.0)
+        step_s = SPARE_TTL_S / 4
+        for number in range(40):
+            now_s = number * step_s
+            tokens.add_spare(1, now_s, now_s)
+        taken = 0
+        while tokens.take_spare(40 * step_s):
+            taken += 1
+        self.assertLessEqual(taken, SPARE_TTL_S / step_s)
+        self.assertGreater(taken, 0)
+
+    def test_token_that_is_returned_late_has_expired(self) -> None:
+        tokens = LocalTokens(0.0)
+        tokens.add_spare(1, 0.0, SPARE_TTL_S)
+        self.assertFalse(tokens.take_spare(SPARE_TTL_S))
+
+    def test_tokens_that_expire_first_are_spent_first(self) -> None:
+        tokens = LocalTokens(0.0)
+        half_s = SPARE_TTL_S / 2
+        tokens.add_spare(1, half_s, half_s)
+        tokens.add_spare(1, 0.0, half_s)
+        self.assertTrue(tokens.take_spare(half_s))
+        self.assertTrue(tokens.take_spare(SPARE_TTL_S + half_s / 2))
+
     def test_fallback_stays_within_the_tolerated_overshoot(self) -> None:
         for seats in (1, 9, 12):
             for count in (1, 7):
