--- a/jackdawfield/gateway/programs/chains.py
+++ b/jackdawfield/gateway/programs/chains.py
@@ -8,22 +8,17 @@
 
 from jackdawfield.gateway.model import TurnId
 from jackdawfield.gateway.programs.turn_cache import TurnCache
+from jackdawfield.gateway.programs.turn_rows import read_program
 from jackdawfield.gateway.programs.turns import all_parts
-from jackdawfield.gateway.programs.turns import decode_turns
 from jackdawfield.gateway.programs.turns import index_key
 from jackdawfield.gateway.programs.turns import ProgramKey
-from jackdawfield.gateway.programs.turns import TurnError
 from jackdawfield.gateway.programs.turns import TurnRecord
-from jackdawfield.gateway.programs.turns import TURNS_TABLE
 from jackdawfield.gateway.storage.rows import read_row
 from jackdawfield.gateway.storage.rows import RowStore
 from jackdawfield.logs import log_event
 from jackdawfield.model import OrganisationId
 
 LOG = logging.getLogger(__name__)
-# The character after '/': ends the range of the keys that begin with a
-# program's key and a slash.
-AFTER_SLASH = '0'
 MAX_CHAIN_TURNS = 500
 
 
@@ -108,17 +103,10 @@
     async def _load_program(
         self, program: ProgramKey
     ) -> TurnUnavailable | None:
-        prefix = program.text + '/'
-        read = await self._store.read(
-            TURNS_TABLE, program.part, prefix, program.text + AFTER_SLASH
-        )
+        read = await read_program(self._store, program)
         if isinstance(read, Err):
-            return TurnUnavailable(read.err_value.reason)
-        try:
-            records = decode_turns(read.ok_value.rows)
-        except TurnError as error:
-            log_event(LOG, 'turn_unreadable', program=program.text)
-            return TurnUnavailable(f'unreadable turn: {error}')
+            return TurnUnavailable(read.err_value)
+        records = read.ok_value
         for record in records.values():
             self.cache.add(record)
         log_event(
--- a/jackdawfield/gateway/programs/expiry.py
+++ b/jackdawfield/gateway/programs/expiry.py
@@ -12,6 +12,7 @@
 from jackdawfield.gateway.programs.retention import is_expired
 from jackdawfield.gateway.programs.retention import MAX_KEYS_PER_WRITE
 from jackdawfield.gateway.programs.retention import RetentionQueue
+from jackdawfield.gateway.programs.turn_rows import read_program
 from jackdawfield.gateway.storage.rows import read_row
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import RowStore
@@ -43,13 +44,35 @@
                 self._queue.add(rows, now_s)
                 continue
             found = read.ok_value
-            active_s = decode_row(found.value if found else None).active_s
             version = found.version if found else 0
-            if version and not is_expired(active_s, rows.retention_s, now_s):
+            active_s: float | None = decode_row(
+                found.value if found else None
+            ).active_s
+            if not version:
+                active_s = await self._last_turn_s(rows)
+            if active_s is None:
+                self._queue.add(rows, now_s)
+                continue
+            if not is_expired(active_s, rows.retention_s, now_s):
                 self._queue.add(rows, active_s)
                 continue
             await self._remove(rows, key, version)
 
+    async def _last_turn_s(self, rows: ExpiringRows) -> float | None:
+        """Return when a program without a budget made its last turn.
+
+        The result is None if the store was not read, 0 without a turn.
+        """
+        if not rows.keys:
+            return 0.0
+        read = await read_program(self._store, rows.program)
+        if isinstance(read, Err):
+            return None
+        kept_until_s = [
+            record.kept_until_s for record in read.ok_value.values()
+        ]
+        return max(kept_until_s, default=0.0) - rows.retention_s
+
     async def _remove(
         self, rows: ExpiringRows, key: RowKey, version: int
     ) -> None:
--- a/jackdawfield/gateway/programs/retention.py
+++ b/jackdawfield/gateway/programs/retention.py
@@ -8,6 +8,10 @@
 
 # Wall clocks of instances may differ by a few seconds.
 CLOCK_SKEW_MARGIN_S = 10.0
+# The turns of a program are stored for so much longer than promised. Turns of
+# other programs that continue from them within this time need no copies.
+CHAIN_MARGIN_S = 30.0
+STORED_LONGER_S = CLOCK_SKEW_MARGIN_S + CHAIN_MARGIN_S
 # A transaction of the store takes at most 100 entries.
 MAX_KEYS_PER_WRITE = 90
 
@@ -32,7 +36,7 @@
 
     def add(self, rows: ExpiringRows, now_s: float) -> None:
         """Schedule rows that were written or last used at this time."""
-        due_s = now_s + rows.retention_s + CLOCK_SKEW_MARGIN_S
+        due_s = now_s + rows.retention_s + STORED_LONGER_S
         self._rows.append((due_s, rows))
 
     def pop_due(self, now_s: float) -> list[ExpiringRows]:
@@ -49,4 +53,4 @@
     The retention begins at the program's last turn, so that the ancestors of
     a turn are stored for as long as the turn itself.
     """
-    return active_s + retention_s + CLOCK_SKEW_MARGIN_S <= now_s
+    return active_s + retention_s + STORED_LONGER_S <= now_s
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -285,7 +285,11 @@
         )
         started_s = time.monotonic()
         kept = await self._turns.commit(
-            stream.program, record, stream.spending.settle(), call.deadline_s
+            stream.program,
+            record,
+            stream.spending.settle(),
+            call.deadline_s,
+            stream.chain,
         )
         self._metrics.record_commit(call, time.monotonic() - started_s)
         log_event(
--- a/jackdawfield/gateway/programs/turn_cache.py
+++ b/jackdawfield/gateway/programs/turn_cache.py
@@ -28,10 +28,17 @@
         return record
 
     def add(self, record: TurnRecord) -> None:
-        """Add a turn and evict the least recently used over the limit."""
+        """Add a turn and evict the least recently used over the limit.
+
+        Of the copies of a turn, the one that is stored for longest is held.
+        """
         key = (record.organisation_id, record.turn_id)
-        if key in self._records_by_key:
-            return
+        present = self._records_by_key.get(key)
+        if present is not None:
+            if present.kept_until_s >= record.kept_until_s:
+                return
+            del self._records_by_key[key]
+            self._used_bytes -= present.memory_bytes
         self._records_by_key[key] = record
         self._used_bytes += record.memory_bytes
         while self._used_bytes > self._limit_bytes:
--- a/tests/gateway/programs/test_turn_store.py
+++ b/tests/gateway/programs/test_turn_store.py
@@ -13,6 +13,7 @@
 from jackdawfield.gateway.programs.expiry import RowExpiry
 from jackdawfield.gateway.programs.ledger import Reserve
 from jackdawfield.gateway.programs.ledger import Settle
+from jackdawfield.gateway.programs.retention import STORED_LONGER_S
 from jackdawfield.gateway.programs.turn_cache import TurnCache
 from jackdawfield.gateway.programs.turn_store import TurnStore
 from jackdawfield.model import OrganisationId
@@ -160,7 +161,7 @@
             now.return_value = 1080.0
             await self.expiry.remove_expired()
             self.assertEqual(len(self.rows.rows_by_key), 5)
-            now.return_value = 1130.0
+            now.return_value = 1050.0 + 60.0 + STORED_LONGER_S
             await self.expiry.remove_expired()
             self.assertEqual(self.rows.rows_by_key, {})
 
