Own nothing at once after a restart in an outage (QUOTA)

689 to 750 requests of an organisation ran in 5 s where 640.4 are allowed: an owner stopped as planned in an outage of the store handed its rate over, and its next incarnation took the row that could not be written as proof that nobody had. Members now tell in polls which incarnations have released their ownerships; one that starts without the store waits for such a poll.

--- a/jackdawfield/gateway/fleet/failure_detector.py
+++ b/jackdawfield/gateway/fleet/failure_detector.py
@@ -1,6 +1,7 @@
 """Suspend members that do not answer."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 import logging
 import random
@@ -54,6 +55,8 @@
     incarnation: str
     view: MemberView | None
     is_holder: bool
+    # Incarnations that have released their ownerships, as it knows.
+    released: tuple[str, ...] = ()
 
 
 class FailureDetector:
@@ -69,6 +72,8 @@
         self._probe_tasks_by_seat: dict[SeatId, asyncio.Task[None]] = {}
         self._news = MemberNews(members, links)
         self.is_leaving = False
+        # Set by the owner of rates, who knows them.
+        self.released_incarnations: Callable[[], tuple[str, ...]] = tuple
 
     def register(self, server: PeerServer) -> None:
         """Answer the pings of other instances, and note their news."""
@@ -82,6 +87,7 @@
             incarnation,
             self._members.version,
             roles_digest(self._members.rows_by_seat),
+            self.released_incarnations(),
         )
 
     async def ping(self, seat_id: SeatId) -> Pong | None:
@@ -103,10 +109,12 @@
         asked_at_s = boot_time_s()
         found = await self._links.request(row.address, Ping(), PROBE_TIMEOUT_S)
         match found:
-            case Ok(Pong(incarnation, version, roles)):
+            case Ok(Pong(incarnation, version, roles, released)):
                 is_holder = incarnation == row.incarnation
                 view = MemberView(version, roles)
-                return PolledView(asked_at_s, incarnation, view, is_holder)
+                return PolledView(
+                    asked_at_s, incarnation, view, is_holder, released
+                )
         if await self._refuses_connections(row):
             return PolledView(asked_at_s, '', None, False)
         return None
--- a/jackdawfield/gateway/fleet/ownership.py
+++ b/jackdawfield/gateway/fleet/ownership.py
@@ -313,6 +313,10 @@
                 )
         return lost
 
+    def released_incarnations(self) -> tuple[str, ...]:
+        """Return the members known to have released their ownerships."""
+        return tuple(sorted(self._leaving_incarnations))
+
     def mark_leaving(
         self, incarnation: str, now_s: float
     ) -> list[LostOwnership]:
--- a/jackdawfield/gateway/fleet/seat_holder.py
+++ b/jackdawfield/gateway/fleet/seat_holder.py
@@ -128,9 +128,9 @@
         if own_seat is not None:
             row = self._members.rows_by_seat[own_seat]
             if row.incarnation != self._members.incarnation:
-                self.inherited = row.established and no_takeover_pending(
-                    self._members.rows_by_seat.values()
-                )
+                # The earlier incarnation may have handed its ownerships over
+                # while its row could not be written. The other members tell.
+                self.inherited = False
             if not row.is_serving:
                 self._start_write(self._rejoin(own_seat))
             elif len(self._members.own_seats) > 1:
--- a/jackdawfield/gateway/rates/owner.py
+++ b/jackdawfield/gateway/rates/owner.py
@@ -88,6 +88,9 @@
 
     def register(self, server: PeerServer) -> None:
         """Handle token requests and hand-overs of other instances."""
+        self._detector.released_incarnations = (
+            self.ownership.released_incarnations
+        )
         server.handle(AskTokens, self._answer_ask)
         server.handle(AskFallback, self._answer_fallback)
         server.handle(HandOver, self._answer_hand_over)
@@ -178,6 +181,9 @@
     def _record_round(
         self, views_by_seat: Mapping[SeatId, PolledView]
     ) -> None:
+        for polled in views_by_seat.values():
+            for incarnation in polled.released:
+                self.mark_leaving(incarnation)
         now_s = boot_time_s()
         for seat_id, polled in views_by_seat.items():
             if polled.is_holder and polled.view is not None:
--- a/jackdawfield/messages/fleet_rates.py
+++ b/jackdawfield/messages/fleet_rates.py
@@ -100,3 +100,6 @@
     members_version: int
     # Of the members' roles in the view.
     roles: RolesDigest
+    # Incarnations that have released their ownerships for good, while their
+    # rows do not say so yet.
+    released: tuple[str, ...] = ()
