--- a/soak/backend.py
+++ b/soak/backend.py
@@ -24,6 +24,10 @@
 PLAIN_DURATION_S = 0.02
 # Time that a request which ends its server runs.
 ENDING_DURATION_S = 0.05
+# One in this many calls gets bytes without end, in chunks of one byte.
+ENDLESS_DIVISOR = 5
+ENDLESS_BLOCK = b'1\r\nx\r\n' * 4096
+ENDLESS_INTERVAL_S = 0.01
 
 
 def short_digest(body: bytes) -> str:
@@ -39,6 +43,8 @@
     EXTRA_RESPONSES = 'sends answers that nobody asked for'
     LIMITED = 'names a limit in its answers'
     UNFRAMED = 'ends its answers with the connection, some early'
+    ENDLESS = 'sends bytes without end in answer to some calls'
+    LEAVING = 'says in its answers that it leaves'
 
 
 class Backend(FreePortServer):
@@ -73,6 +79,8 @@
         self.set_header(HEADER_PREFIX + 'Server-Stamp', self.backend.server_id)
         if self._is_active(Misbehaviour.LIMITED):
             self.set_header('Server-Limit', f'{SERVER_LIMIT_PER_S}')
+        if self._is_active(Misbehaviour.LEAVING):
+            self.set_header('Server-Leaving', '1')
         if self._header('Expect-Instance') != self.backend.server_id:
             self.set_status(421)
             return
@@ -94,6 +102,10 @@
         if self.request.body.endswith(ENDING_BODY) and self.backend.end:
             await self._end_server(run)
             return
+        is_endless = sum(request_id.encode()) % ENDLESS_DIVISOR == 0
+        if is_endless and self._is_active(Misbehaviour.ENDLESS):
+            await self._answer_without_end()
+            return
         if self._is_active(Misbehaviour.UNFRAMED):
             await self._answer_unframed(run)
             return
@@ -146,6 +158,23 @@
             await asyncio.sleep(EVENT_INTERVAL_S)
         self._close_connection()
 
+    async def _answer_without_end(self) -> None:
+        """Send bytes until the connection is closed."""
+        head = (
+            f'HTTP/1.1 200 OK\r\n{HEADER_PREFIX}Request-Id:'
+            f' {self._header("Request-Id")}\r\n{HEADER_PREFIX}Server-Stamp:'
+            f' {self.backend.server_id}\r\nContent-Type: text/event-stream'
+            '\r\nTransfer-Encoding: chunked\r\n\r\n'
+        )
+        block = head.encode()
+        try:
+            while True:
+                await self._io_stream.write(block)
+                block = ENDLESS_BLOCK
+                await asyncio.sleep(ENDLESS_INTERVAL_S)
+        except tornado.iostream.StreamClosedError:
+            return
+
     async def _end_server(self, run: Run) -> None:
         """Begin to answer a stream, then end the server."""
         if run.call_class in STREAM_CLASSES:
@@ -167,24 +196,30 @@
         self.set_header('Content-Type', 'text/event-stream')
         last_id = self.request.headers.get('Last-Event-Id')
         first = int(last_id) + 1 if last_id else 0
-        for index, event in enumerate(turn_events(run.request_id)):
+        events = [
+            f'id: {index}\ndata: {event}\n\n'
+            for index, event in enumerate(turn_events(run.request_id))
+        ]
+        if sum(run.request_id.encode()) % 2:
+            length = sum(len(event) for event in events[first:])
+            self.set_header('Content-Length', str(length))
+        for index, event in enumerate(events):
             if index < first:
                 continue
             if index > first and self._is_active(Misbehaviour.TRUNCATING):
-                await self._cut_event(index, event)
+                await self._cut_event(event)
                 return
             await asyncio.sleep(EVENT_INTERVAL_S)
-            self.write(f'id: {index}\ndata: {event}\n\n')
+            self.write(event)
             run.events += 1
             try:
                 await self.flush()
             except tornado.iostream.StreamClosedError:
                 return
 
-    async def _cut_event(self, index: int, event: str) -> None:
+    async def _cut_event(self, event: str) -> None:
         """Send the first half of an event and close the connection."""
-        whole = f'id: {index}\ndata: {event}\n\n'
-        self.write(whole[: len(whole) // 2])
+        self.write(event[: len(event) // 2])
         try:
             await self.flush()
         except tornado.iostream.StreamClosedError:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -356,7 +356,8 @@
         started_s = time.monotonic()
         if isinstance(connection.send(_build_request(ask, request_id)), Err):
             return None, 0.0
-        status, body, end, retry_after_s = await _receive_response(connection)
+        response = await _receive_response(connection)
+        status, end = response.status, response.end
         is_stream = ask.call_class in STREAM_CLASSES
         expected_body = (stream_body if is_stream else plain_body)(request_id)
         outcome = Outcome(
@@ -369,7 +370,7 @@
             time.monotonic(),
             status,
             end is BodyEnd.WHOLE,
-            body,
+            response.body,
             expected_body,
             short_digest(ask.prompt),
             ask.previous_request_id,
@@ -377,9 +378,10 @@
             end is BodyEnd.UNCONFIRMED,
             ask.body == ENDING_BODY,
             status == 0 and connection.is_closed_in_order,
+            response.leaving_server_id,
         )
         self._record.outcomes.append(outcome)
-        return outcome, retry_after_s
+        return outcome, response.retry_after_s
 
 
 def _build_request(ask: Ask, request_id: str) -> OutgoingRequest:
@@ -406,23 +408,40 @@
     return OutgoingRequest('POST', target, tuple(headers), ask.body)
 
 
-async def _receive_response(
-    connection: Connection,
-) -> tuple[int, bytes, BodyEnd, float]:
-    """Return status, body, how it ended, and retry delay in s."""
-    status = 0
-    body = b''
-    retry_after_s = 0.0
+@dataclass(slots=True)
+class _Response:
+    """Holds a response; its status is 0 without one."""
+
+    status: int = 0
+    body: bytes = b''
+    end: BodyEnd = BodyEnd.CUT
+    retry_after_s: float = 0.0
+    # The server that says in it that it leaves, if any.
+    leaving_server_id: str = ''
+
+
+async def _receive_response(connection: Connection) -> _Response:
+    """Return what was received until the end or the time limit."""
+    response = _Response()
     try:
         async with asyncio.timeout(ROUTE_TIMEOUT_S + RESPONSE_MARGIN_S):
             while True:
                 match await connection.next_part():
                     case ResponseHead() as head:
-                        status = head.status
-                        retry_after_s = float(head.get('retry-after') or 0)
+                        response.status = head.status
+                        retry_after = head.get('retry-after')
+                        response.retry_after_s = float(retry_after or 0)
+                        response.leaving_server_id = _leaving_server(head)
                     case bytes(chunk):
-                        body += chunk
+                        response.body += chunk
                     case BodyEnd() as end:
-                        return status, body, end, retry_after_s
+                        response.end = end
+                        return response
     except TimeoutError:
-        return status, body, BodyEnd.CUT, retry_after_s
+        return response
+
+
+def _leaving_server(head: ResponseHead) -> str:
+    if head.get('server-leaving') is None:
+        return ''
+    return head.get((HEADER_PREFIX + 'Server-Stamp').lower()) or ''
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -20,6 +20,7 @@
 from soak.scenario import ENDS_UNTIL_KNOWN
 from soak.scenario import IN_FORCE_S
 from soak.scenario import IN_TOUCH_S
+from soak.scenario import LEAVING_LIMIT_S
 from soak.scenario import LIMIT_SLACK_CALLS
 from soak.scenario import LIMIT_TOLERANCE_RATIO
 from soak.scenario import LIMIT_WINDOW_S
@@ -329,6 +330,48 @@
                 break
 
 
+def find_calls_to_leaving_servers(record: Record) -> Details:
+    """Find calls that reached a server long after it said that it leaves.
+
+    The time counts from the first such answer that the instance has passed
+    on. A process fault of the instance since then excepts it, and so does a
+    restart of the server.
+    """
+    process_faults = [
+        interval
+        for interval in record.fault_intervals
+        if interval.kind in PROCESS_FAULT_KINDS
+    ]
+    outcomes_by_id = {o.request_id: o for o in record.outcomes}
+    for interval in record.leaving_intervals:
+        told_at_s: dict[str, float] = {}
+        for outcome in record.outcomes:
+            is_told = outcome.leaving_server_id == interval.server_id
+            if is_told and interval.start_s <= outcome.ended_s:
+                told_at_s.setdefault(outcome.instance, outcome.ended_s)
+        for run in record.runs:
+            sent = outcomes_by_id.get(run.request_id)
+            is_there = (
+                run.server_id == interval.server_id
+                and interval.start_s <= run.at_s <= interval.end_s
+            )
+            has_restarted = any(
+                end.server_id == interval.server_id
+                and interval.start_s <= end.at_s <= run.at_s
+                for end in record.server_ends
+            )
+            if sent is None or not is_there or has_restarted:
+                continue
+            since_s = told_at_s.get(sent.instance, run.at_s)
+            if sent.started_s > since_s + LEAVING_LIMIT_S and _is_unaffected(
+                process_faults, sent.instance, since_s, run.at_s
+            ):
+                yield (
+                    f'{sent.instance} sent to {run.server_id}'
+                    f' {run.at_s - since_s:.1f} s after it said that it leaves'
+                )
+
+
 def find_configuration_rollbacks(record: Record) -> Details:
     """Find instances that returned to an earlier configuration.
 
@@ -511,6 +554,7 @@
     'withdrawn keys': find_late_key_use,
     'changes in force': find_late_configurations,
     'limits of servers': find_exceeded_limits,
+    'leaving servers left alone': find_calls_to_leaving_servers,
     'configuration never back': find_configuration_rollbacks,
     'planned stops cut nothing': find_calls_cut_by_stop,
     'requests read are answered': find_dropped_requests,
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,7 +20,7 @@
 from soak.proxy import FaultProxy
 from soak.proxy import LinkFault
 from soak.record import FaultInterval
-from soak.record import LimitInterval
+from soak.record import NoticeInterval
 from soak.record import Record
 from soak.record import ServerEnd
 from soak.scenario import build_configuration
@@ -57,6 +57,7 @@
     FaultKind.SERVER_TRUNCATING: Misbehaviour.TRUNCATING,
     FaultKind.SERVER_EXTRA_RESPONSES: Misbehaviour.EXTRA_RESPONSES,
     FaultKind.SERVER_UNFRAMED: Misbehaviour.UNFRAMED,
+    FaultKind.SERVER_ENDLESS: Misbehaviour.ENDLESS,
 }
 
 
@@ -103,7 +104,9 @@
             FaultKind.SERVER_TRUNCATING: self._make_server_misbehave,
             FaultKind.SERVER_EXTRA_RESPONSES: self._make_server_misbehave,
             FaultKind.SERVER_UNFRAMED: self._make_server_misbehave,
+            FaultKind.SERVER_ENDLESS: self._make_server_misbehave,
             FaultKind.SERVER_LIMITED: self._name_limit,
+            FaultKind.SERVER_ANNOUNCING: self._announce_leaving,
             FaultKind.SERVER_PATHS_CUT: self._cut_from_servers,
             FaultKind.SERVER_DRAINING: self._remove_server,
             FaultKind.SERVER_ENDING: self._let_request_end_servers,
@@ -299,9 +302,26 @@
         await asyncio.sleep(fault.lasts_s)
         backend.misbehaviours.discard(Misbehaviour.LIMITED)
         self._record.limit_intervals.append(
-            LimitInterval(backend.server_id, start_s, time.monotonic())
+            NoticeInterval(backend.server_id, start_s, time.monotonic())
         )
 
+    async def _announce_leaving(self, fault: Fault) -> None:
+        """Let a server say that it leaves, then start it anew.
+
+        Its row lists it as ready all the while.
+        """
+        backend, proxy = self._target_backend(fault)
+        start_s = time.monotonic()
+        backend.misbehaviours.add(Misbehaviour.LEAVING)
+        await asyncio.sleep(fault.lasts_s)
+        backend.misbehaviours.discard(Misbehaviour.LEAVING)
+        self._record.leaving_intervals.append(
+            NoticeInterval(backend.server_id, start_s, time.monotonic())
+        )
+        proxy.mark_restarted()
+        self._write_server_row(backend, proxy, False)
+        self._record_interval(fault, None, start_s)
+
     def _write_server_row(
         self, backend: Backend, proxy: FaultProxy, is_draining: bool
     ) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -49,6 +49,10 @@
             self._handle_connection, self.host, 0
         )
         self.port = self._server.sockets[0].getsockname()[1]
+        self.mark_restarted()
+
+    def mark_restarted(self) -> None:
+        """Let the server be listed with a later start."""
         self.started_ms = time.time_ns() // 1_000_000
 
     def set_fault(self, fault: LinkFault) -> None:
--- a/soak/record.py
+++ b/soak/record.py
@@ -43,8 +43,8 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LimitInterval:
-    """Holds when a server named a limit in its answers."""
+class NoticeInterval:
+    """Holds when a server said something of itself in its answers."""
 
     server_id: str
     start_s: float
@@ -78,6 +78,8 @@
     # The instance read the request and closed the connection, in order and
     # without an answer.
     is_dropped: bool = False
+    # The server that said in this answer that it leaves, if any.
+    leaving_server_id: str = ''
 
 
 @dataclass(frozen=True, slots=True)
@@ -130,7 +132,9 @@
     server_ends: list[ServerEnd] = field(default_factory=list)
     version_samples: list[VersionSample] = field(default_factory=list)
     fault_intervals: list[FaultInterval] = field(default_factory=list)
-    limit_intervals: list[LimitInterval] = field(default_factory=list)
+    limit_intervals: list[NoticeInterval] = field(default_factory=list)
+    # When servers said in their answers that they leave.
+    leaving_intervals: list[NoticeInterval] = field(default_factory=list)
     # Name of the instance and time of its SIGTERM.
     planned_stops: list[tuple[str, float]] = field(default_factory=list)
     withdrawn_at_s_by_key: dict[str, float] = field(default_factory=dict)
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -35,6 +35,8 @@
     SERVER_TRUNCATING = 'server cutting answers'
     SERVER_EXTRA_RESPONSES = 'server sending extra answers'
     SERVER_LIMITED = 'server names a limit'
+    SERVER_ENDLESS = 'server sending without end'
+    SERVER_ANNOUNCING = 'server saying that it leaves'
     SERVER_DRAINING = 'server leaving'
     SERVER_ENDING = 'server ended by a request'
     SERVER_UNFRAMED = 'server ends answers with the connection'
@@ -52,6 +54,8 @@
     FaultKind.STOP_SERIES,
     FaultKind.STORE_SILENT,
     FaultKind.SERVER_LIMITED,
+    FaultKind.SERVER_ENDLESS,
+    FaultKind.SERVER_ANNOUNCING,
 )
 # Relative frequency of each other kind in a schedule.
 WEIGHTS_BY_KIND = {
@@ -69,6 +73,10 @@
 MAX_UNFRAMED_S = 4.0
 # Shortest time for which a server names a limit.
 MIN_LIMITED_S = 9.0
+# Longest time in which a server sends bytes without end, and shortest time
+# for which one says that it leaves.
+MAX_ENDLESS_S = 3.0
+MIN_ANNOUNCING_S = 6.0
 # Share of runs with an instance that is cut from all servers, and the latest
 # begin of that before the last fault ends. It lasts until the run's end, as
 # its callers are served through others.
@@ -116,6 +124,7 @@
         faults.append(Fault(kind, at_s, length_s - at_s, rng.randrange(1000)))
     faults.append(_draw_silence(seed, faults_end_s))
     faults.append(_draw_limit(seed, faults_end_s))
+    faults += _draw_announced_and_endless(seed, faults_end_s)
     if has_ending_request:
         lasts_s = faults_end_s - FIRST_FAULT_S - SERVER_RESTART_S
         kind = FaultKind.SERVER_ENDING
@@ -139,6 +148,23 @@
     return Fault(kind, at_s, faults_end_s - at_s, rng.randrange(1000))
 
 
+def _draw_announced_and_endless(seed: int, faults_end_s: float) -> list[Fault]:
+    # A generator of its own keeps the other faults of a seed as they are.
+    rng = random.Random(f'{seed} announced')
+    latest_s = max(FIRST_FAULT_S, faults_end_s - MIN_ANNOUNCING_S)
+    at_s = rng.uniform(FIRST_FAULT_S, latest_s)
+    announced = Fault(
+        FaultKind.SERVER_ANNOUNCING,
+        at_s,
+        min(MIN_ANNOUNCING_S, faults_end_s - at_s),
+        rng.randrange(1000),
+    )
+    at_s = rng.uniform(FIRST_FAULT_S, faults_end_s)
+    lasts_s = min(MAX_ENDLESS_S, faults_end_s - at_s)
+    kind = FaultKind.SERVER_ENDLESS
+    return [announced, Fault(kind, at_s, lasts_s, rng.randrange(1000))]
+
+
 def _draw_short_faults(seed: int, length_s: float) -> list[Fault]:
     rng = random.Random(seed)
     kinds = list(WEIGHTS_BY_KIND)
--- a/soak/variants.py
+++ b/soak/variants.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import sys
 from typing import Any
 
 from result import Err
@@ -17,7 +18,9 @@
 from jackdawfield.gateway.daemon import Gateway
 from jackdawfield.gateway.entry import CallHandler
 from jackdawfield.gateway.fleet.shared_tables import SharedTables
+from jackdawfield.gateway.http import connection as connection_module
 from jackdawfield.gateway.http.connection import Connection
+from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.reply import Reply
 from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
@@ -27,6 +30,7 @@
 from jackdawfield.gateway.servers.dispatch import Dispatcher
 from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.guard import CallGuard
+from jackdawfield.gateway.servers.notices import NoticeRecorder
 from jackdawfield.gateway.servers.relay_client import RelayClient
 from jackdawfield.gateway.servers.server_limits import ServerLimits
 from jackdawfield.gateway.storage.measured import MeasuredStore
@@ -256,6 +260,28 @@
     _patch(ServerLimits, 'take', take)
 
 
+def state_length() -> None:
+    """Pass the length of a turn's answer on, as its server stated it."""
+    set_head = Reply.set_head
+
+    def changed(
+        self: Reply, head: ResponseHead, withholds_end: bool = False
+    ) -> None:
+        set_head(self, head)
+
+    _patch(Reply, 'set_head', changed)
+
+
+def handle_all_at_once() -> None:
+    """Handle all that has arrived before anything else."""
+    _patch(connection_module, 'SLICE_PIECES', sys.maxsize)
+
+
+def ignore_leaving() -> None:
+    """Go by the rows of servers alone."""
+    _patch(NoticeRecorder, '_record_leaving', lambda *_: None)
+
+
 VARIANTS_BY_NAME: dict[str, Callable[[], None]] = {
     'repeat-lost-calls': repeat_lost_calls,
     'refuse-lost-calls': refuse_lost_calls,
@@ -275,4 +301,7 @@
     'stay-cut': stay_cut,
     'wait-on-silent-connections': wait_on_silent_connections,
     'ignore-server-limits': ignore_server_limits,
+    'state-length': state_length,
+    'handle-all-at-once': handle_all_at_once,
+    'ignore-leaving': ignore_leaving,
 }
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -6,7 +6,7 @@
 from soak.checks import find_violations
 from soak.record import CallClass
 from soak.record import FaultInterval
-from soak.record import LimitInterval
+from soak.record import NoticeInterval
 from soak.record import Outcome
 from soak.record import Record
 from soak.record import Run
@@ -16,6 +16,7 @@
 from soak.scenario import ENDS_UNTIL_KNOWN
 from soak.scenario import IN_FORCE_S
 from soak.scenario import IN_TOUCH_S
+from soak.scenario import LEAVING_LIMIT_S
 from soak.scenario import LIMITED_ORGANISATION
 from soak.scenario import MAX_RUNS_ONCE_KNOWN
 from soak.scenario import MAX_TOKENS_PER_TURN
@@ -238,7 +239,7 @@
         for one in runs:
             one.server_id = 's0'
         checked_record = record(runs=runs)
-        checked_record.limit_intervals = [LimitInterval('s0', 12.0, 30.0)]
+        checked_record.limit_intervals = [NoticeInterval('s0', 12.0, 30.0)]
         self.assert_violated(checked_record, 'limits of servers')
         # An instance that has just restarted may not know of the limit.
         checked_record.outcomes = [outcome(r.request_id, r.at_s) for r in runs]
@@ -249,9 +250,35 @@
             [v.promise for v in find_violations(checked_record)],
         )
         checked_record = record(runs=runs)
-        checked_record.limit_intervals = [LimitInterval('s1', 12.0, 30.0)]
+        checked_record.limit_intervals = [NoticeInterval('s1', 12.0, 30.0)]
         self.assertEqual(find_violations(checked_record), [])
 
+    def test_call_to_a_server_that_has_said_that_it_leaves(self) -> None:
+        late = run('late', 20.0)
+        late.server_id = 's0'
+        told = outcome('told', 15.0, leaving_server_id='s0')
+
+        def checked(late_at_s: float, server_id: str) -> Record:
+            found = record((told, outcome('late', late_at_s)), (late,))
+            found.leaving_intervals = [NoticeInterval(server_id, 12.0, 30.0)]
+            return found
+
+        self.assert_violated(checked(19.9, 's0'), 'leaving servers left alone')
+        # Sent in time, to another server, or by one that restarted since.
+        restarted = checked(19.9, 's0')
+        restarted.fault_intervals.append(
+            FaultInterval(FaultKind.KILL.value, 'i0', 16.0, 18.0)
+        )
+        for excepted in (
+            checked(15.0 + LEAVING_LIMIT_S, 's0'),
+            checked(19.9, 's1'),
+            restarted,
+        ):
+            self.assertNotIn(
+                'leaving servers left alone',
+                [v.promise for v in find_violations(excepted)],
+            )
+
     def test_configuration_version_decreases(self) -> None:
         checked_record = record()
         checked_record.version_samples = [
