--- a/jackdawfield/standins/row_store.py
+++ b/jackdawfield/standins/row_store.py
@@ -150,7 +150,8 @@
                 while not (rows := self._changed_since(table, after_version)):
                     await self._changed.wait()
         except TimeoutError:
-            rows = ()
+            # A change may have come with the end of the wait.
+            rows = self._changed_since(table, after_version)
         return Ok(RowsChanged(rows, self.version))
 
     def _changed_since(
