--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -164,6 +164,28 @@
         self.slot_queue = SlotQueue(self.servers, self.metrics)
         self._build_broadcasts()
         self._build_server_paths()
+        self._build_quarantine()
+        self._build_dispatcher()
+        self.rate_owner = RateOwner(
+            settings.bounds,
+            self.members,
+            self.seat_holder,
+            self.detector,
+            self.links,
+        )
+        self.admission = Admission(
+            self.members, self.detector, self.links, self.rate_owner
+        )
+        self._build_programs()
+        self.call_handler = CallHandler(
+            self.dispatcher,
+            self.stream_calls,
+            self.admission,
+            self.metrics,
+            self.stop_rule,
+        )
+
+    def _build_quarantine(self) -> None:
         self.quarantine = Quarantine()
         self.quarantine_sharing = QuarantineSharing(
             self.quarantine, self.members, self.table_sharing, self.links
@@ -177,6 +199,8 @@
             self.quarantine,
             self.quarantine_sharing.notify,
         )
+
+    def _build_dispatcher(self) -> None:
         exchange = ServerExchange(
             self.servers,
             self.server_pool,
@@ -193,24 +217,6 @@
             self.server_limits,
             self.stop_rule,
         )
-        self.rate_owner = RateOwner(
-            settings.bounds,
-            self.members,
-            self.seat_holder,
-            self.detector,
-            self.links,
-        )
-        self.admission = Admission(
-            self.members, self.detector, self.links, self.rate_owner
-        )
-        self._build_programs()
-        self.call_handler = CallHandler(
-            self.dispatcher,
-            self.stream_calls,
-            self.admission,
-            self.metrics,
-            self.stop_rule,
-        )
 
     def _build_broadcasts(self) -> None:
         self.broadcast = Broadcast(
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -132,13 +132,7 @@
         for _ in range(MAX_UNSENT_TRIES + call.route.attempt_limit):
             if not tries.may_try_another or _is_too_late(call):
                 break
-            criteria = ServerCriteria(
-                service,
-                call.headers.session_id or call.request_id,
-                preferred_id,
-                needs_slot(call),
-                tries.excluded_ids,
-            )
+            criteria = _criteria(call, service, preferred_id, tries)
             server = await self._acquire(call, criteria)
             if isinstance(server, Refusal) and not may_have_run:
                 return server
@@ -341,6 +335,21 @@
         self._exchange.release(response, end)
 
 
+def _criteria(
+    call: Call,
+    service: ServiceName,
+    preferred_id: ServerId | None,
+    tries: ServerTries,
+) -> ServerCriteria:
+    return ServerCriteria(
+        service,
+        call.headers.session_id or call.request_id,
+        preferred_id,
+        needs_slot(call),
+        tries.excluded_ids,
+    )
+
+
 def _is_too_late(call: Call) -> bool:
     return call.deadline_s - time.monotonic() < MIN_TIME_LEFT_S
 
