--- a/soak/backend.py
+++ b/soak/backend.py
@@ -73,8 +73,8 @@
     def _header(self, name: str) -> str:
         return self.request.headers.get(HEADER_PREFIX + name, '')
 
-    async def post(self, class_name: str) -> None:
-        """Execute a request unless it is misdirected or refused."""
+    def _set_own_headers(self) -> None:
+        """Set the headers that tell of the request and of this server."""
         request_id = self._header('Request-Id')
         self.set_header(HEADER_PREFIX + 'Request-Id', request_id)
         self.set_header(HEADER_PREFIX + 'Server-Stamp', self.backend.server_id)
@@ -82,6 +82,11 @@
             self.set_header('Server-Limit', f'{SERVER_LIMIT_PER_S}')
         if self._is_active(Misbehaviour.LEAVING):
             self.set_header('Server-Leaving', '1')
+
+    async def post(self, class_name: str) -> None:
+        """Execute a request unless it is misdirected or refused."""
+        request_id = self._header('Request-Id')
+        self._set_own_headers()
         if self._header('Expect-Instance') != self.backend.server_id:
             self.set_status(421)
             return
