Say in two comments what the values hold

One told how long a slice takes instead of what its pause is for; the other read as if a leaving server got no call from its answer on. Comments only.

--- a/jackdawfield/gateway/servers/choice.py
+++ b/jackdawfield/gateway/servers/choice.py
@@ -63,8 +63,8 @@
     avoid_until_s: float = 0.0
     full_until_s: float = 0.0
     missing_since_s: float | None = None
-    # A server that said in an answer that it leaves is sent no call from
-    # then on; its listed entry does not undo that.
+    # When a server that said in an answer that it leaves gets its last call;
+    # its listed entry does not undo that.
     announced_end_s: float = math.inf
     # A server that has ended is chosen only in place of none until then.
     absent_until_s: float = 0.0
--- a/jackdawfield/gateway/work_slices.py
+++ b/jackdawfield/gateway/work_slices.py
@@ -11,7 +11,7 @@
 
 # Pieces of a body, or lines of a stream, that are handled in one slice.
 SLICE_PIECES = 32
-# Pause before each slice; a slice takes one to two milliseconds.
+# Pause before each slice, in which the loop serves the others.
 PAUSE_S = 0.005
 
 
