Read from the settings whether instances pool their servers

Cause: decisions that instances make together must take effect only where a deployment calls for them; the settings list the parts of the platform's terms in force, which nothing read. Change: the adapter turns the part for pooled servers into a setting of the gateway, which nothing uses yet. Measured: its test.

--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -157,3 +157,5 @@
     store_port: int
     row_bytes: int
     bounds: PromisedLimits
+    # Whether the instances decide together which servers' slots they use.
+    pools_servers: bool = False
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -17,6 +17,8 @@
 MS_PER_S = 1000
 # The deployment file names the same port to the scrapers of metrics.
 METRICS_PORT = 9464
+# The part of the platform's terms under which instances pool their servers.
+POOL_CONTRACT = 'pool'
 
 
 class PlatformSettingsError(Exception):
@@ -59,6 +61,8 @@
     platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     bootstrap: bool = False
+    # The parts of the platform's terms that are in force.
+    contracts: list[str] = msgspec.field(default_factory=list)
     # Addresses of a few instances, some of which may be down.
     seeds: list[str] = msgspec.field(default_factory=list)
 
@@ -110,6 +114,7 @@
         store_host=store_host,
         store_port=store_port,
         row_bytes=wire.platform.row_bytes,
+        pools_servers=POOL_CONTRACT in wire.contracts,
         bounds=PromisedLimits(
             grace_s=bounds.grace_s,
             drain_s=bounds.drain_ms / MS_PER_S,
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -33,6 +33,13 @@
         self.assertEqual(settings.bounds.grace_s, 8)
         self.assertEqual(settings.row_bytes, 65536)
 
+    def test_servers_are_pooled_only_under_the_contract_for_it(self) -> None:
+        alone = decode_settings(json.dumps(SETTINGS))
+        pooling = {**SETTINGS, 'contracts': ['base', 'pool']}
+        together = decode_settings(json.dumps(pooling))
+        self.assertFalse(alone.pools_servers)
+        self.assertTrue(together.pools_servers)
+
     def test_error_of_invalid_settings_names_the_file(self) -> None:
         for change in ({'node': 1}, {'platform': {'address': 'none'}}):
             with tempfile.TemporaryDirectory() as folder:
