Let calls leave their failure domain by what the caller gains

Cause: the pool's rule compared waits only: it knew no distance, price, link or place of a prefix, sent to any domain that reported slots until the next report, and went on after refusals. Change: expected finish there (wait, round trip, transfer, prefix) against here, by a margin and the operator's price; offers divided among domains; a reserve for own calls and refusal of others' calls beyond it; pauses for domains that return calls; contexts that moved are followed while that pays; bytes under way bound what crosses between regions.

--- a/bench/_variants.py
+++ b/bench/_variants.py
@@ -15,7 +15,7 @@
 from jackdawfield.decisions.queueing import QueueSettings
 from jackdawfield.decisions.routing import RoutingSettings
 from jackdawfield.decisions.slot_shares import ShareSettings
-from jackdawfield.decisions.spilling import SpillSettings
+from jackdawfield.decisions.spill_settings import SpillSettings
 
 PolicyFactory = Callable[[Fleet], Policy]
 
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Iterator
+from math import ceil
 
 from jackdawfield.decisions.inflight import GrantedCall
 from jackdawfield.decisions.inflight import InFlight
@@ -36,6 +37,7 @@
 from jackdawfield.decisions.queueing import FairQueue
 from jackdawfield.decisions.queueing import QueuedRequest
 from jackdawfield.decisions.slot_shares import SlotShares
+from jackdawfield.decisions.spilling import OwnFinish
 from jackdawfield.decisions.spilling import PeerDomains
 from jackdawfield.decisions.windows import best_token_s
 from jackdawfield.model import DomainId
@@ -76,6 +78,7 @@
                 caches.apply_report(server_id, prefixes, complete)
             case ContextEnded(_, context_id):
                 self._in_flight.caches.remove_context(context_id)
+                self._peers.moved_contexts.remove(context_id)
             case PeerReport():
                 self._peers.record_report(event)
             case PeerLost(_, domain_id):
@@ -96,11 +99,22 @@
             region_id=region_id,
             usable=bool(usable),
             wait_s=self._queue_wait_s(now_s),
-            open_slots=sum(window.open_slots(now_s) for window in usable),
+            open_slots=self._slots_for_others(now_s),
             call_s=self._in_flight.mean_slot_wait_s(now_s),
             token_s=best_token_s(usable),
+            link_bytes=self._peers.link_bytes(now_s),
         )
 
+    def _slots_for_others(self, now_s: float) -> int:
+        """Return the open slots that requests of other domains may take."""
+        spill = self._settings.spill
+        if spill.needs_open_slot and len(self._queue):
+            return 0
+        usable = self._in_flight.usable_windows(now_s)
+        open_slots = sum(window.open_slots(now_s) for window in usable)
+        reserve = spill.reserve_share * self._in_flight.usable_limit(now_s)
+        return max(0, open_slots - ceil(reserve))
+
     def _handle_capacity_event(
         self,
         event: Finished | Failed | Cancelled | LoadReport | ServersChanged,
@@ -153,11 +167,15 @@
         self._renewed_at_s_by_home[demand.home_id] = now_s
         if self._is_tracked(demand.request_id):
             return ()
+        if demand.needs_open_slot and not self._slots_for_others(now_s):
+            return (self._refuse(demand, RefusalReason.NO_OPEN_SLOT, 0.0),)
+        self._peers.record_submitted(demand, now_s)
         wait_s = self._expected_wait_s(demand, now_s)
-        domain_id = self._choose_spill_domain(demand, wait_s, now_s)
-        if domain_id is not None:
-            self._peers.record_spill(domain_id)
-            return (Spill(demand.request_id, domain_id),)
+        spill = self._choose_spill(demand, wait_s, now_s)
+        if spill is not None:
+            self._peers.record_spill(demand, spill, now_s)
+            return (spill,)
+        self._peers.moved_contexts.remove(demand.context_id)
         slack_s = demand.deadline_s - now_s
         if self._settings.refuse_early and wait_s > slack_s:
             return (self._refuse(demand, RefusalReason.DEADLINE, wait_s),)
@@ -173,32 +191,33 @@
     def _is_tracked(self, request_id: RequestId) -> bool:
         return request_id in self._queue or request_id in self._in_flight
 
-    def _choose_spill_domain(
+    def _choose_spill(
         self, demand: SlotDemand, wait_s: float, now_s: float
-    ) -> DomainId | None:
+    ) -> Spill | None:
         if not demand.may_spill:
             return None
-        if not self._in_flight.usable_windows(now_s):
-            return self._peers.fallback_domain(
-                now_s, demand.deadline_s - now_s
-            )
         choice = self._in_flight.choose_server(demand, now_s)
         if choice is None:
-            return self._peers.fallback_domain(
-                now_s, demand.deadline_s - now_s
-            )
+            return self._peers.choose_fallback(demand, now_s)
         window = self._in_flight.window(choice.server_id)
-        prefill_s = choice.prefill_tokens * window.prefill_token_s
-        full_prefill_s = demand.prompt_tokens * window.prefill_token_s
-        backlog_s = window.unstarted_prefill_tokens * window.prefill_token_s
+        prefill_token_s = window.prefill_token_s
+        prefill_s = choice.prefill_tokens * prefill_token_s
+        full_prefill_s = demand.prompt_tokens * prefill_token_s
+        backlog_s = window.unstarted_prefill_tokens * prefill_token_s
         decode_s = demand.output_tokens * window.token_s
-        return self._peers.faster_domain(
+        moved = self._peers.moved_contexts.find(demand.context_id)
+        moved_tokens = 0 if moved is None else moved.tokens
+        own = OwnFinish(
+            wait_s,
             wait_s + backlog_s + decode_s,
-            full_prefill_s - prefill_s,
-            demand.output_tokens,
-            window.token_s,
-            now_s,
+            reread_s=full_prefill_s - prefill_s,
+            moved_prefill_s=(
+                min(moved_tokens, demand.prompt_tokens) * prefill_token_s
+            ),
+            token_s=window.token_s,
+            output_tokens=demand.output_tokens,
         )
+        return self._peers.choose_faster(demand, own, now_s)
 
     def _enforce_queue_limit(
         self, now_s: float, wait_s: float
@@ -305,13 +324,12 @@
                 continue
             if not has_no_server or not demand.may_spill:
                 continue
-            limit_s = demand.deadline_s - now_s
-            domain_id = self._peers.fallback_domain(now_s, limit_s)
-            if domain_id is None:
+            spill = self._peers.choose_fallback(demand, now_s)
+            if spill is None:
                 continue
-            self._peers.record_spill(domain_id)
+            self._peers.record_spill(demand, spill, now_s)
             self._queue.remove(demand.request_id)
-            yield Spill(demand.request_id, domain_id)
+            yield spill
 
     def _spill_queued(self, now_s: float) -> Iterator[Action]:
         spills_left = self._settings.spills_per_tick
@@ -324,15 +342,15 @@
                 or self._in_flight.caches.max_cached_tokens(demand.context_id)
             ):
                 continue
-            domain_id = self._peers.faster_domain(
-                self._queue_wait_s(now_s), 0.0, 0, 0.0, now_s
-            )
-            if domain_id is None:
+            wait_s = self._queue_wait_s(now_s)
+            own = OwnFinish(wait_s, wait_s)
+            spill = self._peers.choose_faster(demand, own, now_s)
+            if spill is None:
                 return
             spills_left -= 1
-            self._peers.record_spill(domain_id)
+            self._peers.record_spill(demand, spill, now_s)
             self._queue.remove(demand.request_id)
-            yield Spill(demand.request_id, domain_id)
+            yield spill
 
     def _expected_wait_s(self, demand: SlotDemand, now_s: float) -> float:
         if not len(self._queue) and self._in_flight.has_open_slot(now_s):
--- a/jackdawfield/decisions/pool_events.py
+++ b/jackdawfield/decisions/pool_events.py
@@ -1,6 +1,7 @@
 """Define the events and actions of a pool's scheduler."""
 
 from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 from typing import NewType
 
@@ -21,6 +22,15 @@
     DEADLINE = 'deadline would pass'
     QUEUE_FULL = 'queue is full'
     NO_SERVER = 'no server can serve'
+    NO_OPEN_SLOT = 'no open slot for other failure domains'
+
+
+class SpillReason(Enum):
+    """Lists the reasons to send a request to another failure domain."""
+
+    FASTER = 'sooner finish'
+    PREFIX = 'cached prefix'
+    NO_SERVER = 'no own server'
 
 
 class FailureKind(Enum):
@@ -39,7 +49,9 @@
     program or sub-agent whose prompt prefix a server may have cached.
     `attained_tokens` counts what the whole program with its sub-agents has
     been served. `waited_s` is the time waited before this submission, in
-    another domain or before a refusal.
+    another domain or before a refusal. With `needs_open_slot`, a request of
+    another domain is refused at once if no slot is open for it. `body_bytes`
+    are sent to another domain if the request is spilled.
     """
 
     request_id: RequestId
@@ -55,6 +67,8 @@
     repeatable: bool = True
     may_spill: bool = True
     avoided_server_ids: frozenset[ServerId] = frozenset()
+    needs_open_slot: bool = False
+    body_bytes: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,7 +182,11 @@
 
 @dataclass(frozen=True, slots=True)
 class PeerReport:
-    """Carries the load of the same pool in another failure domain."""
+    """Carries the load of the same pool in another failure domain.
+
+    `now_s` is when it was made. `link_bytes` are under way from the domain to
+    other regions, and `round_trip_s` is measured by the receiver.
+    """
 
     now_s: float
     domain_id: DomainId
@@ -178,6 +196,8 @@
     open_slots: int
     call_s: float
     token_s: float
+    link_bytes: float = 0.0
+    round_trip_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -232,10 +252,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Spill:
-    """Sends a queued request to the same pool of another domain."""
+    """Sends a queued request to the same pool of another domain.
+
+    `gain_s` is how much sooner it is expected to finish there, less the
+    price of crossing.
+    """
 
     request_id: RequestId
     domain_id: DomainId
+    needs_open_slot: bool = False
+    reason: SpillReason = field(default=SpillReason.FASTER, compare=False)
+    gain_s: float = field(default=0.0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawfield/decisions/pool_settings.py
+++ b/jackdawfield/decisions/pool_settings.py
@@ -6,7 +6,7 @@
 from jackdawfield.decisions.queueing import QueueSettings
 from jackdawfield.decisions.routing import RoutingSettings
 from jackdawfield.decisions.slot_shares import ShareSettings
-from jackdawfield.decisions.spilling import SpillSettings
+from jackdawfield.decisions.spill_settings import SpillSettings
 
 PREFILL_WEIGHT = 0.05
 
--- a/jackdawfield/decisions/spilling.py
+++ b/jackdawfield/decisions/spilling.py
@@ -1,36 +1,40 @@
 """Choose another failure domain for requests that would wait too long."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 from math import inf
 
+from jackdawfield.decisions.link_load import LinkLoad
+from jackdawfield.decisions.moved_contexts import MovedContext
+from jackdawfield.decisions.moved_contexts import MovedContexts
+from jackdawfield.decisions.peer_domain import PeerDomain
 from jackdawfield.decisions.pool_events import PeerReport
+from jackdawfield.decisions.pool_events import SlotDemand
+from jackdawfield.decisions.pool_events import Spill
+from jackdawfield.decisions.pool_events import SpillReason
+from jackdawfield.decisions.sent_requests import SentRequests
+from jackdawfield.decisions.spill_settings import SpillSettings
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
 
 
 @dataclass(frozen=True, slots=True)
-class SpillSettings:
-    """Sets when requests are spilled to another failure domain.
-
-    A domain is preferred to the own one if it is faster by `margin_s`.
-    Reports older than `report_age_limit_s` are ignored.
+class OwnFinish:
+    """Holds what a request would take in the own domain.
+
+    `wait_s` is the wait for a slot and `total_s` the time to the end, both
+    expected. `reread_s` is the prefill of the tokens that only the own domain
+    has cached, and `moved_prefill_s` that of those cached in the domain to
+    which the context has moved. `token_s` is used for a domain that has no
+    estimate of its time per token yet.
     """
 
-    margin_s: float = 1.0
-    report_age_limit_s: float = 5.0
-
-
-@dataclass(slots=True)
-class PeerDomain:
-    """Holds a domain's report and the count of requests spilled since."""
-
-    report: PeerReport
-    spilled_since_report: int = 0
-
-    def expected_wait_s(self) -> float:
-        """Return the expected wait of one more request in the domain."""
-        excess = self.spilled_since_report + 1 - self.report.open_slots
-        return self.report.wait_s + max(0, excess) * self.report.call_s
+    wait_s: float
+    total_s: float
+    reread_s: float = 0.0
+    moved_prefill_s: float = 0.0
+    token_s: float = 0.0
+    output_tokens: int = 0
 
 
 class PeerDomains:
@@ -40,73 +44,191 @@
         self._region_id = region_id
         self._settings = settings
         self._peers_by_id: dict[DomainId, PeerDomain] = {}
+        self._sent_requests = SentRequests(settings.report_age_limit_s)
+        self._links_by_region: dict[RegionId, LinkLoad] = {}
+        self.moved_contexts = MovedContexts()
 
     def record_report(self, report: PeerReport) -> None:
         """Replace the report of a domain."""
-        self._peers_by_id[report.domain_id] = PeerDomain(report)
+        peer = self._peers_by_id.get(report.domain_id)
+        if peer is None:
+            self._peers_by_id[report.domain_id] = PeerDomain(report)
+            return
+        peer.apply_report(report)
 
     def remove(self, domain_id: DomainId) -> None:
         """Remove a domain that cannot be reached."""
         self._peers_by_id.pop(domain_id, None)
+        self.moved_contexts.remove_domain(domain_id)
+
+    def record_submitted(self, demand: SlotDemand, now_s: float) -> None:
+        """Record that a request is here, which may have been returned."""
+        domain_id = self._sent_requests.pop_returned(demand)
+        if domain_id is None or not self._settings.return_pause_s:
+            return
+        self.moved_contexts.remove(demand.context_id)
+        peer = self._peers_by_id.get(domain_id)
+        if peer is None:
+            return
+        peer.record_return(
+            now_s,
+            self._settings.return_pause_s,
+            self._settings.report_age_limit_s,
+        )
 
-    def record_spill(self, domain_id: DomainId) -> None:
-        """Count a request spilled to a domain since its report."""
-        self._peers_by_id[domain_id].spilled_since_report += 1
+    def record_spill(
+        self, demand: SlotDemand, spill: Spill, now_s: float
+    ) -> None:
+        """Record a request that is sent to another domain."""
+        peer = self._peers_by_id[spill.domain_id]
+        peer.record_sent(now_s)
+        self._sent_requests.record(demand, spill.domain_id, now_s)
+        if self._settings.follows_contexts:
+            tokens = demand.prompt_tokens + demand.output_tokens
+            self.moved_contexts.record(
+                demand.context_id, spill.domain_id, tokens
+            )
+        if peer.report.region_id != self._region_id:
+            self._link(peer.report.region_id).add(demand.body_bytes, now_s)
 
     def best_token_s(self) -> float:
         """Return the time per token of the fastest reported server."""
         reported = (p.report.token_s for p in self._peers_by_id.values())
         return min(reported, default=inf)
 
-    def faster_domain(
-        self,
-        own_s: float,
-        transfer_cost_s: float,
-        output_tokens: int,
-        token_s: float,
-        now_s: float,
-    ) -> DomainId | None:
-        """Return a domain of the own region that would finish sooner, if any.
+    def link_bytes(self, now_s: float) -> float:
+        """Return the bytes of own requests under way to other regions."""
+        links = self._links_by_region.values()
+        return sum(link.backlog_bytes(now_s) for link in links)
+
+    def choose_faster(
+        self, demand: SlotDemand, own: OwnFinish, now_s: float
+    ) -> Spill | None:
+        """Return a spill to the domain that gains most, if any pays.
 
-        `own_s` is the expected finish in the own domain. `transfer_cost_s`
-        is the cost of the move itself, such as the prefill of tokens that
-        only the own domain has cached. `token_s` is used for a domain that
-        has no estimate of its time per token yet.
+        Requests that need not wait leave only for the domain to which their
+        context has moved.
         """
-        best = self._best_peer(now_s, own_region=True)
-        if best is None:
+        moved = self.moved_contexts.find(demand.context_id)
+        best: Spill | None = None
+        for peer in self._fresh_peers(now_s):
+            spill = self._pays(peer, demand, own, moved, now_s)
+            if spill is None:
+                continue
+            if best is None or spill.gain_s > best.gain_s:
+                best = spill
+        return best
+
+    def choose_fallback(
+        self, demand: SlotDemand, now_s: float
+    ) -> Spill | None:
+        """Return a spill to the nearest domain that can serve in time.
+
+        Domains of the own region go first, and those that have returned
+        requests last.
+        """
+        limit_s = demand.deadline_s - now_s
+        best_rank: tuple[bool, bool, float] | None = None
+        best: Spill | None = None
+        for peer in self._fresh_peers(now_s):
+            there_s = self._arrival_s(peer, demand, now_s)
+            if there_s >= limit_s:
+                continue
+            is_far = peer.report.region_id != self._region_id
+            rank = (is_far, now_s < peer.paused_until_s, there_s)
+            if best_rank is None or rank < best_rank:
+                best_rank = rank
+                best = Spill(
+                    demand.request_id,
+                    peer.report.domain_id,
+                    reason=SpillReason.NO_SERVER,
+                )
+        return best
+
+    def _fresh_peers(self, now_s: float) -> Iterator[PeerDomain]:
+        oldest_s = now_s - self._settings.report_age_limit_s
+        for peer in self._peers_by_id.values():
+            if peer.report.usable and peer.report.now_s >= oldest_s:
+                yield peer
+
+    def _arrival_s(
+        self, peer: PeerDomain, demand: SlotDemand, now_s: float
+    ) -> float:
+        """Return the expected time of the way there and back and the wait."""
+        report = peer.report
+        open_slots = self._open_slots(peer, now_s)
+        arrival_s = peer.expected_wait_s(open_slots) + report.round_trip_s
+        if report.region_id == self._region_id:
+            return arrival_s
+        link = self._link(report.region_id)
+        others_bytes = sum(
+            other.report.link_bytes
+            for other in self._fresh_peers(now_s)
+            if other.report.region_id == self._region_id
+        )
+        return arrival_s + link.transfer_s(
+            demand.body_bytes, others_bytes, now_s
+        )
+
+    def _open_slots(self, peer: PeerDomain, now_s: float) -> int:
+        return peer.open_slots(now_s, self._settings.report_age_limit_s)
+
+    def _pays(
+        self,
+        peer: PeerDomain,
+        demand: SlotDemand,
+        own: OwnFinish,
+        moved: MovedContext | None,
+        now_s: float,
+    ) -> Spill | None:
+        """Return a spill to a domain if the caller gains enough by it."""
+        settings = self._settings
+        if now_s < peer.paused_until_s:
+            return None
+        if settings.needs_open_slot and self._open_slots(peer, now_s) < 1:
+            return None
+        report = peer.report
+        has_context = moved is not None and moved.domain_id == report.domain_id
+        if own.wait_s < settings.min_wait_s and not has_context:
             return None
-        reported_token_s = best.report.token_s
-        decode_s = output_tokens * (
-            token_s if reported_token_s == inf else reported_token_s
+        token_s = own.token_s if report.token_s == inf else report.token_s
+        cached_s = own.moved_prefill_s if has_context else 0.0
+        there_s = (
+            self._arrival_s(peer, demand, now_s)
+            + own.reread_s
+            - cached_s
+            + own.output_tokens * token_s
+            + self._price_s(peer, demand)
         )
-        if (
-            best.expected_wait_s()
-            + transfer_cost_s
-            + decode_s
-            + self._settings.margin_s
-            >= own_s
-        ):
+        gain_s = own.total_s - there_s
+        if gain_s <= self._margin_s(peer, has_context, now_s):
             return None
-        return best.report.domain_id
-
-    def fallback_domain(
-        self, now_s: float, wait_limit_s: float
-    ) -> DomainId | None:
-        """Return a domain with a wait below a limit, own region first."""
-        for own_region in (True, False):
-            best = self._best_peer(now_s, own_region)
-            if best is not None and best.expected_wait_s() < wait_limit_s:
-                return best.report.domain_id
-        return None
-
-    def _best_peer(self, now_s: float, own_region: bool) -> PeerDomain | None:
-        oldest_s = now_s - self._settings.report_age_limit_s
-        candidates = (
-            peer
-            for peer in self._peers_by_id.values()
-            if peer.report.usable
-            and peer.report.now_s >= oldest_s
-            and (peer.report.region_id == self._region_id) == own_region
+        return Spill(
+            demand.request_id,
+            report.domain_id,
+            needs_open_slot=settings.needs_open_slot,
+            reason=SpillReason.PREFIX if has_context else SpillReason.FASTER,
+            gain_s=gain_s,
         )
-        return min(candidates, key=PeerDomain.expected_wait_s, default=None)
+
+    def _price_s(self, peer: PeerDomain, demand: SlotDemand) -> float:
+        if peer.report.region_id == self._region_id:
+            return self._settings.domain_price.price_s(demand.body_bytes)
+        return self._settings.region_price.price_s(demand.body_bytes)
+
+    def _margin_s(
+        self, peer: PeerDomain, has_context: bool, now_s: float
+    ) -> float:
+        settings = self._settings
+        if has_context:
+            return 0.0
+        if now_s - peer.last_sent_s <= settings.hold_s:
+            return settings.margin_s
+        return max(settings.margin_s, settings.first_margin_s)
+
+    def _link(self, region_id: RegionId) -> LinkLoad:
+        link = self._links_by_region.get(region_id)
+        if link is None:
+            link = LinkLoad(self._settings.link)
+            self._links_by_region[region_id] = link
+        return link
--- /dev/null
+++ b/tests/test_pool_spilling.py
@@ -0,0 +1,141 @@
+"""Check what a pool with a gateway's settings sends to other domains."""
+
+from dataclasses import replace
+import unittest
+
+from jackdawfield.decisions.gateway_spill import GATEWAY_SPILL
+from jackdawfield.decisions.pool import Pool
+from jackdawfield.decisions.pool_events import ContextEnded
+from jackdawfield.decisions.pool_events import Finished
+from jackdawfield.decisions.pool_events import FirstToken
+from jackdawfield.decisions.pool_events import Grant
+from jackdawfield.decisions.pool_events import PeerReport
+from jackdawfield.decisions.pool_events import RefusalReason
+from jackdawfield.decisions.pool_events import Refuse
+from jackdawfield.decisions.pool_events import RequestId
+from jackdawfield.decisions.pool_events import RequestSubmitted
+from jackdawfield.decisions.pool_events import ServersChanged
+from jackdawfield.decisions.pool_events import SlotDemand
+from jackdawfield.decisions.pool_events import Spill
+from jackdawfield.decisions.pool_settings import PoolSettings
+from jackdawfield.decisions.spill_settings import SpillSettings
+from jackdawfield.model import BackendServer
+from jackdawfield.model import DomainId
+from jackdawfield.model import InstanceId
+from jackdawfield.model import OrganisationId
+from jackdawfield.model import ProgramId
+from jackdawfield.model import RegionId
+from jackdawfield.model import ServerId
+
+FREE_ELSEWHERE = PeerReport(
+    0.0,
+    DomainId('near'),
+    RegionId('r'),
+    usable=True,
+    wait_s=0.0,
+    open_slots=99,
+    call_s=0.01,
+    token_s=0.0001,
+    round_trip_s=0.01,
+)
+
+
+def demand(name: str, needs_open_slot: bool = False) -> SlotDemand:
+    return SlotDemand(
+        RequestId(name),
+        InstanceId('home'),
+        OrganisationId('a'),
+        ProgramId(f'program {name}'),
+        prompt_tokens=8000,
+        output_tokens=10,
+        deadline_s=60.0,
+        may_spill=not needs_open_slot,
+        needs_open_slot=needs_open_slot,
+    )
+
+
+def pool_of(slots: int, spill: SpillSettings = GATEWAY_SPILL) -> Pool:
+    pool = Pool(RegionId('r'), PoolSettings(spill=spill))
+    server = BackendServer(
+        ServerId('s'),
+        DomainId('d'),
+        RegionId('r'),
+        '',
+        'chat',
+        slots=slots,
+        cache_tokens=100_000,
+    )
+    pool.on(ServersChanged(0.0, (server,)))
+    return pool
+
+
+def submit(pool: Pool, *demands: SlotDemand) -> list[object]:
+    return [pool.on(RequestSubmitted(0.0, one))[0] for one in demands]
+
+
+def open_slots(pool: Pool) -> int:
+    domain_id = DomainId('d')
+    return pool.create_peer_report(domain_id, RegionId('r'), 0.0).open_slots
+
+
+class OwnServersTest(unittest.TestCase):
+    def test_nothing_leaves_while_an_own_slot_is_free(self) -> None:
+        pool = pool_of(slots=10)
+        pool.on(FREE_ELSEWHERE)
+        calls = [demand(str(n)) for n in range(11)]
+        *first, last = submit(pool, *calls)
+        self.assertTrue(all(isinstance(action, Grant) for action in first))
+        self.assertEqual(
+            Spill(RequestId('10'), DomainId('near'), needs_open_slot=True),
+            last,
+        )
+
+    def test_call_that_was_returned_waits_here(self) -> None:
+        pool = pool_of(slots=1)
+        pool.on(FREE_ELSEWHERE)
+        submit(pool, demand('a'), demand('b'))
+        self.assertEqual((), pool.on(RequestSubmitted(0.01, demand('b'))))
+
+    def test_program_that_left_stays_where_its_prefix_is(self) -> None:
+        pool = pool_of(slots=1)
+        pool.on(FREE_ELSEWHERE)
+        submit(pool, demand('a'), demand('b'))
+        pool.on(FirstToken(0.1, RequestId('a')))
+        pool.on(Finished(0.2, RequestId('a'), 8000, 0, 10))
+        later = replace(demand('b2'), context_id=ProgramId('program b'))
+        (action,) = pool.on(RequestSubmitted(0.3, later))
+        self.assertIsInstance(action, Spill)
+        pool.on(ContextEnded(0.4, ProgramId('program b')))
+        again = replace(later, request_id=RequestId('b3'))
+        (action,) = pool.on(RequestSubmitted(0.5, again))
+        self.assertIsInstance(action, Grant)
+
+
+class CallsOfOthersTest(unittest.TestCase):
+    """Answers domains that fill the slots of their neighbour."""
+
+    def test_reserve_is_kept_for_the_own_calls(self) -> None:
+        pool = pool_of(slots=10)
+        foreign = [demand(str(n), needs_open_slot=True) for n in range(10)]
+        self.assertEqual(9, open_slots(pool))
+        *granted, last = submit(pool, *foreign)
+        self.assertTrue(all(isinstance(one, Grant) for one in granted))
+        assert isinstance(last, Refuse)
+        self.assertEqual(RefusalReason.NO_OPEN_SLOT, last.reason)
+        self.assertIsInstance(submit(pool, demand('own'))[0], Grant)
+
+    def test_nothing_is_offered_while_own_calls_wait(self) -> None:
+        without_reserve = replace(GATEWAY_SPILL, reserve_share=0.0)
+        pool = pool_of(slots=1, spill=without_reserve)
+        self.assertEqual(1, open_slots(pool))
+        submit(pool, demand('a'))
+        pool.on(RequestSubmitted(0.0, demand('b')))
+        foreign = demand('c', needs_open_slot=True)
+        self.assertIsInstance(submit(pool, foreign)[0], Refuse)
+        self.assertEqual(0, open_slots(pool))
+
+    def test_call_of_a_domain_without_servers_waits_like_the_own(self) -> None:
+        pool = pool_of(slots=1)
+        submit(pool, demand('a'))
+        foreign = replace(demand('b'), may_spill=False)
+        self.assertEqual((), pool.on(RequestSubmitted(0.0, foreign)))
