Test what a returned call and a waiting own call change

Cause: two broken variants of the spill rule passed its tests. Change: the cases now tell them apart.

--- a/tests/test_pool_spilling.py
+++ b/tests/test_pool_spilling.py
@@ -54,10 +54,9 @@
     )
 
 
-def pool_of(slots: int, spill: SpillSettings = GATEWAY_SPILL) -> Pool:
-    pool = Pool(RegionId('r'), PoolSettings(spill=spill))
-    server = BackendServer(
-        ServerId('s'),
+def server(name: str, slots: int) -> BackendServer:
+    return BackendServer(
+        ServerId(name),
         DomainId('d'),
         RegionId('r'),
         '',
@@ -65,7 +64,11 @@
         slots=slots,
         cache_tokens=100_000,
     )
-    pool.on(ServersChanged(0.0, (server,)))
+
+
+def pool_of(slots: int, spill: SpillSettings = GATEWAY_SPILL) -> Pool:
+    pool = Pool(RegionId('r'), PoolSettings(spill=spill))
+    pool.on(ServersChanged(0.0, (server('s', slots),)))
     return pool
 
 
@@ -127,9 +130,13 @@
     def test_nothing_is_offered_while_own_calls_wait(self) -> None:
         without_reserve = replace(GATEWAY_SPILL, reserve_share=0.0)
         pool = pool_of(slots=1, spill=without_reserve)
+        pool.on(ServersChanged(0.0, (server('s', 1), server('t', 1))))
+        (grant,) = submit(pool, demand('a'))
+        assert isinstance(grant, Grant)
         self.assertEqual(1, open_slots(pool))
-        submit(pool, demand('a'))
-        pool.on(RequestSubmitted(0.0, demand('b')))
+        others = frozenset({ServerId('s'), ServerId('t')}) - {grant.server_id}
+        waits = replace(demand('b'), avoided_server_ids=others)
+        self.assertEqual((), pool.on(RequestSubmitted(0.0, waits)))
         foreign = demand('c', needs_open_slot=True)
         self.assertIsInstance(submit(pool, foreign)[0], Refuse)
         self.assertEqual(0, open_slots(pool))
--- a/tests/test_spilling.py
+++ b/tests/test_spilling.py
@@ -353,7 +353,7 @@
         self.assertEqual({'b': 5, 'c': 5}, counts)
 
     def test_domain_that_returned_a_call_is_the_last_choice(self) -> None:
-        peers = domains(report(0.0, 9, 'b', round_trip_s=0.02), report(0.0, 9))
+        peers = domains(report(0.0, 9, 'b', round_trip_s=0.05), report(0.0, 9))
         spill = send(peers, demand('a'), waiting(0.9), 0.0)
         self.assertEqual('near', target(spill))
         peers.record_submitted(demand('a'), 0.1)
