Report the loads of services between failure domains

Cause: owners of slots in different domains knew nothing of each other's open slots, queues and distance.

--- a/jackdawfield/decisions/distances.py
+++ b/jackdawfield/decisions/distances.py
@@ -1,11 +1,13 @@
 """Estimate round trips between failure domains, and how late messages are."""
 
 from collections import deque
+from collections import OrderedDict
 
 from jackdawfield.model import DomainId
 
 RECENT_SAMPLES = 16
 SMOOTHING_FACTOR = 0.25
+MAX_SENDERS = 256
 
 
 class RecentMinimum:
@@ -55,18 +57,19 @@
     """
 
     def __init__(self) -> None:
-        self._minimums_by_sender: dict[str, RecentMinimum] = {}
+        self._minimums_by_sender: OrderedDict[str, RecentMinimum] = (
+            OrderedDict()
+        )
 
     def record(self, sender: str, sent_s: float, arrived_s: float) -> float:
         """Return the additional time in seconds that a message has taken.
 
-        `sent_s` is a time of the sender's clock.
+        `sent_s` is a time of the sender's clock. The sender that was silent
+        for longest is removed if there are too many.
         """
         taken_s = arrived_s - sent_s
         recent = self._minimums_by_sender.setdefault(sender, RecentMinimum())
+        self._minimums_by_sender.move_to_end(sender)
+        if len(self._minimums_by_sender) > MAX_SENDERS:
+            self._minimums_by_sender.popitem(last=False)
         return taken_s - recent.record(taken_s)
-
-    def keep_only(self, senders: frozenset[str]) -> None:
-        """Remove the senders that are no longer in use."""
-        for sender in self._minimums_by_sender.keys() - senders:
-            del self._minimums_by_sender[sender]
--- a/jackdawfield/decisions/pool_events.py
+++ b/jackdawfield/decisions/pool_events.py
@@ -196,6 +196,7 @@
     open_slots: int
     call_s: float
     token_s: float
+    queued: int = 0
     link_bytes: float = 0.0
     round_trip_s: float = 0.0
 
--- a/jackdawfield/decisions/slot_offers.py
+++ b/jackdawfield/decisions/slot_offers.py
@@ -1,6 +1,7 @@
 """Divide the open slots of a failure domain among the other domains."""
 
 from collections.abc import Mapping
+from collections.abc import Set
 
 from jackdawfield.decisions.placement import rendezvous_score
 from jackdawfield.model import DomainId
@@ -37,3 +38,17 @@
     for domain_id in by_remainder[:rest]:
         offers_by_domain[domain_id] += 1
     return offers_by_domain
+
+
+def weights_of(
+    queued_by_domain: Mapping[DomainId, int], near_ids: Set[DomainId]
+) -> dict[DomainId, int]:
+    """Return the weights by which slots are offered to domains.
+
+    A near domain, which is one of the own region, has a weight also while
+    nothing is queued there.
+    """
+    return {
+        domain_id: queued + (domain_id in near_ids)
+        for domain_id, queued in queued_by_domain.items()
+    }
