Name the domain that returned a request in the request itself

Cause: instances use a new id for each time that they ask, so an owner can't know a returned request by its id. Change: the demand names the domain that returned it, and the domain that has its prefix, which callers that moved have left behind.

--- a/jackdawfield/decisions/moved_contexts.py
+++ b/jackdawfield/decisions/moved_contexts.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from jackdawfield.decisions.pool_events import SlotDemand
 from jackdawfield.model import DomainId
 from jackdawfield.model import ProgramId
 
@@ -34,9 +35,12 @@
         if len(self._moved_by_context) > MAX_CONTEXTS:
             self._moved_by_context.popitem(last=False)
 
-    def find(self, context_id: ProgramId) -> MovedContext | None:
-        """Return where a context has moved, None if it has not."""
-        return self._moved_by_context.get(context_id)
+    def find(self, demand: SlotDemand) -> MovedContext | None:
+        """Return where a request's context has moved, None if it has not."""
+        moved = self._moved_by_context.get(demand.context_id)
+        if moved is not None or demand.prefix_domain_id is None:
+            return moved
+        return MovedContext(demand.prefix_domain_id, demand.prompt_tokens)
 
     def remove(self, context_id: ProgramId) -> None:
         """Remove a context that has ended or come back."""
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -205,7 +205,7 @@
         full_prefill_s = demand.prompt_tokens * prefill_token_s
         backlog_s = window.unstarted_prefill_tokens * prefill_token_s
         decode_s = demand.output_tokens * window.token_s
-        moved = self._peers.moved_contexts.find(demand.context_id)
+        moved = self._peers.moved_contexts.find(demand)
         moved_tokens = 0 if moved is None else moved.tokens
         own = OwnFinish(
             wait_s,
--- a/jackdawfield/decisions/pool_events.py
+++ b/jackdawfield/decisions/pool_events.py
@@ -51,7 +51,9 @@
     been served. `waited_s` is the time waited before this submission, in
     another domain or before a refusal. With `needs_open_slot`, a request of
     another domain is refused at once if no slot is open for it. `body_bytes`
-    are sent to another domain if the request is spilled.
+    are sent to another domain if the request is spilled. `returned_by` is a
+    domain that it was spilled to and that did not serve it in time, and
+    `prefix_domain_id` another domain that has its prompt prefix cached.
     """
 
     request_id: RequestId
@@ -69,6 +71,8 @@
     avoided_server_ids: frozenset[ServerId] = frozenset()
     needs_open_slot: bool = False
     body_bytes: int = 0
+    returned_by: DomainId | None = None
+    prefix_domain_id: DomainId | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawfield/decisions/spilling.py
+++ b/jackdawfield/decisions/spilling.py
@@ -12,7 +12,6 @@
 from jackdawfield.decisions.pool_events import SlotDemand
 from jackdawfield.decisions.pool_events import Spill
 from jackdawfield.decisions.pool_events import SpillReason
-from jackdawfield.decisions.sent_requests import SentRequests
 from jackdawfield.decisions.spill_settings import SpillSettings
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
@@ -44,7 +43,6 @@
         self._region_id = region_id
         self._settings = settings
         self._peers_by_id: dict[DomainId, PeerDomain] = {}
-        self._sent_requests = SentRequests(settings.report_age_limit_s)
         self._links_by_region: dict[RegionId, LinkLoad] = {}
         self.moved_contexts = MovedContexts()
 
@@ -62,19 +60,18 @@
         self.moved_contexts.remove_domain(domain_id)
 
     def record_submitted(self, demand: SlotDemand, now_s: float) -> None:
-        """Record that a request is here, which may have been returned."""
-        domain_id = self._sent_requests.pop_returned(demand)
-        if domain_id is None or not self._settings.return_pause_s:
+        """Record by which domain a request was returned, if by any."""
+        domain_id = demand.returned_by
+        if domain_id is None:
             return
         self.moved_contexts.remove(demand.context_id)
         peer = self._peers_by_id.get(domain_id)
-        if peer is None:
-            return
-        peer.record_return(
-            now_s,
-            self._settings.return_pause_s,
-            self._settings.report_age_limit_s,
-        )
+        if peer is not None and self._settings.return_pause_s:
+            peer.record_return(
+                now_s,
+                self._settings.return_pause_s,
+                self._settings.report_age_limit_s,
+            )
 
     def record_spill(
         self, demand: SlotDemand, spill: Spill, now_s: float
@@ -82,7 +79,6 @@
         """Record a request that is sent to another domain."""
         peer = self._peers_by_id[spill.domain_id]
         peer.record_sent(now_s)
-        self._sent_requests.record(demand, spill.domain_id, now_s)
         if self._settings.follows_contexts:
             tokens = demand.prompt_tokens + demand.output_tokens
             self.moved_contexts.record(
@@ -109,7 +105,7 @@
         Requests that need not wait leave only for the domain to which their
         context has moved.
         """
-        moved = self.moved_contexts.find(demand.context_id)
+        moved = self.moved_contexts.find(demand)
         best: Spill | None = None
         for peer in self._fresh_peers(now_s):
             spill = self._pays(peer, demand, own, moved, now_s)
