--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -32,6 +32,7 @@
 from jackdawfield.decisions.pool_events import ServersChanged
 from jackdawfield.decisions.pool_events import SlotDemand
 from jackdawfield.decisions.pool_events import Spill
+from jackdawfield.decisions.pool_events import SpillObstacle
 from jackdawfield.decisions.pool_events import TimePassed
 from jackdawfield.decisions.pool_settings import PoolSettings
 from jackdawfield.decisions.queueing import FairQueue
@@ -105,6 +106,12 @@
             link_bytes=self._peers.link_bytes(now_s),
         )
 
+    def find_spill_obstacle(
+        self, domain_id: DomainId, now_s: float
+    ) -> SpillObstacle:
+        """Return why no request is sent to another domain now."""
+        return self._peers.find_obstacle(domain_id, now_s)
+
     def _slots_for_others(self, now_s: float) -> int:
         """Return the open slots that requests of other domains may take."""
         spill = self._settings.spill
--- a/jackdawfield/decisions/pool_events.py
+++ b/jackdawfield/decisions/pool_events.py
@@ -33,6 +33,17 @@
     NO_SERVER = 'no own server'
 
 
+class SpillObstacle(Enum):
+    """Lists why no request is sent to another failure domain."""
+
+    NO_REPORT = 'no recent report'
+    NO_SERVER = 'no server there'
+    RETURNED = 'requests were returned'
+    LINK_FULL = 'link is full'
+    NO_OPEN_SLOT = 'no open slot there'
+    NO_GAIN = 'no gain'
+
+
 class FailureKind(Enum):
     """Lists the ways in which a call of a backend server fails."""
 
--- a/jackdawfield/decisions/spilling.py
+++ b/jackdawfield/decisions/spilling.py
@@ -11,6 +11,7 @@
 from jackdawfield.decisions.pool_events import PeerReport
 from jackdawfield.decisions.pool_events import SlotDemand
 from jackdawfield.decisions.pool_events import Spill
+from jackdawfield.decisions.pool_events import SpillObstacle
 from jackdawfield.decisions.pool_events import SpillReason
 from jackdawfield.decisions.spill_settings import SpillSettings
 from jackdawfield.model import DomainId
@@ -141,30 +142,57 @@
                 )
         return best
 
-    def _fresh_peers(self, now_s: float) -> Iterator[PeerDomain]:
+    def find_obstacle(
+        self, domain_id: DomainId, now_s: float
+    ) -> SpillObstacle:
+        """Return why no request is sent to a domain now."""
+        peer = self._peers_by_id.get(domain_id)
+        if peer is None or not self._is_fresh(peer, now_s):
+            return SpillObstacle.NO_REPORT
+        if not peer.report.usable:
+            return SpillObstacle.NO_SERVER
+        if now_s < peer.paused_until_s:
+            return SpillObstacle.RETURNED
+        if self._transfer_s(peer, 0, now_s) == inf:
+            return SpillObstacle.LINK_FULL
+        if self._open_slots(peer, now_s) < 1:
+            return SpillObstacle.NO_OPEN_SLOT
+        return SpillObstacle.NO_GAIN
+
+    def _is_fresh(self, peer: PeerDomain, now_s: float) -> bool:
         oldest_s = now_s - self._settings.report_age_limit_s
+        return peer.report.now_s >= oldest_s
+
+    def _fresh_peers(self, now_s: float) -> Iterator[PeerDomain]:
         for peer in self._peers_by_id.values():
-            if peer.report.usable and peer.report.now_s >= oldest_s:
+            if peer.report.usable and self._is_fresh(peer, now_s):
                 yield peer
 
     def _arrival_s(
         self, peer: PeerDomain, demand: SlotDemand, now_s: float
     ) -> float:
         """Return the expected time of the way there and back and the wait."""
-        report = peer.report
         open_slots = self._open_slots(peer, now_s)
-        arrival_s = peer.expected_wait_s(open_slots) + report.round_trip_s
-        if report.region_id == self._region_id:
-            return arrival_s
-        link = self._link(report.region_id)
+        return (
+            peer.expected_wait_s(open_slots)
+            + peer.report.round_trip_s
+            + self._transfer_s(peer, demand.body_bytes, now_s)
+        )
+
+    def _transfer_s(
+        self, peer: PeerDomain, size_bytes: int, now_s: float
+    ) -> float:
+        """Return the time to send bytes over the link to another region."""
+        region_id = peer.report.region_id
+        if region_id == self._region_id:
+            return 0.0
         others_bytes = sum(
             other.report.link_bytes
             for other in self._fresh_peers(now_s)
             if other.report.region_id == self._region_id
         )
-        return arrival_s + link.transfer_s(
-            demand.body_bytes, others_bytes, now_s
-        )
+        link = self._link(region_id)
+        return link.transfer_s(size_bytes, others_bytes, now_s)
 
     def _open_slots(self, peer: PeerDomain, now_s: float) -> int:
         return peer.open_slots(now_s, self._settings.report_age_limit_s)
--- a/jackdawfield/gateway/measurement.py
+++ b/jackdawfield/gateway/measurement.py
@@ -26,6 +26,7 @@
 OTHERS = 'others'
 
 Gauge = Callable[[], float]
+Render = Callable[[], list[str]]
 
 
 class GatewayMetrics:
@@ -35,6 +36,7 @@
         self._registry = Registry(instance_id)
         self._counts_by_reason: dict[tuple[str, int, str], int] = {}
         self._gauges_by_name: dict[str, Gauge] = {}
+        self._renders: list[Render] = []
         self._store_call_counts: dict[tuple[str, str], int] = {}
         self._store_times_by_kind: dict[str, HdrHistogram] = {}
 
@@ -42,6 +44,10 @@
         """Add a gauge whose value is read at each scrape."""
         self._gauges_by_name[name] = read
 
+    def add_lines(self, render: Render) -> None:
+        """Add lines in the Prometheus text format, read at each scrape."""
+        self._renders.append(render)
+
     def count_reason(self, route: str, status: int, reason: str) -> None:
         """Count why a request was refused or failed."""
         key = (route, status, reason)
@@ -129,6 +135,8 @@
         for name, read in sorted(self._gauges_by_name.items()):
             lines.append(f'# TYPE {METRIC_PREFIX}{name} gauge')
             lines.append(f'{METRIC_PREFIX}{name} {read():g}')
+        for render in self._renders:
+            lines += render()
         return '\n'.join([*lines, ''])
 
     def _store_lines(self) -> list[str]:
--- a/tests/test_spilling.py
+++ b/tests/test_spilling.py
@@ -9,6 +9,7 @@
 from jackdawfield.decisions.pool_events import RequestId
 from jackdawfield.decisions.pool_events import SlotDemand
 from jackdawfield.decisions.pool_events import Spill
+from jackdawfield.decisions.pool_events import SpillObstacle
 from jackdawfield.decisions.pool_events import SpillReason
 from jackdawfield.decisions.slot_offers import divide_slots
 from jackdawfield.decisions.spill_settings import CrossingPrice
@@ -360,3 +361,32 @@
         peers.record_submitted(returned(demand('a')), 0.1)
         spill = peers.choose_fallback(demand('a'), 0.1)
         self.assertEqual('b', target(spill))
+
+
+class ObstacleTest(unittest.TestCase):
+    """Answers an operator who asks why nothing is sent any more."""
+
+    def obstacle(self, peers: PeerDomains, now_s: float) -> SpillObstacle:
+        return peers.find_obstacle(DomainId('near'), now_s)
+
+    def test_obstacle_is_named(self) -> None:
+        peers = domains()
+        self.assertEqual(SpillObstacle.NO_REPORT, self.obstacle(peers, 0.0))
+        peers.record_report(report(0.0, 1))
+        self.assertEqual(SpillObstacle.NO_GAIN, self.obstacle(peers, 0.0))
+        send(peers, demand('a'), waiting(0.9), 0.0)
+        self.assertEqual(SpillObstacle.NO_OPEN_SLOT, self.obstacle(peers, 0.0))
+        peers.record_submitted(returned(demand('a')), 0.1)
+        self.assertEqual(SpillObstacle.RETURNED, self.obstacle(peers, 0.1))
+        peers.record_report(replace(report(0.2, 1), usable=False))
+        self.assertEqual(SpillObstacle.NO_SERVER, self.obstacle(peers, 0.2))
+        self.assertEqual(SpillObstacle.NO_REPORT, self.obstacle(peers, 9.0))
+
+    def test_full_link_is_named(self) -> None:
+        settings = replace(GATEWAY_SPILL, link=LINK)
+        far = report(0.0, 9, region='x')
+        peers = domains(far, settings=settings)
+        spill = peers.choose_fallback(demand('a', 90_000), 0.0)
+        assert spill is not None
+        peers.record_spill(demand('a', 90_000), spill, 0.0)
+        self.assertEqual(SpillObstacle.LINK_FULL, self.obstacle(peers, 0.0))
