--- a/jackdawfield/decisions/inflight.py
+++ b/jackdawfield/decisions/inflight.py
@@ -187,6 +187,12 @@
             if call.demand.home_id in home_ids
         ]
 
+    def count_of_others(self) -> int:
+        """Return how many granted calls of other domains are in flight."""
+        return sum(
+            call.demand.needs_open_slot for call in self._calls_by_id.values()
+        )
+
     def mark_slow_servers(self, peers_token_s: float) -> None:
         """Mark servers far slower than the best one here or at the peers."""
         windows = self._windows_by_id.values()
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -100,7 +100,7 @@
             region_id=region_id,
             usable=bool(usable),
             wait_s=self._queue_wait_s(now_s),
-            open_slots=self._slots_for_others(now_s),
+            open_slots=self._offered_slots(now_s),
             call_s=self._in_flight.mean_slot_wait_s(now_s),
             token_s=best_token_s(usable),
             link_bytes=self._peers.link_bytes(now_s),
@@ -112,6 +112,18 @@
         """Return why no request is sent to another domain now."""
         return self._peers.find_obstacle(domain_id, now_s)
 
+    def _offered_slots(self, now_s: float) -> int:
+        """Return how many requests of other domains may be sent here."""
+        open_slots = self._slots_for_others(now_s)
+        period_s = self._settings.spill.offer_period_s
+        if not period_s or len(self._queue):
+            return open_slots
+        usable_limit = self._in_flight.usable_limit(now_s)
+        call_s = self._in_flight.mean_slot_wait_s(now_s) * usable_limit
+        ending_share = min(1.0, period_s / call_s) if call_s else 1.0
+        ending = self._in_flight.count_of_others() * ending_share
+        return open_slots + round(ending)
+
     def _slots_for_others(self, now_s: float) -> int:
         """Return the open slots that requests of other domains may take."""
         spill = self._settings.spill
--- a/jackdawfield/decisions/spill_settings.py
+++ b/jackdawfield/decisions/spill_settings.py
@@ -32,8 +32,9 @@
 
     With `needs_open_slot`, requests are sent to open slots only and refused
     there if none is open; `reserve_share` of the slots is kept for a domain's
-    own requests. A domain that returns a request is paused for
-    `return_pause_s` and longer, zero to never pause it. With
+    own requests. Slots of other domains' requests that end within
+    `offer_period_s` are offered again. A domain that returns most requests
+    is paused for `return_pause_s` and longer, zero to never pause it. With
     `follows_contexts`, later requests of a program go to the domain to which
     its context has moved, as long as that pays.
     """
@@ -45,6 +46,7 @@
     min_wait_s: float = 0.0
     needs_open_slot: bool = False
     reserve_share: float = 0.0
+    offer_period_s: float = 0.0
     return_pause_s: float = 0.0
     follows_contexts: bool = False
     domain_price: CrossingPrice = field(default_factory=CrossingPrice)
--- a/jackdawfield/decisions/spilling.py
+++ b/jackdawfield/decisions/spilling.py
@@ -132,7 +132,7 @@
             if there_s >= limit_s:
                 continue
             is_far = peer.report.region_id != self._region_id
-            rank = (is_far, now_s < peer.paused_until_s, there_s)
+            rank = (is_far, self._is_avoided(peer, demand, now_s), there_s)
             if best_rank is None or rank < best_rank:
                 best_rank = rank
                 best = Spill(
@@ -155,7 +155,7 @@
             return SpillObstacle.RETURNED
         if self._transfer_s(peer, 0, now_s) == inf:
             return SpillObstacle.LINK_FULL
-        if self._open_slots(peer, now_s) < 1:
+        if peer.open_slots() < 1:
             return SpillObstacle.NO_OPEN_SLOT
         return SpillObstacle.NO_GAIN
 
@@ -172,9 +172,8 @@
         self, peer: PeerDomain, demand: SlotDemand, now_s: float
     ) -> float:
         """Return the expected time of the way there and back and the wait."""
-        open_slots = self._open_slots(peer, now_s)
         return (
-            peer.expected_wait_s(open_slots)
+            peer.expected_wait_s()
             + peer.report.round_trip_s
             + self._transfer_s(peer, demand.body_bytes, now_s)
         )
@@ -194,9 +193,6 @@
         link = self._link(region_id)
         return link.transfer_s(size_bytes, others_bytes, now_s)
 
-    def _open_slots(self, peer: PeerDomain, now_s: float) -> int:
-        return peer.open_slots(now_s, self._settings.report_age_limit_s)
-
     def _pays(
         self,
         peer: PeerDomain,
@@ -207,9 +203,9 @@
     ) -> Spill | None:
         """Return a spill to a domain if the caller gains enough by it."""
         settings = self._settings
-        if now_s < peer.paused_until_s:
+        if self._is_avoided(peer, demand, now_s):
             return None
-        if settings.needs_open_slot and self._open_slots(peer, now_s) < 1:
+        if settings.needs_open_slot and peer.open_slots() < 1:
             return None
         report = peer.report
         has_context = moved is not None and moved.domain_id == report.domain_id
@@ -235,6 +231,13 @@
             gain_s=gain_s,
         )
 
+    def _is_avoided(
+        self, peer: PeerDomain, demand: SlotDemand, now_s: float
+    ) -> bool:
+        if demand.returned_by == peer.report.domain_id:
+            return True
+        return now_s < peer.paused_until_s
+
     def _price_s(self, peer: PeerDomain, demand: SlotDemand) -> float:
         if peer.report.region_id == self._region_id:
             return self._settings.domain_price.price_s(demand.body_bytes)
--- a/tests/test_pool_spilling.py
+++ b/tests/test_pool_spilling.py
@@ -142,6 +142,22 @@
         self.assertIsInstance(submit(pool, foreign)[0], Refuse)
         self.assertEqual(0, open_slots(pool))
 
+    def test_slots_of_others_that_end_soon_are_offered_again(self) -> None:
+        pool = pool_of(slots=10)
+        foreign = [demand(str(n), needs_open_slot=True) for n in range(8)]
+        submit(pool, *foreign)
+        for number in range(4):
+            request_id = RequestId(str(number))
+            pool.on(FirstToken(0.05, request_id))
+            pool.on(Finished(0.1, request_id, 8000, 0, 10))
+        for number in range(50):
+            pool.on(RequestSubmitted(1.0, demand(f'own {number}')))
+            pool.on(FirstToken(1.0, RequestId(f'own {number}')))
+            request_id = RequestId(f'own {number}')
+            pool.on(Finished(1.5, request_id, 8000, 0, 10))
+        # Half of the four that are left end before the next report.
+        self.assertEqual(5 + 2, open_slots(pool))
+
     def test_call_of_a_domain_without_servers_waits_like_the_own(self) -> None:
         pool = pool_of(slots=1)
         submit(pool, demand('a'))
