--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -5,6 +5,8 @@
 from enum import Enum
 from typing import NewType
 
+from jackdawfield.decisions.gateway_spill import GATEWAY_SPILL
+from jackdawfield.decisions.spill_settings import SpillSettings
 from jackdawfield.model import DomainId
 from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
@@ -159,3 +161,5 @@
     bounds: PromisedLimits
     # Whether the instances decide together which servers' slots they use.
     pools_servers: bool = False
+    # When calls leave the failure domain, if they do.
+    spill: SpillSettings = GATEWAY_SPILL
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -1,6 +1,7 @@
 """Read the settings file that the platform writes for an instance."""
 
 from pathlib import Path
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -8,6 +9,12 @@
 from result import Ok
 from result import Result
 
+from jackdawfield.decisions.gateway_spill import DOMAIN_PRICE
+from jackdawfield.decisions.gateway_spill import gateway_spill_settings
+from jackdawfield.decisions.gateway_spill import REGION_PRICE
+from jackdawfield.decisions.link_load import LinkSettings
+from jackdawfield.decisions.spill_settings import CrossingPrice
+from jackdawfield.decisions.spill_settings import SpillSettings
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.model import PromisedLimits
 from jackdawfield.model import DomainId
@@ -15,12 +22,16 @@
 from jackdawfield.model import RegionId
 
 MS_PER_S = 1000
+BYTES_PER_S_PER_MBPS = 125_000
 # The deployment file names the same port to the scrapers of metrics.
 METRICS_PORT = 9464
 # The part of the platform's terms under which instances pool their servers.
 POOL_CONTRACT = 'pool'
 
 
+_Price = Annotated[float, msgspec.Meta(ge=0)]
+
+
 class PlatformSettingsError(Exception):
     """Reports a settings file that cannot be read, with its path."""
 
@@ -49,6 +60,17 @@
     row_bytes: int = 65536
 
 
+class _Crossing(msgspec.Struct, rename='camel'):
+    """Holds the operators' prices of calls that leave, as waits in seconds."""
+
+    domain_call_s: _Price = DOMAIN_PRICE.call_s
+    domain_megabyte_s: _Price = DOMAIN_PRICE.megabyte_s
+    region_call_s: _Price = REGION_PRICE.call_s
+    region_megabyte_s: _Price = REGION_PRICE.megabyte_s
+    # Rate of the link between two regions, without a limit if not given.
+    region_link_mbps: Annotated[float, msgspec.Meta(gt=0)] | None = None
+
+
 class _Settings(msgspec.Struct, rename='camel'):
     node: str
     ip: str
@@ -60,6 +82,7 @@
     limits: _Limits
     platform: _Platform
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
+    crossing: _Crossing = msgspec.field(default_factory=_Crossing)
     bootstrap: bool = False
     # The parts of the platform's terms that are in force.
     contracts: list[str] = msgspec.field(default_factory=list)
@@ -115,6 +138,7 @@
         store_port=store_port,
         row_bytes=wire.platform.row_bytes,
         pools_servers=POOL_CONTRACT in wire.contracts,
+        spill=_build_spill(wire.crossing),
         bounds=PromisedLimits(
             grace_s=bounds.grace_s,
             drain_s=bounds.drain_ms / MS_PER_S,
@@ -123,3 +147,15 @@
             rate_slack=bounds.quota_slack,
         ),
     )
+
+
+def _build_spill(wire: _Crossing) -> SpillSettings:
+    link = LinkSettings()
+    if wire.region_link_mbps is not None:
+        rate_per_s = wire.region_link_mbps * BYTES_PER_S_PER_MBPS
+        link = LinkSettings(bytes_per_s=rate_per_s)
+    return gateway_spill_settings(
+        CrossingPrice(wire.domain_call_s, wire.domain_megabyte_s),
+        CrossingPrice(wire.region_call_s, wire.region_megabyte_s),
+        link,
+    )
