Give demands what a gateway's owner needs to decide

Cause: the pool's demand has no priority, finish, connection or held tokens, so that a gateway's owner could not order and place calls by them. The daemon decides as before.

--- a/jackdawfield/decisions/inflight.py
+++ b/jackdawfield/decisions/inflight.py
@@ -179,6 +179,12 @@
             window.accepts_work = server.state == ServerState.LIVE
             self.caches.set_server(server_id, server.cache_tokens)
 
+    def avoid_server(self, server_id: ServerId, until_s: float) -> None:
+        """Grant no calls on a server until a time."""
+        window = self._windows_by_id.get(server_id)
+        if window is not None:
+            window.avoided_until_s = until_s
+
     def calls_of_homes(self, home_ids: Set[InstanceId]) -> list[GrantedCall]:
         """Return the granted calls of some homes."""
         return [
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -28,6 +28,7 @@
 from jackdawfield.decisions.pool_events import Refuse
 from jackdawfield.decisions.pool_events import RequestId
 from jackdawfield.decisions.pool_events import RequestSubmitted
+from jackdawfield.decisions.pool_events import ServerAvoided
 from jackdawfield.decisions.pool_events import ServersChanged
 from jackdawfield.decisions.pool_events import SlotDemand
 from jackdawfield.decisions.pool_events import Spill
@@ -80,6 +81,8 @@
                 self._peers.record_report(event)
             case PeerLost(_, domain_id):
                 self._peers.remove(domain_id)
+            case ServerAvoided(_, server_id, until_s):
+                self._in_flight.avoid_server(server_id, until_s)
             case _:
                 self._handle_capacity_event(event)
                 return self._dispatch(event.now_s)
@@ -99,6 +102,7 @@
             open_slots=sum(window.open_slots(now_s) for window in usable),
             call_s=self._in_flight.mean_slot_wait_s(now_s),
             token_s=best_token_s(usable),
+            queued=len(self._queue),
         )
 
     def _handle_capacity_event(
--- a/jackdawfield/decisions/pool_events.py
+++ b/jackdawfield/decisions/pool_events.py
@@ -21,6 +21,7 @@
     DEADLINE = 'deadline would pass'
     QUEUE_FULL = 'queue is full'
     NO_SERVER = 'no server can serve'
+    PROGRAM_LATE = 'program could not end in time'
 
 
 class FailureKind(Enum):
@@ -39,7 +40,11 @@
     program or sub-agent whose prompt prefix a server may have cached.
     `attained_tokens` counts what the whole program with its sub-agents has
     been served. `waited_s` is the time waited before this submission, in
-    another domain or before a refusal.
+    another domain or before a refusal. `priority` is smaller for a more
+    urgent call. `finish_s` is the time by which the program, or a call of no
+    program, is to end. `preferred_server_id` has the prompt prefix cached,
+    and to `connected_server_ids` the home has idle connections.
+    `held_tokens` are held at the server while the call runs, zero if unknown.
     """
 
     request_id: RequestId
@@ -55,6 +60,12 @@
     repeatable: bool = True
     may_spill: bool = True
     avoided_server_ids: frozenset[ServerId] = frozenset()
+    priority: int = 0
+    finish_s: float | None = None
+    begins_program: bool = False
+    preferred_server_id: ServerId | None = None
+    connected_server_ids: frozenset[ServerId] = frozenset()
+    held_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,6 +177,15 @@
     servers: tuple[BackendServer, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerAvoided:
+    """Reports that a server is granted no calls until `until_s`."""
+
+    now_s: float
+    server_id: ServerId
+    until_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class PeerReport:
     """Carries the load of the same pool in another failure domain."""
@@ -178,6 +198,7 @@
     open_slots: int
     call_s: float
     token_s: float
+    queued: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +228,7 @@
     | LoadReport
     | CacheReport
     | ServersChanged
+    | ServerAvoided
     | PeerReport
     | PeerLost
     | TimePassed
--- a/jackdawfield/decisions/windows.py
+++ b/jackdawfield/decisions/windows.py
@@ -40,6 +40,7 @@
     earlier_peak_in_flight: int = 0
     consecutive_failures: int = 0
     ejected_until_s: float = 0.0
+    avoided_until_s: float = 0.0
     progressed_at_s: float = 0.0
     token_s: float = INITIAL_TOKEN_S
     prefill_token_s: float = INITIAL_PREFILL_TOKEN_S
@@ -61,6 +62,8 @@
         """Return whether the server may be granted calls at all."""
         if not self.accepts_work or now_s < self.ejected_until_s:
             return False
+        if now_s < self.avoided_until_s:
+            return False
         return not self.is_stalled(now_s)
 
     def is_failing(self) -> bool:
--- a/jackdawfield/model.py
+++ b/jackdawfield/model.py
@@ -139,7 +139,11 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendServer:
-    """Represents a backend server: a model engine or a plain service."""
+    """Represents a backend server: a model engine or a plain service.
+
+    `token_capacity` bounds the tokens that its calls may hold at once, zero
+    if unknown.
+    """
 
     server_id: ServerId
     domain_id: DomainId
@@ -150,3 +154,4 @@
     cache_tokens: int = 0
     checks_fencing: bool = False
     state: ServerState = ServerState.LIVE
+    token_capacity: int = 0
