--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -11,7 +11,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from functools import partial
 import itertools
 import logging
 import time
@@ -19,11 +18,18 @@
 
 import grpc
 import grpc.aio
-import msgspec
 from result import Err
 from result import Ok
 from result import Result
 
+from jackdawfield.drivers.peer_frames import decode_frame
+from jackdawfield.drivers.peer_frames import encode_frame
+from jackdawfield.drivers.peer_frames import Frame
+from jackdawfield.drivers.peer_frames import FrameKind
+from jackdawfield.drivers.peer_frames import NOT_TAKEN
+from jackdawfield.drivers.peer_frames import not_taken_frame
+from jackdawfield.drivers.peer_frames import STOPPING_EXCHANGE
+from jackdawfield.drivers.served_link import ServedLink
 from jackdawfield.logs import log_event
 from jackdawfield.messages.base import decode
 from jackdawfield.messages.base import encode
@@ -36,11 +42,6 @@
 # An open connection can stop carrying data while new ones work.
 TIMEOUTS_TO_REOPEN = 3
 MAX_FRAME_BYTES = 64 * 1024 * 1024
-# Exchange number of the frame by which a peer announces its stop; exchanges
-# count from 1. Its body is the number of the last exchange that it has taken.
-STOPPING_EXCHANGE = 0
-# Name of a failed frame for an exchange that the peer has not taken.
-NOT_TAKEN = 'not taken'
 STOP_CHECK_S = 0.01
 GRPC_OPTIONS = [
     ('grpc.enable_retries', 0),
@@ -56,34 +57,6 @@
 ]
 
 
-class FrameKind(Enum):
-    """Lists the kinds of frames.
-
-    OPEN carries the request, ITEM one answer. END, FAILED and CANCEL end the
-    exchange, the last one from the requester.
-    """
-
-    OPEN = 0
-    ITEM = 1
-    END = 2
-    FAILED = 3
-    CANCEL = 4
-
-
-@dataclass(frozen=True, slots=True)
-class Frame:
-    """Holds one message of one exchange.
-
-    The name is that of the message class; with FAILED, the body is the reason
-    as text, and the name may be NOT_TAKEN.
-    """
-
-    exchange: int
-    kind: FrameKind
-    name: str = ''
-    body: bytes = b''
-
-
 class PeerFault(Enum):
     """Lists the reasons for which an exchange with a peer fails.
 
@@ -104,34 +77,13 @@
     reason: str
 
 
+NO_ANSWER: Err[PeerError] = Err(PeerError(PeerFault.FAILED, 'no answer'))
 Handler = Callable[[Any], AsyncIterator[object]]
+NoticeHandler = Callable[[Any], None]
+IsLast = Callable[[Any], bool]
 UnaryHandler = Callable[[Any], Awaitable[object]]
 
 
-def encode_frame(frame: Frame) -> bytes:
-    """Encode a frame as MessagePack."""
-    return msgspec.msgpack.encode(frame)
-
-
-def decode_frame(data: bytes) -> Frame:
-    """Decode a frame from MessagePack."""
-    return msgspec.msgpack.decode(data, type=Frame)
-
-
-def not_taken_frame(exchange: int) -> Frame:
-    """Return the frame that ends an exchange that the peer has not taken."""
-    return Frame(exchange, FrameKind.FAILED, NOT_TAKEN, b'peer is stopping')
-
-
-def remove_task(
-    tasks: dict[int, asyncio.Task[None]],
-    exchange: int,
-    task: asyncio.Task[None],
-) -> None:
-    """Remove the task of an exchange that has ended."""
-    tasks.pop(exchange, None)
-
-
 class Link:
     """Holds a bidirectional stream to a peer and its open exchanges."""
 
@@ -208,9 +160,13 @@
         return None
 
     async def exchange(
-        self, message: object
+        self, message: object, is_last: IsLast | None = None
     ) -> AsyncIterator[Result[Any, PeerError]]:
-        """Send a message and yield the peer's answers; an error ends them."""
+        """Send a message and yield the peer's answers; an error ends them.
+
+        The peer's end is not awaited after an answer for which `is_last` is
+        true.
+        """
         reason = self._unusable_reason()
         if reason is not None:
             yield Err(PeerError(PeerFault.NOT_SENT, reason))
@@ -227,6 +183,8 @@
                 frame = await queue.get()
                 has_ended = frame.kind is not FrameKind.ITEM
                 for result in self._results(frame):
+                    if is_last is not None and isinstance(result, Ok):
+                        has_ended = is_last(result.ok_value)
                     yield result
         finally:
             del self._queues_by_exchange[number]
@@ -260,43 +218,6 @@
         await self._channel.close()
 
 
-class ServedLink:
-    """Holds a peer's stream to this instance and its exchanges."""
-
-    def __init__(self) -> None:
-        # Number of the last exchange, below the first one's before any.
-        self.last_taken = 0
-        self.tasks_by_exchange: dict[int, asyncio.Task[None]] = {}
-        # None ends the stream.
-        self.outgoing: asyncio.Queue[bytes | None] = asyncio.Queue()
-
-    def send(self, frame: Frame) -> None:
-        """Send a frame to the peer."""
-        self.outgoing.put_nowait(encode_frame(frame))
-
-    def announce_stop(self) -> None:
-        """Tell the peer which exchanges were taken, and that none will be."""
-        body = str(self.last_taken).encode()
-        self.send(Frame(STOPPING_EXCHANGE, FrameKind.END, '', body))
-
-    def take(self, exchange: int, task: asyncio.Task[None]) -> None:
-        """Hold the task that answers an exchange until it has ended."""
-        self.last_taken = exchange
-        self.tasks_by_exchange[exchange] = task
-        remove = partial(remove_task, self.tasks_by_exchange, exchange)
-        task.add_done_callback(remove)
-
-    def cancel(self, exchange: int) -> None:
-        """Cancel an exchange that its requester has given up."""
-        task = self.tasks_by_exchange.pop(exchange, None)
-        if task is not None:
-            task.cancel()
-
-    def end(self) -> None:
-        """End the stream after what was sent."""
-        self.outgoing.put_nowait(None)
-
-
 class PeerServer:
     """Serves exchanges with the handlers of their message classes."""
 
@@ -319,6 +240,17 @@
 
         self._handlers_by_name[cls.__name__] = stream
 
+    def handle_notice(self, cls: type, handler: NoticeHandler) -> None:
+        """Register a handler of messages that have no answer."""
+
+        async def stream(message: Any) -> AsyncIterator[object]:
+            handler(message)
+            answers: tuple[object, ...] = ()
+            for answer in answers:
+                yield answer
+
+        self._handlers_by_name[cls.__name__] = stream
+
     async def start(
         self, address: str, credentials: grpc.ServerCredentials | None
     ) -> None:
@@ -444,6 +376,49 @@
         """Send a message and yield the peer's answers; an error ends them."""
         return self._link(address).exchange(message)
 
+    async def ask(
+        self,
+        address: str,
+        message: object,
+        wait_s: Callable[[Any], float | None],
+        timeout_s: float,
+    ) -> Result[Any, PeerError]:
+        """Send a message and return the peer's last answer.
+
+        `wait_s` returns for how long the next answer to the one given is
+        waited for, None if that is the last; `timeout_s` is the time for the
+        first one. A timeout counts as LOST.
+        """
+        link = self._link(address)
+        answers = link.exchange(message, lambda answer: wait_s(answer) is None)
+        left_s: float | None = timeout_s
+        try:
+            while left_s is not None:
+                async with asyncio.timeout(left_s):
+                    found = await anext(answers, NO_ANSWER)
+                if isinstance(found, Err):
+                    return found
+                left_s = wait_s(found.ok_value)
+            return found
+        except TimeoutError:
+            await self._record_timeout(link)
+            return Err(PeerError(PeerFault.LOST, 'timeout'))
+
+    async def notify(
+        self, address: str, message: object, timeout_s: float
+    ) -> Result[None, PeerError]:
+        """Send a message that has no answer; return Ok once it is handled."""
+        link = self._link(address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                async for answer in link.exchange(message):
+                    if isinstance(answer, Err):
+                        return answer
+        except TimeoutError:
+            await self._record_timeout(link)
+            return Err(PeerError(PeerFault.LOST, 'timeout'))
+        return Ok(None)
+
     async def request(
         self, address: str, message: object, timeout_s: float
     ) -> Result[Any, PeerError]:
@@ -459,7 +434,7 @@
         except TimeoutError:
             await self._record_timeout(link)
             return Err(PeerError(PeerFault.LOST, 'timeout'))
-        return Err(PeerError(PeerFault.FAILED, 'no answer'))
+        return NO_ANSWER
 
     async def _record_timeout(self, link: Link) -> None:
         """Close a link after repeated timeouts; the next use reopens it.
--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -63,6 +63,10 @@
                 return connection
         return None
 
+    def has_idle(self, host: str, port: int) -> bool:
+        """Return whether there may be an idle connection to an address."""
+        return bool(self._idle_by_address.get((host, port)))
+
     async def open(
         self, host: str, port: int, timeout_s: float
     ) -> Result[Connection, ExchangeError]:
--- a/jackdawfield/gateway/servers/choice.py
+++ b/jackdawfield/gateway/servers/choice.py
@@ -223,14 +223,22 @@
         ]
         if not usable:
             return None
-        present = [s for s in usable if s.absent_until_s <= now_s]
-        not_ejected = _without_ejected(present or usable, now_s)
-        not_avoided = [s for s in not_ejected if s.avoid_until_s <= now_s]
-        candidates = not_avoided or not_ejected
         return min(
-            candidates, key=lambda state: self._cost(state, criteria, now_s)
+            _without_failing(usable, now_s),
+            key=lambda state: self._cost(state, criteria, now_s),
         )
 
+    def of_service(
+        self, service: ServiceName, domain_id: DomainId
+    ) -> list[ServerState]:
+        """Return the listed servers of a service in a failure domain."""
+        return [
+            state
+            for state in self.by_id.values()
+            if state.entry.service == service
+            and state.entry.domain_id == domain_id
+        ]
+
     def limited_ids(self, now_s: float) -> frozenset[ServerId]:
         """Return the servers that name a limit."""
         return frozenset(
@@ -283,6 +291,26 @@
         return is_full, state.is_leaving, is_paused, cost, rank
 
 
+def grantable(states: list[ServerState], now_s: float) -> list[ServerState]:
+    """Return the servers whose slots may be granted to any instance.
+
+    Servers that leave are among them only if there is no other one.
+    """
+    usable = [state for state in states if state.takes_calls(now_s)]
+    staying = [state for state in usable if not state.is_leaving]
+    return _without_failing(staying or usable, now_s)
+
+
+def _without_failing(
+    usable: list[ServerState], now_s: float
+) -> list[ServerState]:
+    """Leave out the servers that ended, are ejected or are avoided."""
+    present = [s for s in usable if s.absent_until_s <= now_s]
+    not_ejected = _without_ejected(present or usable, now_s)
+    not_avoided = [s for s in not_ejected if s.avoid_until_s <= now_s]
+    return not_avoided or not_ejected
+
+
 def _without_ejected(
     usable: list[ServerState], now_s: float
 ) -> list[ServerState]:
--- /dev/null
+++ b/jackdawfield/gateway/slots/demands.py
@@ -0,0 +1,79 @@
+"""Describe calls to the owner of slots, and demands to its pool."""
+
+import time
+
+from jackdawfield.decisions.pool_events import RequestId
+from jackdawfield.decisions.pool_events import SlotDemand
+from jackdawfield.gateway.calls import Call
+from jackdawfield.gateway.model import CallKind
+from jackdawfield.gateway.model import FleetConfiguration
+from jackdawfield.gateway.servers.call_queue import priority_of
+from jackdawfield.messages.fleet_slots import AskSlot
+from jackdawfield.messages.fleet_slots import CallDemand
+from jackdawfield.model import InstanceId
+from jackdawfield.model import OrganisationId
+from jackdawfield.model import ProgramId
+from jackdawfield.model import ServiceName
+
+# Organisation of the calls that need no key.
+NO_ORGANISATION = OrganisationId('')
+
+
+def describe_call(
+    call: Call,
+    service: ServiceName,
+    configuration: FleetConfiguration | None,
+    home_id: InstanceId,
+    grant_id: str,
+) -> CallDemand:
+    """Return what the owner of slots has to know of a call.
+
+    A call without a time to finish by is to finish within its target latency.
+    """
+    headers, route = call.headers, call.route
+    now_s = time.monotonic()
+    finish_left_s = headers.finish_left_s
+    if finish_left_s is None:
+        finish_left_s = route.target_latency_s
+    return CallDemand(
+        grant_id=grant_id,
+        home_id=home_id,
+        service=service,
+        request_id=call.request_id,
+        organisation_id=call.organisation_id or NO_ORGANISATION,
+        session=ProgramId(headers.session_id or call.request_id),
+        priority=priority_of(call, configuration),
+        finish_in_s=call.arrived_at_s + finish_left_s - now_s,
+        ends_in_s=call.deadline_s - now_s,
+        begins_program=call.begins_program,
+        prompt_tokens=headers.prompt_tokens,
+        max_tokens=headers.max_tokens,
+        is_repeatable=route.is_repeatable,
+        reports_start=route.kind is CallKind.STREAM,
+    )
+
+
+def to_slot_demand(
+    demand: CallDemand, now_s: float, ask: AskSlot | None = None
+) -> SlotDemand:
+    """Return a call's demand to a pool; without `ask` it has its slot."""
+    tokens = demand.prompt_tokens + demand.max_tokens
+    return SlotDemand(
+        request_id=RequestId(demand.grant_id),
+        home_id=demand.home_id,
+        organisation_id=demand.organisation_id,
+        context_id=demand.session,
+        prompt_tokens=demand.prompt_tokens,
+        output_tokens=demand.max_tokens,
+        deadline_s=now_s + (ask.max_wait_s if ask else demand.ends_in_s),
+        waited_s=ask.waited_s if ask else 0.0,
+        repeatable=demand.is_repeatable,
+        may_spill=ask is not None and ask.may_spill,
+        avoided_server_ids=frozenset(ask.excluded_ids if ask else ()),
+        priority=demand.priority,
+        finish_s=now_s + demand.finish_in_s,
+        begins_program=demand.begins_program,
+        preferred_server_id=ask.preferred_id if ask else None,
+        connected_server_ids=frozenset(ask.connected_ids if ask else ()),
+        held_tokens=tokens,
+    )
