Ask owners for the slots of all instances, fall back to local decisions

Cause: each instance limits its calls at a server alone; with more instances than slots nobody sees a server's load. Change: messages/fleet_slots, gateway/slots: an owner for each failure domain and service runs a pool of decisions; instances ask it, send calls straight to the granted server and tell it of first pieces and ends. On with pools_servers only. Adapter moved out of gateway/daemon.py. Gauges of asks, grants, fallbacks and queues.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -1,20 +1,16 @@
 """Build one instance of the gateway, start it and stop it."""
 
 import asyncio
-from collections.abc import Callable
-from collections.abc import Iterable
-from dataclasses import dataclass
 import logging
 import secrets
 import time
 
 from result import Err
-from result import Result
 
 from jackdawfield.background import BackgroundTasks
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
-from jackdawfield.gateway.calls import CallHeaders
+from jackdawfield.gateway.adapter import Adapter
 from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.entry import CallHandler
 from jackdawfield.gateway.fleet.broadcast import Broadcast
@@ -32,9 +28,7 @@
 from jackdawfield.gateway.http.reply import Reply
 from jackdawfield.gateway.loop_watch import LoopWatch
 from jackdawfield.gateway.measurement import GatewayMetrics
-from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.model import GatewaySettings
-from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
 from jackdawfield.gateway.programs.chains import ChainReader
 from jackdawfield.gateway.programs.expiry import RowExpiry
@@ -51,7 +45,6 @@
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.dispatch import Dispatcher
 from jackdawfield.gateway.servers.endings import EndedServers
-from jackdawfield.gateway.servers.exchange import HeaderFormat
 from jackdawfield.gateway.servers.exchange import ServerExchange
 from jackdawfield.gateway.servers.failures import FailureReports
 from jackdawfield.gateway.servers.guard import CallGuard
@@ -66,12 +59,12 @@
 from jackdawfield.gateway.servers.server_paths import ServerPaths
 from jackdawfield.gateway.servers.server_table import ServerTable
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
+from jackdawfield.gateway.slots.gauges import add_slot_gauges
+from jackdawfield.gateway.slots.pooling import build_pooling
 from jackdawfield.gateway.stop_rule import StopRule
 from jackdawfield.gateway.storage.follower import TableFollower
 from jackdawfield.gateway.storage.measured import MeasuredStore
 from jackdawfield.gateway.storage.path import StorePath
-from jackdawfield.gateway.storage.rows import RowKey
-from jackdawfield.gateway.storage.rows import RowStore
 from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.gateway.work_slices import WorkSlices
 from jackdawfield.logs import log_event
@@ -88,21 +81,6 @@
 STOP_MARGIN_S = 0.8
 
 
-@dataclass(frozen=True, slots=True)
-class Adapter:
-    """Holds a platform's wire formats, table names and store client."""
-
-    header_format: HeaderFormat
-    configuration_row: RowKey
-    servers_table: str
-    decode_headers: Callable[[Iterable[tuple[str, str]]], CallHeaders]
-    decode_configuration: Callable[
-        [bytes], Result[FleetConfiguration, Exception]
-    ]
-    decode_server: Callable[[str, bytes], Result[ServerEntry, Exception]]
-    open_store: Callable[[StorePath], RowStore]
-
-
 class Gateway:
     """Represents one instance: its components, their start and their stop."""
 
@@ -126,6 +104,8 @@
         self._build_calls()
         self.followers = self._build_followers()
         add_gauges(self)
+        if self.slot_pooling is not None:
+            add_slot_gauges(self.metrics, self.slot_pooling)
         self.caller_listener = HttpListener(self._serve)
         self._health_listener = HttpListener(self._answer_health)
         self._metrics_listener = HttpListener(self._answer_operators)
@@ -162,6 +142,13 @@
         )
         self.server_pool = ConnectionPool(self.work_slices)
         self.slot_queue = SlotQueue(self.servers, self.metrics)
+        self.slot_pooling = build_pooling(
+            self.members,
+            self.links,
+            self.slot_queue,
+            self.server_pool,
+            self.metrics,
+        )
         self._build_broadcasts()
         self._build_server_paths()
         self._build_quarantine()
@@ -216,6 +203,7 @@
             guard,
             self.server_limits,
             self.stop_rule,
+            self.slot_pooling.client if self.slot_pooling else None,
         )
 
     def _build_broadcasts(self) -> None:
@@ -340,6 +328,8 @@
         self.server_limits.register(self.peers)
         self.overdraft_lender.register(self.peers)
         self.unused_tokens.register(self.peers, self.accounts)
+        if self.slot_pooling is not None:
+            self.slot_pooling.start(self.peers, self._tasks)
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
         self.caller_listener.listen(settings.host, settings.caller_port)
         self._health_listener.listen(settings.host, settings.health_port)
@@ -454,6 +444,8 @@
         log_event(LOG, 'stopping', in_flight=self.caller_listener.in_flight)
         self.detector.is_leaving = True
         self.rate_owner.hand_over_all()
+        if self.slot_pooling is not None:
+            self.slot_pooling.owner.stop()
         # A store that is slow or away must not delay what callers wait for.
         leaving = asyncio.create_task(self.seat_holder.leave())
         await drain(
@@ -484,6 +476,8 @@
         self.server_paths.close()
         self.broadcast.close()
         self.quarantine_sharing.close()
+        if self.slot_pooling is not None:
+            self.slot_pooling.client.close()
         for listener in (
             self.caller_listener,
             self._health_listener,
--- a/jackdawfield/gateway/measurement.py
+++ b/jackdawfield/gateway/measurement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 from contextlib import AbstractContextManager
 from contextlib import contextmanager
 import time
@@ -26,6 +27,7 @@
 OTHERS = 'others'
 
 Gauge = Callable[[], float]
+LabelledGauge = Callable[[], Mapping[str, float]]
 
 
 class GatewayMetrics:
@@ -35,6 +37,7 @@
         self._registry = Registry(instance_id)
         self._counts_by_reason: dict[tuple[str, int, str], int] = {}
         self._gauges_by_name: dict[str, Gauge] = {}
+        self._gauges_by_label: dict[tuple[str, str], LabelledGauge] = {}
         self._store_call_counts: dict[tuple[str, str], int] = {}
         self._store_times_by_kind: dict[str, HdrHistogram] = {}
 
@@ -42,6 +45,12 @@
         """Add a gauge whose value is read at each scrape."""
         self._gauges_by_name[name] = read
 
+    def add_gauges_by_label(
+        self, name: str, label: str, read: LabelledGauge
+    ) -> None:
+        """Add a gauge with a value for each value of its label."""
+        self._gauges_by_label[(name, label)] = read
+
     def count_reason(self, route: str, status: int, reason: str) -> None:
         """Count why a request was refused or failed."""
         key = (route, status, reason)
@@ -129,6 +138,11 @@
         for name, read in sorted(self._gauges_by_name.items()):
             lines.append(f'# TYPE {METRIC_PREFIX}{name} gauge')
             lines.append(f'{METRIC_PREFIX}{name} {read():g}')
+        for (name, label), read_all in sorted(self._gauges_by_label.items()):
+            lines.append(f'# TYPE {METRIC_PREFIX}{name} gauge')
+            for text, value in sorted(read_all().items()):
+                labels = f'{label}="{text}"'
+                lines.append(f'{METRIC_PREFIX}{name}{{{labels}}} {value:g}')
         return '\n'.join([*lines, ''])
 
     def _store_lines(self) -> list[str]:
--- a/jackdawfield/gateway/process.py
+++ b/jackdawfield/gateway/process.py
@@ -6,7 +6,7 @@
 
 import uvloop
 
-from jackdawfield.gateway.daemon import Adapter
+from jackdawfield.gateway.adapter import Adapter
 from jackdawfield.gateway.daemon import Gateway
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.logs import log_event
--- a/jackdawfield/gateway/servers/dispatch.py
+++ b/jackdawfield/gateway/servers/dispatch.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from dataclasses import field
 from dataclasses import replace
+from functools import partial
 import logging
 import time
 
@@ -31,8 +32,13 @@
 from jackdawfield.gateway.servers.server_limits import ServerLimits
 from jackdawfield.gateway.servers.slot_queue import RETRY_AFTER_S
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
+from jackdawfield.gateway.slots.call_slots import CallSlots
+from jackdawfield.gateway.slots.call_slots import end_of_response
+from jackdawfield.gateway.slots.call_slots import end_of_try
+from jackdawfield.gateway.slots.client import SlotClient
 from jackdawfield.gateway.stop_rule import StopRule
 from jackdawfield.logs import log_event
+from jackdawfield.messages.fleet_slots import SlotEnd
 from jackdawfield.model import ServerId
 from jackdawfield.model import ServiceName
 
@@ -101,9 +107,11 @@
         guard: CallGuard,
         limits: ServerLimits,
         stop_rule: StopRule,
+        slot_client: SlotClient | None = None,
     ) -> None:
         self._stop_rule = stop_rule
         self._slot_queue = slot_queue
+        self._slots = CallSlots(slot_queue, slot_client)
         self._limits = limits
         self._exchange = exchange
         self._guard = guard
@@ -142,7 +150,7 @@
             # or a planned stop has come so far that it may not end in time.
             refusal = self._guard.check(call) or self._stop_rule.check(call)
             if refusal is not None:
-                self._slot_queue.release_unused(server)
+                self._slots.release(call, server, SlotEnd.UNUSED)
                 if not may_have_run:
                     return refusal
                 break
@@ -174,7 +182,7 @@
         would wait too long, it waits for a slot at a server without a limit.
         """
         while True:
-            server = await self._slot_queue.acquire(call, criteria)
+            server = await self._slots.acquire(call, criteria)
             if server is None or isinstance(server, Refusal):
                 return server
             is_last = server.rate_limit.wait_s(time.monotonic()) > 0
@@ -190,7 +198,7 @@
     ) -> ServerState | Refusal | None:
         limited_ids = self._slot_queue.servers.limited_ids(time.monotonic())
         excluded_ids = criteria.excluded_ids | limited_ids
-        return await self._slot_queue.acquire(
+        return await self._slots.acquire(
             call, replace(criteria, excluded_ids=excluded_ids)
         )
 
@@ -206,7 +214,7 @@
             retry_s = await self._limits.take(call, server, may_wait)
         finally:
             if retry_s is not None:
-                self._slot_queue.release_unused(server)
+                self._slots.release(call, server, SlotEnd.UNUSED)
         return retry_s
 
     async def resume(
@@ -229,7 +237,7 @@
             if self._stop_rule.check(call) is not None:
                 reason = 'instance stops'
                 break
-            self._slot_queue.take(server)
+            self._slots.take(call, server)
             if await self._take_token(call, server, True) is not None:
                 reason = AT_LIMITS
                 elsewhere = True
@@ -295,19 +303,21 @@
             _attempt_timeout_s(call, tries),
             last_event_id or call.headers.last_event_id,
         )
-        has_started = False
+        outcome: ExchangeOutcome | None = None
         self._guard.begin(call)
         try:
             outcome = await self._exchange.start(attempt)
-            has_started = isinstance(outcome, ResponseStream)
         finally:
-            if not has_started:
-                self._slot_queue.release(server)
+            if not isinstance(outcome, ResponseStream):
+                end = end_of_try(server, outcome)
+                self._slots.release(call, server, end)
                 self._guard.end(call)
         tries.record(server_id, outcome)
         if isinstance(outcome, ResponseLost) and outcome.is_closed_by_server:
             self._guard.record_broken(call, server, had_begun=False)
-        if not isinstance(outcome, ResponseStream):
+        if isinstance(outcome, ResponseStream):
+            outcome.on_first_piece = partial(self._slots.begin, call, server)
+        else:
             _log_failed_attempt(attempt, outcome)
         return outcome
 
@@ -316,7 +326,8 @@
 
         The end is None if the caller disconnected.
         """
-        self._slot_queue.release(response.server)
+        slot_end = end_of_response(response, end)
+        self._slots.release(response.call, response.server, slot_end)
         self._guard.end(response.call)
         if response.head.framing is Framing.CONNECTION:
             self.unframed_count += 1
--- a/jackdawfield/gateway/servers/response.py
+++ b/jackdawfield/gateway/servers/response.py
@@ -36,6 +36,7 @@
     first_piece_s: float | None = None
     # Whether a part of the answer that its caller can use was passed on.
     has_begun: bool = False
+    on_first_piece: Callable[[], None] | None = None
 
     async def next_part(self) -> bytes | BodyEnd:
         """Return the next piece of the body, after the last one its end."""
@@ -65,6 +66,8 @@
             id(self.connection), None
         )
         self.server.record_wait(self.first_piece_s, now_s)
+        if self.on_first_piece is not None:
+            self.on_first_piece()
 
     async def _next_part(self) -> bytes | BodyEnd:
         if self.pieces:
--- /dev/null
+++ b/jackdawfield/gateway/slots/gauges.py
@@ -0,0 +1,38 @@
+"""Name the gauges of an instance's slots and tell how each is read."""
+
+from jackdawfield.gateway.measurement import GatewayMetrics
+from jackdawfield.gateway.slots.pooling import SlotPooling
+
+
+def add_slot_gauges(metrics: GatewayMetrics, pooling: SlotPooling) -> None:
+    """Add what this instance asks for and what it grants as an owner."""
+    client, owner = pooling.client, pooling.owner
+    metrics.add_gauge('slots_asked', lambda: client.asked_count)
+    metrics.add_gauge('slots_granted', lambda: client.granted_count)
+    metrics.add_gauge('slots_queued', lambda: client.queued_count)
+    metrics.add_gauge('slots_refused', lambda: client.refused_count)
+    metrics.add_gauge('slot_changes_sent', lambda: client.changes.sent_count)
+    metrics.add_gauges_by_label(
+        'slots_chosen_alone',
+        'reason',
+        lambda: {
+            reason.value: count
+            for reason, count in client.fallback_counts.items()
+        },
+    )
+    metrics.add_gauges_by_label(
+        'slots_owned_in_use',
+        'service',
+        lambda: {
+            service: pool.used_count
+            for service, pool in owner.pools_by_service.items()
+        },
+    )
+    metrics.add_gauges_by_label(
+        'slots_owned_queue',
+        'service',
+        lambda: {
+            service: pool.queued_count
+            for service, pool in owner.pools_by_service.items()
+        },
+    )
--- /dev/null
+++ b/jackdawfield/gateway/slots/owner_choice.py
@@ -0,0 +1,92 @@
+"""Choose the owner of a service's slots in a failure domain."""
+
+from dataclasses import dataclass
+import logging
+
+from jackdawfield.decisions.placement import choose_owner
+from jackdawfield.gateway.fleet.members import Members
+from jackdawfield.logs import log_event
+from jackdawfield.model import DomainId
+from jackdawfield.model import ServiceName
+
+LOG = logging.getLogger(__name__)
+# A member that did not answer is not asked for this long.
+AVOID_S = 0.5
+# A member that said that it stops is gone within this time.
+STOPPING_AVOID_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Owner:
+    """Identifies the member that owns slots, and one start of its process."""
+
+    address: str
+    incarnation: str
+    is_own: bool
+
+
+class OwnerChoice:
+    """Chooses among the members that serve, and avoids unreachable ones."""
+
+    def __init__(self, members: Members) -> None:
+        self._members = members
+        self._avoid_until_s_by_incarnation: dict[str, float] = {}
+
+    def choose(
+        self, domain_id: DomainId, service: ServiceName, now_s: float
+    ) -> Owner | None:
+        """Return the owner to ask, None if none is known or all are avoided.
+
+        While an owner is avoided, the next member of its domain is chosen.
+        """
+        rows = self._members.rows_by_seat
+        serving = [
+            seat_id
+            for seat_id, row in rows.items()
+            if row.domain_id == domain_id
+            and row.is_serving
+            and not row.left
+            and not self.is_avoided(row.incarnation, now_s)
+        ]
+        seat_id = choose_owner(service, serving)
+        if seat_id is None:
+            return None
+        row = rows[seat_id]
+        is_own = row.incarnation == self._members.incarnation
+        return Owner(row.address, row.incarnation, is_own)
+
+    def is_avoided(self, incarnation: str, now_s: float) -> bool:
+        """Return whether a member is not asked now."""
+        until_s = self._avoid_until_s_by_incarnation.get(incarnation, 0.0)
+        return now_s < until_s
+
+    def is_known(self, owner: Owner) -> bool:
+        """Return whether an owner is still a member."""
+        return any(
+            row.incarnation == owner.incarnation
+            for row in self._members.rows_by_seat.values()
+        )
+
+    def avoid(
+        self, owner: Owner, reason: str, now_s: float, avoid_s: float = AVOID_S
+    ) -> None:
+        """Ask other members for a while."""
+        if self.is_avoided(owner.incarnation, now_s):
+            return
+        self._avoid_until_s_by_incarnation = {
+            incarnation: until_s
+            for incarnation, until_s in (
+                self._avoid_until_s_by_incarnation.items()
+            )
+            if now_s < until_s
+        }
+        until_s = now_s + avoid_s
+        self._avoid_until_s_by_incarnation[owner.incarnation] = until_s
+        log_event(
+            LOG,
+            'slot_owner_avoided',
+            peer=owner.address,
+            reason=reason,
+            seconds=avoid_s,
+            members_version=self._members.version,
+        )
--- /dev/null
+++ b/jackdawfield/gateway/slots/pooling.py
@@ -0,0 +1,56 @@
+"""Build an instance's part in granting the slots of all servers."""
+
+from dataclasses import dataclass
+
+from jackdawfield.background import BackgroundTasks
+from jackdawfield.drivers.peers import PeerLinks
+from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.fleet.members import Members
+from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.measurement import GatewayMetrics
+from jackdawfield.gateway.servers.slot_queue import SlotQueue
+from jackdawfield.gateway.slots.client import SlotClient
+from jackdawfield.gateway.slots.owner import SlotOwner
+from jackdawfield.gateway.slots.owner_choice import OwnerChoice
+from jackdawfield.model import InstanceId
+
+
+@dataclass(frozen=True, slots=True)
+class SlotPooling:
+    """Holds the slots that this instance owns, and its client for others."""
+
+    owner: SlotOwner
+    client: SlotClient
+
+    def start(self, server: PeerServer, tasks: BackgroundTasks) -> None:
+        """Take other instances' messages and start the periodic work."""
+        self.owner.register(server)
+        tasks.supervise('slots', self.owner.run)
+        tasks.supervise('slot renewals', self.client.run)
+
+
+def build_pooling(
+    members: Members,
+    links: PeerLinks,
+    slot_queue: SlotQueue,
+    server_pool: ConnectionPool,
+    metrics: GatewayMetrics,
+) -> SlotPooling | None:
+    """Return this instance's part, None if each instance decides alone."""
+    settings = members.settings
+    if not settings.pools_servers:
+        return None
+    # A later start of the same instance uses none of its slots.
+    home_id = InstanceId(f'{settings.instance_id}.{members.incarnation}')
+    owner = SlotOwner(settings, home_id, slot_queue.servers)
+    client = SlotClient(
+        settings.domain_id,
+        home_id,
+        owner,
+        OwnerChoice(members),
+        links,
+        slot_queue,
+        server_pool,
+        metrics,
+    )
+    return SlotPooling(owner, client)
--- a/jackdawfield/platform/__main__.py
+++ b/jackdawfield/platform/__main__.py
@@ -6,7 +6,7 @@
 
 from result import Err
 
-from jackdawfield.gateway.daemon import Adapter
+from jackdawfield.gateway.adapter import Adapter
 from jackdawfield.gateway.process import run
 from jackdawfield.gateway.servers.exchange import HeaderFormat
 from jackdawfield.gateway.storage.rows import RowKey
