--- a/jackdawfield/gateway/slots/service_pool.py
+++ b/jackdawfield/gateway/slots/service_pool.py
@@ -276,7 +276,7 @@
         self, request: OpenRequest, server_id: ServerId, now_s: float
     ) -> None:
         state = self._servers.by_id.get(server_id)
-        if state is None or request.answer.done():
+        if state is None or server_id in request.excluded_ids:
             self.withdraw(request.demand.grant_id, now_s)
             _put_answer(request, NO_SERVER)
             return
