--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -29,6 +29,7 @@
 from jackdawfield.decisions.pool_events import Refuse
 from jackdawfield.decisions.pool_events import RequestId
 from jackdawfield.decisions.pool_events import RequestSubmitted
+from jackdawfield.decisions.pool_events import ServerAvoided
 from jackdawfield.decisions.pool_events import ServersChanged
 from jackdawfield.decisions.pool_events import SlotDemand
 from jackdawfield.decisions.pool_events import Spill
@@ -84,6 +85,8 @@
                 self._peers.record_report(event)
             case PeerLost(_, domain_id):
                 self._peers.remove(domain_id)
+            case ServerAvoided(_, server_id, until_s):
+                self._in_flight.avoid_server(server_id, until_s)
             case _:
                 self._handle_capacity_event(event)
                 return self._dispatch(event.now_s)
@@ -103,6 +106,7 @@
             open_slots=self._offered_slots(now_s),
             call_s=self._in_flight.mean_slot_wait_s(now_s),
             token_s=best_token_s(usable),
+            queued=len(self._queue),
             link_bytes=self._peers.link_bytes(now_s),
         )
 
--- a/jackdawfield/decisions/pool_events.py
+++ b/jackdawfield/decisions/pool_events.py
@@ -23,6 +23,7 @@
     QUEUE_FULL = 'queue is full'
     NO_SERVER = 'no server can serve'
     NO_OPEN_SLOT = 'no open slot for other failure domains'
+    PROGRAM_LATE = 'program could not end in time'
 
 
 class SpillReason(Enum):
@@ -60,11 +61,16 @@
     program or sub-agent whose prompt prefix a server may have cached.
     `attained_tokens` counts what the whole program with its sub-agents has
     been served. `waited_s` is the time waited before this submission, in
-    another domain or before a refusal. With `needs_open_slot`, a request of
-    another domain is refused at once if no slot is open for it. `body_bytes`
-    are sent to another domain if the request is spilled. `returned_by` is a
-    domain that it was spilled to and that did not serve it in time, and
-    `prefix_domain_id` another domain that has its prompt prefix cached.
+    another domain or before a refusal. `priority` is smaller for a more
+    urgent call. `finish_s` is the time by which the program, or a call of no
+    program, is to end. `preferred_server_id` has the prompt prefix cached,
+    and to `connected_server_ids` the home has idle connections.
+    `held_tokens` are held at the server while the call runs, zero if unknown.
+    With `needs_open_slot`, a request of another domain is refused at once if
+    no slot is open for it. `body_bytes` are sent to another domain if the
+    request is spilled. `returned_by` is a domain that it was spilled to and
+    that did not serve it in time, and `prefix_domain_id` another domain that
+    has its prompt prefix cached.
     """
 
     request_id: RequestId
@@ -80,6 +86,12 @@
     repeatable: bool = True
     may_spill: bool = True
     avoided_server_ids: frozenset[ServerId] = frozenset()
+    priority: int = 0
+    finish_s: float | None = None
+    begins_program: bool = False
+    preferred_server_id: ServerId | None = None
+    connected_server_ids: frozenset[ServerId] = frozenset()
+    held_tokens: int = 0
     needs_open_slot: bool = False
     body_bytes: int = 0
     returned_by: DomainId | None = None
@@ -195,6 +207,15 @@
     servers: tuple[BackendServer, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerAvoided:
+    """Reports that a server is granted no calls until `until_s`."""
+
+    now_s: float
+    server_id: ServerId
+    until_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class PeerReport:
     """Carries the load of the same pool in another failure domain.
@@ -243,6 +264,7 @@
     | LoadReport
     | CacheReport
     | ServersChanged
+    | ServerAvoided
     | PeerReport
     | PeerLost
     | TimePassed
--- a/jackdawfield/gateway/slots/crossings.py
+++ b/jackdawfield/gateway/slots/crossings.py
@@ -1,6 +1,7 @@
 """Count and log the calls that are sent to other failure domains."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from dataclasses import dataclass
 import logging
 from typing import TypeVar
@@ -8,7 +9,6 @@
 from jackdawfield.decisions.pool_events import Spill
 from jackdawfield.decisions.pool_events import SpillReason
 from jackdawfield.logs import log_event
-from jackdawfield.metrics import METRIC_PREFIX
 from jackdawfield.model import DomainId
 from jackdawfield.model import ServiceName
 
@@ -37,9 +37,9 @@
 
     def __init__(self) -> None:
         self.granted_count = 0
-        self._counts_by_reason: dict[tuple[DomainId, SpillReason], int] = {}
-        self._bytes_by_domain: dict[DomainId, int] = {}
-        self._returns_by_domain: dict[DomainId, int] = {}
+        self._counts_by_key: dict[tuple[DomainId, SpillReason], int] = {}
+        self._bytes_by_domain: dict[str, int] = {}
+        self._returns_by_domain: dict[str, int] = {}
         self._runs_by_key: dict[tuple[ServiceName, DomainId], Run] = {}
 
     def record_granted(self) -> None:
@@ -59,7 +59,7 @@
     ) -> None:
         """Count a call sent to another domain; log the first of a run."""
         domain_id = spill.domain_id
-        _add(self._counts_by_reason, (domain_id, spill.reason), 1)
+        _add(self._counts_by_key, (domain_id, spill.reason), 1)
         _add(self._bytes_by_domain, domain_id, size_bytes)
         run = self._runs_by_key.get((service, domain_id))
         if run is None:
@@ -94,23 +94,27 @@
                 seconds=round(run.last_at_s - run.began_at_s, 2),
             )
 
-    def render(self) -> list[str]:
-        """Return the counts in the Prometheus text format."""
-        lines = [f'# TYPE {METRIC_PREFIX}calls_kept counter']
-        lines.append(f'{METRIC_PREFIX}calls_kept {self.granted_count}')
-        lines.append(f'# TYPE {METRIC_PREFIX}calls_crossed counter')
-        for (domain_id, reason), count in self._counts_by_reason.items():
-            labels = f'domain="{domain_id}",reason="{reason.value}"'
-            lines.append(f'{METRIC_PREFIX}calls_crossed{{{labels}}} {count}')
-        for name, counts in (
-            ('bytes_crossed', self._bytes_by_domain),
-            ('calls_returned', self._returns_by_domain),
-        ):
-            lines.append(f'# TYPE {METRIC_PREFIX}{name} counter')
-            for domain_id, count in counts.items():
-                labels = f'domain="{domain_id}"'
-                lines.append(f'{METRIC_PREFIX}{name}{{{labels}}} {count}')
-        return lines
+    def calls_by_domain(self) -> Mapping[str, float]:
+        """Return the calls sent to each domain."""
+        counts: dict[str, int] = {}
+        for (domain_id, _), count in self._counts_by_key.items():
+            _add(counts, domain_id, count)
+        return counts
+
+    def calls_by_reason(self) -> Mapping[str, float]:
+        """Return the calls sent to other domains for each reason."""
+        counts: dict[str, int] = {}
+        for (_, reason), count in self._counts_by_key.items():
+            _add(counts, reason.value, count)
+        return counts
+
+    def bytes_by_domain(self) -> Mapping[str, float]:
+        """Return the bytes of the calls sent to each domain."""
+        return self._bytes_by_domain
+
+    def returns_by_domain(self) -> Mapping[str, float]:
+        """Return the calls that each domain did not serve in time."""
+        return self._returns_by_domain
 
 
 def _add(counts: dict[Key, int], key: Key, number: int) -> None:
