Send calls to other domains and take back those not served there

Cause: the owners' Spill named a domain only; a call that found no slot there was refused or decided alone, and owners knew no loads of other domains. Change: the client tells what a call carries and where its prefix is, asks the other domain for an open slot only, comes back to its own owner at once if there is none (twice at most), and owners exchange their loads.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -477,7 +477,7 @@
         self.broadcast.close()
         self.quarantine_sharing.close()
         if self.slot_pooling is not None:
-            self.slot_pooling.client.close()
+            self.slot_pooling.close()
         for listener in (
             self.caller_listener,
             self._health_listener,
--- a/jackdawfield/gateway/slots/client.py
+++ b/jackdawfield/gateway/slots/client.py
@@ -24,8 +24,10 @@
 from jackdawfield.gateway.servers.choice import ServerCriteria
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
+from jackdawfield.gateway.slots.ask_target import AskTarget
 from jackdawfield.gateway.slots.changes import ChangeSender
 from jackdawfield.gateway.slots.demands import describe_call
+from jackdawfield.gateway.slots.demands import estimate_bytes
 from jackdawfield.gateway.slots.held import HeldSlot
 from jackdawfield.gateway.slots.held import HeldSlots
 from jackdawfield.gateway.slots.owner import SlotOwner
@@ -53,7 +55,7 @@
 ANSWER_TIMEOUT_S = 0.05
 OTHER_DOMAIN_TIMEOUT_S = 0.1
 # Owners that are asked for one call: those that stop count too.
-MAX_ASKS = 4
+MAX_ASKS = 7
 RENEW_INTERVAL_S = 0.5
 # Minimum time between two log lines of calls that were decided here.
 LOG_INTERVAL_S = 0.2
@@ -73,11 +75,15 @@
     """Tells how long the next answer to one request is waited for."""
 
     timeout_s: float
+    # Whether an answer that the request is queued is the last one.
+    ends_queued: bool = False
     is_queued: bool = False
 
     def __call__(self, answer: Any) -> float | None:
         if not isinstance(answer, SlotQueued):
             return None
+        if self.ends_queued:
+            return None
         self.is_queued = True
         return answer.next_answer_s + self.timeout_s
 
@@ -141,26 +147,31 @@
     async def _acquire(
         self, call: Call, criteria: ServerCriteria
     ) -> Result[ServerState | Refusal, Fallback]:
-        service, domain_id = criteria.service, self._domain_id
-        may_spill = True
+        service, own_id = criteria.service, self._domain_id
+        target = AskTarget(own_id)
         for _ in range(MAX_ASKS):
-            owner = self._find_owner(domain_id, service)
+            owner = self._find_owner(target.domain_id, service)
+            if owner is None and target.needs_open_slot:
+                target = target.returned(own_id)
+                continue
             if owner is None:
                 return Err(Fallback.NO_OWNER)
-            ask = self._make_ask(call, criteria, domain_id, may_spill)
-            answered = await self._ask(owner, ask, domain_id)
-            if isinstance(answered, Err):
-                return answered
-            match answered.ok_value:
-                case SlotGranted() as granted:
+            ask = self._make_ask(call, criteria, target)
+            answered = await self._ask(owner, ask, target.domain_id)
+            match answered:
+                case Ok(SlotGranted() as granted):
                     return self._accept(call, ask, owner, granted)
-                case SlotDenied(reason, retry_after_s):
+                case _ if target.needs_open_slot:
+                    target = target.returned(own_id)
+                case Err():
+                    return answered
+                case Ok(SlotDenied(reason, retry_after_s)):
                     self.refused_count += 1
                     text = f'servers are full: {reason}'
                     return Ok(Refusal(503, text, retry_after_s))
-                case SlotElsewhere(other_id):
-                    domain_id, may_spill = other_id, False
-                case SlotNotOwned(reason, is_stopping):
+                case Ok(SlotElsewhere() as elsewhere):
+                    target = target.elsewhere(elsewhere)
+                case Ok(SlotNotOwned(reason, is_stopping)):
                     if not is_stopping:
                         break
                     self._owners.avoid(
@@ -172,14 +183,14 @@
         self,
         call: Call,
         criteria: ServerCriteria,
-        domain_id: DomainId,
-        may_spill: bool,
+        target: AskTarget,
     ) -> AskSlot:
         """Describe a call; leave out servers that can't have it from here."""
         now_s = time.monotonic()
         excluded_ids = list(criteria.excluded_ids)
         connected_ids: list[ServerId] = []
-        for state in self._servers.of_service(criteria.service, domain_id):
+        domain_id, service = target.domain_id, criteria.service
+        for state in self._servers.of_service(service, domain_id):
             entry = state.entry
             is_avoided = state.avoid_until_s > now_s
             if is_avoided or state.rate_limit.wait_s(now_s) > 0:
@@ -189,15 +200,31 @@
         waited_s = now_s - call.arrived_at_s
         longest_wait_s = min(MAX_QUEUE_WAIT_S, call.deadline_s - now_s)
         return AskSlot(
-            self._describe(call, criteria.service),
+            self._describe(call, service),
             max_wait_s=max(0.0, longest_wait_s),
             waited_s=waited_s,
-            may_spill=may_spill,
+            may_spill=target.may_spill,
             preferred_id=criteria.preferred_id,
             connected_ids=tuple(connected_ids),
             excluded_ids=tuple(excluded_ids),
+            needs_open_slot=target.needs_open_slot,
+            body_bytes=estimate_bytes(call),
+            returned_by=target.returned_by,
+            prefix_domain_id=self._prefix_domain(criteria, domain_id),
         )
 
+    def _prefix_domain(
+        self, criteria: ServerCriteria, domain_id: DomainId
+    ) -> DomainId | None:
+        """Return another domain than the one given that has the prefix."""
+        preferred_id = criteria.preferred_id
+        if preferred_id is None:
+            return None
+        state = self._servers.by_id.get(preferred_id)
+        if state is None or state.entry.domain_id == domain_id:
+            return None
+        return state.entry.domain_id
+
     def _describe(self, call: Call, service: ServiceName) -> CallDemand:
         return describe_call(
             call,
@@ -235,7 +262,8 @@
         self.asked_count += 1
         is_near = domain_id == self._domain_id
         wait = _AnswerWait(
-            ANSWER_TIMEOUT_S if is_near else OTHER_DOMAIN_TIMEOUT_S
+            ANSWER_TIMEOUT_S if is_near else OTHER_DOMAIN_TIMEOUT_S,
+            ends_queued=ask.needs_open_slot,
         )
         is_answered = False
         try:
@@ -245,7 +273,9 @@
                 found = await self._links.ask(
                     owner.address, ask, wait, wait.timeout_s
                 )
-            is_answered = isinstance(found, Ok)
+            is_answered = isinstance(found, Ok) and not isinstance(
+                found.ok_value, SlotQueued
+            )
         finally:
             self.queued_count += wait.is_queued
             # The owner may have granted a slot.
--- a/jackdawfield/gateway/slots/crossings.py
+++ b/jackdawfield/gateway/slots/crossings.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 
 from jackdawfield.decisions.pool_events import Spill
+from jackdawfield.decisions.pool_events import SpillObstacle
 from jackdawfield.decisions.pool_events import SpillReason
 from jackdawfield.logs import log_event
 from jackdawfield.model import DomainId
@@ -19,7 +20,7 @@
 
 Key = TypeVar('Key')
 # Returns why no call of a service is sent to a domain now.
-ObstacleFinder = Callable[[ServiceName, DomainId, float], str]
+ObstacleFinder = Callable[[ServiceName, DomainId, float], SpillObstacle]
 
 
 @dataclass(slots=True)
@@ -88,7 +89,7 @@
                 'spill_ended',
                 service=service,
                 domain=domain_id,
-                reason=find_obstacle(service, domain_id, now_s),
+                reason=find_obstacle(service, domain_id, now_s).value,
                 calls=run.calls,
                 bytes=run.size_bytes,
                 seconds=round(run.last_at_s - run.began_at_s, 2),
--- a/jackdawfield/gateway/slots/demands.py
+++ b/jackdawfield/gateway/slots/demands.py
@@ -17,6 +17,9 @@
 
 # Organisation of the calls that need no key.
 NO_ORGANISATION = OrganisationId('')
+# Bytes of a request's head, and of a token of its prompt on the average.
+HEAD_BYTES = 500
+BYTES_PER_TOKEN = 4
 
 
 def describe_call(
@@ -53,6 +56,15 @@
     )
 
 
+def estimate_bytes(call: Call) -> int:
+    """Return the bytes that are sent to the server of a call.
+
+    A prompt may have turns that the caller hasn't sent again.
+    """
+    prompt_bytes = call.headers.prompt_tokens * BYTES_PER_TOKEN
+    return HEAD_BYTES + max(len(call.body), prompt_bytes)
+
+
 def to_slot_demand(
     demand: CallDemand, now_s: float, ask: AskSlot | None = None
 ) -> SlotDemand:
@@ -76,4 +88,8 @@
         preferred_server_id=ask.preferred_id if ask else None,
         connected_server_ids=frozenset(ask.connected_ids if ask else ()),
         held_tokens=tokens,
+        needs_open_slot=ask is not None and ask.needs_open_slot,
+        body_bytes=ask.body_bytes if ask else 0,
+        returned_by=ask.returned_by if ask else None,
+        prefix_domain_id=ask.prefix_domain_id if ask else None,
     )
--- a/jackdawfield/gateway/slots/owner.py
+++ b/jackdawfield/gateway/slots/owner.py
@@ -8,15 +8,20 @@
 from collections.abc import AsyncIterator
 import time
 
+from jackdawfield.decisions.gateway_spill import GATEWAY_SPILL
 from jackdawfield.decisions.pool_events import PeerReport
+from jackdawfield.decisions.pool_events import SpillObstacle
+from jackdawfield.decisions.spill_settings import SpillSettings
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.servers.choice import Servers
+from jackdawfield.gateway.slots.crossings import Crossings
 from jackdawfield.gateway.slots.service_pool import ServicePool
 from jackdawfield.messages.fleet_slots import AskSlot
 from jackdawfield.messages.fleet_slots import SlotChanges
 from jackdawfield.messages.fleet_slots import SlotNotOwned
 from jackdawfield.messages.fleet_slots import SlotQueued
+from jackdawfield.model import DomainId
 from jackdawfield.model import InstanceId
 from jackdawfield.model import ServiceName
 
@@ -36,14 +41,17 @@
         settings: GatewaySettings,
         home_id: InstanceId,
         servers: Servers,
+        spill: SpillSettings = GATEWAY_SPILL,
     ) -> None:
         self._settings = settings
+        self._spill = spill
         self._home_id = home_id
         self._servers = servers
         self.pools_by_service: dict[ServiceName, ServicePool] = {}
         self._asked_at_s_by_service: dict[ServiceName, float] = {}
         self._was_asked = asyncio.Event()
         self.is_stopping = False
+        self.crossings = Crossings()
 
     def register(self, server: PeerServer) -> None:
         """Register the handlers of other instances' messages."""
@@ -93,7 +101,12 @@
         if pool is None:
             settings = self._settings
             pool = ServicePool(
-                service, settings.domain_id, settings.region_id, self._servers
+                service,
+                settings.domain_id,
+                settings.region_id,
+                self._servers,
+                self._spill,
+                self.crossings,
             )
             self.pools_by_service[service] = pool
             self._was_asked.set()
@@ -107,8 +120,17 @@
             now_s = time.monotonic()
             for pool in self.pools_by_service.values():
                 pool.tick(now_s)
+            self.crossings.log_ended(self._find_obstacle, now_s)
             self._drop_idle(now_s)
 
+    def _find_obstacle(
+        self, service: ServiceName, domain_id: DomainId, now_s: float
+    ) -> SpillObstacle:
+        owned = self.pools_by_service.get(service)
+        if owned is None:
+            return SpillObstacle.NO_GAIN
+        return owned.pool.find_spill_obstacle(domain_id, now_s)
+
     def _drop_idle(self, now_s: float) -> None:
         for service, pool in list(self.pools_by_service.items()):
             asked_at_s = self._asked_at_s_by_service[service]
@@ -128,6 +150,8 @@
         self, now_s: float
     ) -> tuple[tuple[ServiceName, PeerReport], ...]:
         """Return the load of each pool, for the owners of other domains."""
+        if self.is_stopping:
+            return ()
         settings = self._settings
         return tuple(
             (
@@ -140,7 +164,13 @@
         )
 
     def apply_report(self, service: ServiceName, report: PeerReport) -> None:
-        """Record the load of a service in another failure domain."""
+        """Record the load of a service in another failure domain.
+
+        A pool that is not in use here is run while requests are queued there,
+        since they may find a slot here.
+        """
+        if report.queued and not self.is_stopping:
+            self._pool_of(service)
         owned = self.pools_by_service.get(service)
         if owned is not None:
             owned.apply(report)
--- a/jackdawfield/gateway/slots/owner_choice.py
+++ b/jackdawfield/gateway/slots/owner_choice.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 import logging
+import time
 
 from jackdawfield.decisions.placement import choose_owner
 from jackdawfield.gateway.fleet.members import Members
@@ -55,6 +56,19 @@
         is_own = row.incarnation == self._members.incarnation
         return Owner(row.address, row.incarnation, is_own)
 
+    def owns(self, service: ServiceName) -> bool:
+        """Return whether this instance owns a service's slots here."""
+        domain_id = self._members.settings.domain_id
+        owner = self.choose(domain_id, service, time.monotonic())
+        return owner is not None and owner.is_own
+
+    def find_address(
+        self, domain_id: DomainId, service: ServiceName
+    ) -> str | None:
+        """Return the address of the owner to ask, None if none is known."""
+        owner = self.choose(domain_id, service, time.monotonic())
+        return owner.address if owner is not None else None
+
     def is_avoided(self, incarnation: str, now_s: float) -> bool:
         """Return whether a member is not asked now."""
         until_s = self._avoid_until_s_by_incarnation.get(incarnation, 0.0)
--- a/jackdawfield/gateway/slots/pooling.py
+++ b/jackdawfield/gateway/slots/pooling.py
@@ -10,6 +10,7 @@
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.slots.client import SlotClient
+from jackdawfield.gateway.slots.domain_reports import DomainReports
 from jackdawfield.gateway.slots.owner import SlotOwner
 from jackdawfield.gateway.slots.owner_choice import OwnerChoice
 from jackdawfield.model import InstanceId
@@ -21,13 +22,21 @@
 
     owner: SlotOwner
     client: SlotClient
+    reports: DomainReports
 
     def start(self, server: PeerServer, tasks: BackgroundTasks) -> None:
         """Take other instances' messages and start the periodic work."""
         self.owner.register(server)
+        self.reports.register(server)
         tasks.supervise('slots', self.owner.run)
+        tasks.supervise('domain reports', self.reports.run)
         tasks.supervise('slot renewals', self.client.run)
 
+    def close(self) -> None:
+        """Cancel the messages under way."""
+        self.client.close()
+        self.reports.close()
+
 
 def build_pooling(
     members: Members,
@@ -42,15 +51,19 @@
         return None
     # A later start of the same instance uses none of its slots.
     home_id = InstanceId(f'{settings.instance_id}.{members.incarnation}')
-    owner = SlotOwner(settings, home_id, slot_queue.servers)
+    owner = SlotOwner(settings, home_id, slot_queue.servers, settings.spill)
+    owners = OwnerChoice(members)
     client = SlotClient(
         settings.domain_id,
         home_id,
         owner,
-        OwnerChoice(members),
+        owners,
         links,
         slot_queue,
         server_pool,
         metrics,
     )
-    return SlotPooling(owner, client)
+    reports = DomainReports(
+        settings, members.incarnation, owner, owners, links
+    )
+    return SlotPooling(owner, client, reports)
--- a/jackdawfield/gateway/slots/service_pool.py
+++ b/jackdawfield/gateway/slots/service_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import dataclass
+from dataclasses import replace
 import logging
 
 from jackdawfield.decisions.gateway_pool import gateway_pool_settings
@@ -22,12 +23,14 @@
 from jackdawfield.decisions.pool_events import ServersChanged
 from jackdawfield.decisions.pool_events import Spill
 from jackdawfield.decisions.pool_events import TimePassed
+from jackdawfield.decisions.spill_settings import SpillSettings
 from jackdawfield.gateway.servers.choice import grantable
 from jackdawfield.gateway.servers.choice import record_failure
 from jackdawfield.gateway.servers.choice import record_full
 from jackdawfield.gateway.servers.choice import record_success
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.choice import ServerState
+from jackdawfield.gateway.slots.crossings import Crossings
 from jackdawfield.gateway.slots.demands import to_slot_demand
 from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_slots import AskSlot
@@ -65,6 +68,8 @@
     # When its call has certainly ended, by the monotonic clock.
     expires_at_s: float
     server_id: ServerId | None = None
+    # Sent to another domain if the request is spilled.
+    body_bytes: int = 0
 
     @property
     def request_id(self) -> RequestId:
@@ -81,12 +86,16 @@
         domain_id: DomainId,
         region_id: RegionId,
         servers: Servers,
+        spill: SpillSettings,
+        crossings: Crossings,
     ) -> None:
         self.service = service
+        self._crossings = crossings
         self._domain_id = domain_id
         self._region_id = region_id
         self._servers = servers
-        self.pool = Pool(region_id, gateway_pool_settings())
+        settings = replace(gateway_pool_settings(), spill=spill)
+        self.pool = Pool(region_id, settings)
         self._listed: tuple[BackendServer, ...] = ()
         self._requests_by_id: dict[str, OpenRequest] = {}
 
@@ -116,8 +125,11 @@
             frozenset(ask.excluded_ids),
             loop.create_future(),
             now_s + ask.demand.ends_in_s + GRANT_MARGIN_S,
+            body_bytes=ask.body_bytes,
         )
         self._requests_by_id[request.request_id] = request
+        if ask.returned_by is not None:
+            self._crossings.record_return(ask.returned_by)
         demand = to_slot_demand(ask.demand, now_s, ask)
         self._update_servers(now_s)
         self.apply(RequestSubmitted(now_s, demand))
@@ -264,8 +276,11 @@
             case Refuse(_, reason, retry_after_s):
                 self._log('slot_refused', request, reason=reason.value)
                 _put_answer(request, SlotDenied(reason.value, retry_after_s))
-            case Spill(_, domain_id):
-                _put_answer(request, SlotElsewhere(domain_id))
+            case Spill(_, domain_id, needs_open_slot):
+                self._crossings.record_spill(
+                    self.service, action, request.body_bytes, now_s
+                )
+                _put_answer(request, SlotElsewhere(domain_id, needs_open_slot))
             case Recall(_, server_id):
                 self._log('slot_recalled', request, server=server_id)
             case Expire():
@@ -281,6 +296,7 @@
             _put_answer(request, NO_SERVER)
             return
         request.server_id = server_id
+        self._crossings.record_granted()
         if not request.demand.reports_start:
             self.pool.on(FirstToken(now_s, request.request_id))
         granted = SlotGranted(server_id, state.entry.started_ms)
--- a/jackdawfield/messages/fleet_slots.py
+++ b/jackdawfield/messages/fleet_slots.py
@@ -60,7 +60,9 @@
     """Requests a slot at a server of the receiver's failure domain.
 
     Idle connections lead to the servers of `connected_ids`. The excluded
-    servers have had the call before, or can't have it.
+    servers have had the call before, or can't have it. `needs_open_slot`,
+    `body_bytes`, `returned_by` and `prefix_domain_id` are those of the
+    SlotDemand.
     """
 
     demand: CallDemand
@@ -70,6 +72,10 @@
     preferred_id: ServerId | None
     connected_ids: tuple[ServerId, ...]
     excluded_ids: tuple[ServerId, ...]
+    needs_open_slot: bool = False
+    body_bytes: int = 0
+    returned_by: DomainId | None = None
+    prefix_domain_id: DomainId | None = None
 
 
 @message
@@ -104,9 +110,14 @@
 @message
 @dataclass(frozen=True, slots=True)
 class SlotElsewhere:
-    """Names the failure domain that is to be asked instead."""
+    """Names the failure domain that is to be asked instead.
+
+    With `needs_open_slot`, the request comes back unless it is granted there
+    at once.
+    """
 
     domain_id: DomainId
+    needs_open_slot: bool = False
 
 
 @message
--- a/tests/gateway/slots/test_crossings.py
+++ b/tests/gateway/slots/test_crossings.py
@@ -2,6 +2,7 @@
 
 from jackdawfield.decisions.pool_events import RequestId
 from jackdawfield.decisions.pool_events import Spill
+from jackdawfield.decisions.pool_events import SpillObstacle
 from jackdawfield.decisions.pool_events import SpillReason
 from jackdawfield.gateway.slots.crossings import Crossings
 from jackdawfield.model import DomainId
@@ -22,7 +23,7 @@
         self.crossings.record_spill(CHAT, spill, 700, now_s)
 
     def end(self, now_s: float) -> None:
-        self.crossings.log_ended(lambda *_: 'no gain', now_s)
+        self.crossings.log_ended(lambda *_: SpillObstacle.NO_GAIN, now_s)
 
     def test_run_of_calls_is_logged_twice(self) -> None:
         with self.assertLogs(level='INFO') as logs:
