--- a/jackdawfield/gateway/slots/domain_reports.py
+++ b/jackdawfield/gateway/slots/domain_reports.py
@@ -130,6 +130,13 @@
         """Return the estimated round trip to a domain, zero if unknown."""
         return self._round_trips.estimate_s(domain_id)
 
+    def round_trips_s(self) -> Mapping[str, float]:
+        """Return the estimated round trip to each domain."""
+        return {
+            domain_id: self.round_trip_s(domain_id)
+            for domain_id in self.domain_ids
+        }
+
     async def run(self) -> None:
         """Send the reports that are due until the task is cancelled."""
         while True:
--- a/jackdawfield/gateway/slots/gauges.py
+++ b/jackdawfield/gateway/slots/gauges.py
@@ -36,3 +36,18 @@
             for service, pool in owner.pools_by_service.items()
         },
     )
+    _add_crossing_gauges(metrics, pooling)
+
+
+def _add_crossing_gauges(
+    metrics: GatewayMetrics, pooling: SlotPooling
+) -> None:
+    crossings, reports = pooling.owner.crossings, pooling.reports
+    metrics.add_gauge('calls_kept', lambda: crossings.granted_count)
+    metrics.add_gauge('domain_reports_sent', lambda: reports.sent_count)
+    add_labelled = metrics.add_gauges_by_label
+    add_labelled('calls_crossed', 'domain', crossings.calls_by_domain)
+    add_labelled('calls_crossed_for', 'reason', crossings.calls_by_reason)
+    add_labelled('bytes_crossed', 'domain', crossings.bytes_by_domain)
+    add_labelled('calls_returned', 'domain', crossings.returns_by_domain)
+    add_labelled('domain_round_trip_s', 'domain', reports.round_trips_s)
