Order, refuse and place short calls by what an owner knows

Cause: a gateway's owner would run the pool of the daemon, whose order by tokens, bound of slots and placement suit calls of seconds with tokens: plain calls have none, programs name a finish, and nothing knew of connections, of servers that are slow for a moment or of the tokens a server may hold.

--- a/bench/_variants.py
+++ b/bench/_variants.py
@@ -19,7 +19,8 @@
 
 PolicyFactory = Callable[[Fleet], Policy]
 
-CURRENT_SETTINGS = PoolSettings()
+CURRENT_QUEUE = QueueSettings()
+CURRENT_SETTINGS = PoolSettings(queue=CURRENT_QUEUE)
 STRICT_QUEUE = QueueSettings(
     burst_tokens=1.0, cached_factor=0.0, ageing_tokens_per_s=400.0
 )
@@ -69,7 +70,7 @@
     'no fairness': steward_policy(
         replace(
             CURRENT_SETTINGS,
-            queue=replace(CURRENT_SETTINGS.queue, is_fair=False),
+            queue=replace(CURRENT_QUEUE, is_fair=False),
             shares=ShareSettings(headroom=0.0),
         )
     ),
@@ -79,19 +80,19 @@
     'no burst of tokens': steward_policy(
         replace(
             CURRENT_SETTINGS,
-            queue=replace(CURRENT_SETTINGS.queue, burst_tokens=1.0),
+            queue=replace(CURRENT_QUEUE, burst_tokens=1.0),
         )
     ),
     'no attained service': steward_policy(
         replace(
             CURRENT_SETTINGS,
-            queue=replace(CURRENT_SETTINGS.queue, attained_factor=0.0),
+            queue=replace(CURRENT_QUEUE, attained_factor=0.0),
         )
     ),
     'no cached priority': steward_policy(
         replace(
             CURRENT_SETTINGS,
-            queue=replace(CURRENT_SETTINGS.queue, cached_factor=0.0),
+            queue=replace(CURRENT_QUEUE, cached_factor=0.0),
         )
     ),
     'no cache in routing': steward_policy(
--- a/jackdawfield/decisions/inflight.py
+++ b/jackdawfield/decisions/inflight.py
@@ -16,6 +16,11 @@
 from jackdawfield.decisions.pool_settings import PoolSettings
 from jackdawfield.decisions.routing import Choice
 from jackdawfield.decisions.routing import choose_server
+from jackdawfield.decisions.routing import RoutingSettings
+from jackdawfield.decisions.slot_placement import place_call
+from jackdawfield.decisions.slot_placement import PlacementSettings
+from jackdawfield.decisions.slot_placement import PoolServers
+from jackdawfield.decisions.start_times import StartTimes
 from jackdawfield.decisions.windows import best_token_s
 from jackdawfield.decisions.windows import mark_slow
 from jackdawfield.decisions.windows import ServerWindow
@@ -24,7 +29,6 @@
 from jackdawfield.model import ServerId
 from jackdawfield.model import ServerState
 
-INITIAL_CALL_S = 3.0
 MIN_PREFILL_SAMPLE_TOKENS = 500
 
 
@@ -49,7 +53,8 @@
         self._settings = settings
         self._windows_by_id: dict[ServerId, ServerWindow] = {}
         self._calls_by_id: dict[RequestId, GrantedCall] = {}
-        self._mean_call_s = INITIAL_CALL_S
+        self._mean_call_s = settings.initial_call_s
+        self._start_times = StartTimes()
         self.caches = PrefixCaches()
 
     def __contains__(self, request_id: RequestId) -> bool:
@@ -59,15 +64,64 @@
         """Return the window of a server of the pool."""
         return self._windows_by_id[server_id]
 
-    def choose_server(self, demand: SlotDemand, now_s: float) -> Choice | None:
+    def choose_server(
+        self,
+        demand: SlotDemand,
+        now_s: float,
+        reserved_ids: Set[ServerId] = frozenset(),
+    ) -> Choice | None:
         """Return the best server for a request, None if none is usable."""
-        return choose_server(
-            demand,
-            self._windows_by_id,
-            self.caches,
-            self._settings.routing,
-            self._mean_call_s,
-            now_s,
+        windows_by_id = self._windows_by_id
+        if reserved_ids:
+            windows_by_id = {
+                server_id: window
+                for server_id, window in windows_by_id.items()
+                if server_id not in reserved_ids
+            }
+        match self._settings.routing:
+            case RoutingSettings() as routing:
+                return choose_server(
+                    demand,
+                    windows_by_id,
+                    self.caches,
+                    routing,
+                    self._mean_call_s,
+                    now_s,
+                )
+            case PlacementSettings() as placement:
+                servers = PoolServers(
+                    windows_by_id,
+                    self.caches,
+                    self._start_times,
+                    self._mean_call_s,
+                )
+                return place_call(demand, servers, placement, now_s)
+
+    def choose_reserved(
+        self, demand: SlotDemand, now_s: float
+    ) -> ServerId | None:
+        """Return the server to keep for a call whose tokens fit nowhere.
+
+        It has the most room; None if some server has room or none ever has.
+        """
+        windows_by_id = {
+            server_id: window
+            for server_id, window in self._windows_by_id.items()
+            if window.is_usable(now_s) and window.may_hold(demand.held_tokens)
+        }
+        if any(w.has_room(demand.held_tokens) for w in windows_by_id.values()):
+            return None
+        return max(
+            windows_by_id,
+            key=lambda server_id: windows_by_id[server_id].free_tokens,
+            default=None,
+        )
+
+    def fits_no_server(self, demand: SlotDemand) -> bool:
+        """Return whether a call holds more than any server may hold."""
+        windows = self._windows_by_id.values()
+        return bool(windows) and not any(
+            window.may_hold(demand.held_tokens) for window in windows
         )
 
     def grant(
@@ -91,6 +145,8 @@
         )
         self._calls_by_id[demand.request_id] = call
         window.record_grant(now_s, uncached_tokens)
+        window.held_tokens += demand.held_tokens
+        self._start_times.add(server_id, demand.request_id, now_s)
         self.caches.record_use(
             server_id, demand.context_id, demand.prompt_tokens
         )
@@ -102,6 +158,7 @@
         if call is None:
             return None
         call.is_adopted = True
+        self._start_times.remove(event.server_id, event.demand.request_id)
         if event.started:
             self.record_first_token(event.demand.request_id, event.now_s)
         return call
@@ -112,6 +169,8 @@
         if call is None or call.first_token_at_s is not None:
             return
         call.first_token_at_s = now_s
+        self._start_times.remove(call.server_id, request_id)
+        self._record_start(call, now_s)
         window = self._windows_by_id.get(call.server_id)
         if window is not None:
             window.record_first_token(now_s, call.prefill_tokens)
@@ -119,6 +178,8 @@
     def record_finish(self, event: Finished, call: GrantedCall) -> float:
         """Update estimates from a finished call; return tokens not charged."""
         now_s = event.now_s
+        if call.first_token_at_s is None:
+            self._record_start(call, now_s)
         if not call.is_adopted:
             call_s = now_s - call.granted_at_s
             self._mean_call_s += SMOOTHING_FACTOR * (
@@ -150,9 +211,11 @@
         call = self._calls_by_id.pop(request_id, None)
         if call is None:
             return None
+        self._start_times.remove(call.server_id, request_id)
         window = self._windows_by_id.get(call.server_id)
         if window is None:
             return call
+        window.held_tokens -= call.demand.held_tokens
         if call.first_token_at_s is None:
             window.record_unstarted_end(call.prefill_tokens)
             return call
@@ -170,12 +233,16 @@
         servers_by_id = {server.server_id: server for server in event.servers}
         for server_id in self._windows_by_id.keys() - servers_by_id.keys():
             del self._windows_by_id[server_id]
+            self._start_times.remove_server(server_id)
             self.caches.remove_server(server_id)
         for server_id, server in servers_by_id.items():
             window = self._windows_by_id.get(server_id)
             if window is None:
-                window = ServerWindow.of(server.slots)
+                window = ServerWindow.of(
+                    server.slots, self._settings.initial_prefill_token_s
+                )
                 self._windows_by_id[server_id] = window
+            window.token_capacity = server.token_capacity
             window.accepts_work = server.state == ServerState.LIVE
             self.caches.set_server(server_id, server.cache_tokens)
 
@@ -196,7 +263,8 @@
     def mark_slow_servers(self, peers_token_s: float) -> None:
         """Mark servers far slower than the best one here or at the peers."""
         windows = self._windows_by_id.values()
-        mark_slow(windows, min(best_token_s(windows), peers_token_s))
+        best_s = min(best_token_s(windows), peers_token_s)
+        mark_slow(windows, best_s, self._settings.slow_ratio)
 
     def eject_stalled(self, now_s: float) -> Iterator[GrantedCall]:
         """Eject stalled servers and yield the calls whose grants to revoke."""
@@ -238,6 +306,11 @@
             w.limit for w in self._windows_by_id.values() if w.is_usable(now_s)
         )
 
+    @property
+    def mean_call_s(self) -> float:
+        """Return the mean duration of the latest calls."""
+        return self._mean_call_s
+
     def mean_slot_wait_s(self, now_s: float) -> float:
         """Return the mean seconds until a slot of a full pool is released."""
         return self._mean_call_s / max(1, self.usable_limit(now_s))
@@ -246,6 +319,12 @@
         weight = self._settings.prefill_weight
         return prefill_tokens * weight + output_tokens
 
+    def _record_start(self, call: GrantedCall, now_s: float) -> None:
+        if call.is_adopted or call.server_id not in self._windows_by_id:
+            return
+        start_s = now_s - call.granted_at_s
+        self._start_times.record_start(call.server_id, start_s, now_s)
+
     def _update_estimates(
         self, window: ServerWindow, call: GrantedCall, event: Finished
     ) -> None:
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -6,6 +6,11 @@
 
 from collections.abc import Iterator
 
+from jackdawfield.decisions.early_refusal import late_reason
+from jackdawfield.decisions.early_refusal import latest_start_s
+from jackdawfield.decisions.early_refusal import ReturnSchedule
+from jackdawfield.decisions.finish_queue import FinishOrder
+from jackdawfield.decisions.finish_queue import FinishQueue
 from jackdawfield.decisions.inflight import GrantedCall
 from jackdawfield.decisions.inflight import InFlight
 from jackdawfield.decisions.pool_events import Action
@@ -36,6 +41,8 @@
 from jackdawfield.decisions.pool_settings import PoolSettings
 from jackdawfield.decisions.queueing import FairQueue
 from jackdawfield.decisions.queueing import QueuedRequest
+from jackdawfield.decisions.queueing import QueueSettings
+from jackdawfield.decisions.queueing import SlotSupply
 from jackdawfield.decisions.slot_shares import SlotShares
 from jackdawfield.decisions.spilling import PeerDomains
 from jackdawfield.decisions.windows import best_token_s
@@ -43,8 +50,8 @@
 from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
 from jackdawfield.model import RegionId
+from jackdawfield.model import ServerId
 
-MAX_RETRY_AFTER_S = 10.0
 MIN_QUEUE_LIMIT = 16
 
 
@@ -53,8 +60,9 @@
 
     def __init__(self, region_id: RegionId, settings: PoolSettings) -> None:
         self._settings = settings
-        self._queue = FairQueue(settings.queue)
         self._shares = SlotShares(settings.shares)
+        self._queue = create_queue(settings.queue, self._shares)
+        self._returns = ReturnSchedule(settings.refusal)
         self._peers = PeerDomains(region_id, settings.spill)
         self._in_flight = InFlight(settings)
         self._renewed_at_s_by_home: dict[InstanceId, float] = {}
@@ -157,18 +165,20 @@
         self._renewed_at_s_by_home[demand.home_id] = now_s
         if self._is_tracked(demand.request_id):
             return ()
+        self._queue.record_submitted(demand, now_s)
         wait_s = self._expected_wait_s(demand, now_s)
         domain_id = self._choose_spill_domain(demand, wait_s, now_s)
         if domain_id is not None:
             self._peers.record_spill(domain_id)
             return (Spill(demand.request_id, domain_id),)
-        slack_s = demand.deadline_s - now_s
-        if self._settings.refuse_early and wait_s > slack_s:
-            return (self._refuse(demand, RefusalReason.DEADLINE, wait_s),)
+        refusal = self._refuse_early(demand, wait_s, now_s)
+        if refusal is not None:
+            return (refusal,)
         cached_tokens = self._in_flight.caches.max_cached_tokens(
             demand.context_id
         )
-        self._queue.push(demand, now_s, cached_tokens)
+        latest_start_s = self._latest_start_s(demand, now_s)
+        self._queue.push(demand, now_s, cached_tokens, latest_start_s)
         self._shares.record_request(
             demand.organisation_id, demand.weight, now_s
         )
@@ -213,54 +223,101 @@
         )
         if len(self._queue) <= limit:
             return ()
-        dropped = max(self._queue, key=self._eviction_rank)
+        dropped = self._queue.first_to_evict(self._supply(now_s))
         self._queue.remove(dropped.demand.request_id)
         reason = RefusalReason.QUEUE_FULL
-        return (self._refuse(dropped.demand, reason, wait_s),)
+        return (self._refuse(dropped.demand, reason, wait_s, now_s),)
 
-    def _eviction_rank(
-        self, queued: QueuedRequest
-    ) -> tuple[float, float, int]:
-        demand = queued.demand
-        queued_count = self._queue.count(demand.organisation_id)
-        share = queued_count / demand.weight
-        return share, -demand.attained_tokens, queued.sequence
+    def _refuse_early(
+        self, demand: SlotDemand, wait_s: float, now_s: float
+    ) -> Refuse | None:
+        if not self._settings.refuse_early:
+            return None
+        if self._in_flight.fits_no_server(demand):
+            reason = RefusalReason.NO_SERVER
+            return self._refuse(demand, reason, wait_s, now_s)
+        latest_s = demand.deadline_s
+        if wait_s:
+            latest_s = self._latest_start_s(demand, now_s)
+        if now_s + wait_s <= latest_s:
+            return None
+        return self._refuse_late(demand, wait_s, now_s)
+
+    def _refuse_late(
+        self, demand: SlotDemand, wait_s: float, now_s: float
+    ) -> Refuse:
+        reason = late_reason(
+            demand,
+            now_s + wait_s,
+            self._in_flight.mean_call_s,
+            self._settings.refusal,
+        )
+        return self._refuse(demand, reason, wait_s, now_s)
 
     def _refuse(
-        self, demand: SlotDemand, reason: RefusalReason, wait_s: float
+        self,
+        demand: SlotDemand,
+        reason: RefusalReason,
+        wait_s: float,
+        now_s: float,
     ) -> Refuse:
-        after_s = min(MAX_RETRY_AFTER_S, max(0.5, wait_s / 2))
+        longest_wait_s = self._latest_start_s(demand, now_s) - now_s
+        after_s = self._returns.retry_after_s(
+            wait_s,
+            longest_wait_s,
+            self._in_flight.mean_slot_wait_s(now_s),
+            now_s,
+        )
         return Refuse(demand.request_id, reason, after_s)
 
+    def _latest_start_s(
+        self, demand: SlotDemand, submitted_at_s: float
+    ) -> float:
+        return latest_start_s(
+            demand,
+            submitted_at_s,
+            self._in_flight.mean_call_s,
+            self._settings.refusal,
+        )
+
+    def _supply(self, now_s: float) -> SlotSupply:
+        slots = self._in_flight.usable_limit(now_s)
+        return SlotSupply(now_s, slots, self._in_flight.mean_call_s)
+
     def _dispatch(self, now_s: float) -> tuple[Action, ...]:
         if not len(self._queue):
             return ()
         actions: list[Action] = []
         over_share_ids: set[OrganisationId] = set()
+        reserved_ids: set[ServerId] = set()
         skipped: list[QueuedRequest] = []
+        supply = self._supply(now_s)
         while len(skipped) < self._settings.scan_limit:
             if not self._in_flight.has_open_slot(now_s):
                 break
-            queued = self._queue.pop(over_share_ids)
+            queued = self._queue.pop(over_share_ids, supply)
             if queued is None:
                 break
             demand = queued.demand
             if not self._shares.allows(
-                demand.organisation_id,
-                self._in_flight.usable_limit(now_s),
-                now_s,
+                demand.organisation_id, supply.slots, now_s
             ):
                 over_share_ids.add(demand.organisation_id)
                 self._queue.restore(queued)
                 continue
-            choice = self._in_flight.choose_server(demand, now_s)
+            choice = self._in_flight.choose_server(demand, now_s, reserved_ids)
             if choice is None or not choice.is_open:
                 skipped.append(queued)
+                reserved_id = self._in_flight.choose_reserved(demand, now_s)
+                if reserved_id is not None:
+                    reserved_ids.add(reserved_id)
                 continue
             server_id = choice.server_id
             call = self._in_flight.grant(demand, server_id, now_s)
             if call is not None:
                 self._charge_grant(call, now_s)
+                self._queue.record_grant(queued)
+                self._returns.record_grant(demand.begins_program)
                 actions.append(Grant(demand.request_id, server_id))
         for queued in skipped:
             self._queue.restore(queued)
@@ -295,6 +352,8 @@
             yield Expire(call.demand.request_id, call.server_id)
 
     def _recall_stalled(self, now_s: float) -> Iterator[Action]:
+        if not self._settings.recalls_stalled:
+            return
         for call in self._in_flight.eject_stalled(now_s):
             self._release(call.demand.request_id)
             yield Recall(call.demand.request_id, call.server_id)
@@ -303,9 +362,10 @@
         has_no_server = not self._in_flight.usable_windows(now_s)
         for queued in self._queue:
             demand = queued.demand
-            if now_s >= demand.deadline_s:
+            if now_s >= queued.latest_start_s:
                 self._queue.remove(demand.request_id)
-                yield self._refuse(demand, RefusalReason.DEADLINE, 1.0)
+                wait_s = self._returning_wait_s(demand, now_s)
+                yield self._refuse_late(demand, wait_s, now_s)
                 continue
             if not has_no_server or not demand.may_spill:
                 continue
@@ -341,10 +401,26 @@
     def _expected_wait_s(self, demand: SlotDemand, now_s: float) -> float:
         if not len(self._queue) and self._in_flight.has_open_slot(now_s):
             return 0.0
-        ahead = self._queue.count_ahead(demand.organisation_id, demand.weight)
-        return (1 + ahead) * self._in_flight.mean_slot_wait_s(now_s)
+        turns = self._queue.count_turns_before(demand, self._supply(now_s))
+        return (1 + turns) * self._in_flight.mean_slot_wait_s(now_s)
+
+    def _returning_wait_s(self, demand: SlotDemand, now_s: float) -> float:
+        if not self._settings.refusal.spaces_returns:
+            return 0.0
+        return self._expected_wait_s(demand, now_s)
 
     def _queue_wait_s(self, now_s: float) -> float:
         if not len(self._queue) and self._in_flight.has_open_slot(now_s):
             return 0.0
         return (1 + len(self._queue)) * self._in_flight.mean_slot_wait_s(now_s)
+
+
+def create_queue(
+    settings: QueueSettings | FinishOrder, shares: SlotShares
+) -> FairQueue | FinishQueue:
+    """Return an empty queue with the order that the settings name."""
+    match settings:
+        case QueueSettings():
+            return FairQueue(settings)
+        case FinishOrder():
+            return FinishQueue(settings, shares)
--- a/jackdawfield/decisions/queueing.py
+++ b/jackdawfield/decisions/queueing.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from heapq import heappop
 from heapq import heappush
+from math import inf
 
 from jackdawfield.decisions.pool_events import RequestId
 from jackdawfield.decisions.pool_events import SlotDemand
@@ -30,14 +31,27 @@
     ageing_tokens_per_s: float = 30.0
 
 
+@dataclass(frozen=True, slots=True)
+class SlotSupply:
+    """Holds a pool's usable slots and its mean call at a time."""
+
+    now_s: float
+    slots: int
+    call_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class QueuedRequest:
-    """Holds a queued request with its fixed rank."""
+    """Holds a queued request with its fixed rank.
+
+    A start after `latest_start_s` is of no use to it.
+    """
 
     demand: SlotDemand
     enqueued_at_s: float
     rank: float
     sequence: int
+    latest_start_s: float = inf
 
 
 class FairQueue:
@@ -105,7 +119,11 @@
         return self._weighted_tokens_by_organisation.get(organisation_id, 0.0)
 
     def push(
-        self, demand: SlotDemand, now_s: float, cached_tokens: int = 0
+        self,
+        demand: SlotDemand,
+        now_s: float,
+        cached_tokens: int = 0,
+        latest_start_s: float = inf,
     ) -> QueuedRequest:
         """Queue a request with the rank that its program's service gives."""
         settings = self._settings
@@ -116,7 +134,9 @@
             attained - credit + settings.ageing_tokens_per_s * submitted_at_s
         )
         self._sequence += 1
-        queued = QueuedRequest(demand, now_s, rank, self._sequence)
+        queued = QueuedRequest(
+            demand, now_s, rank, self._sequence, latest_start_s
+        )
         self.restore(queued)
         return queued
 
@@ -145,10 +165,31 @@
         self._add_count(queued.demand.organisation_id, -1)
         return queued
 
+    def record_submitted(self, demand: SlotDemand, now_s: float) -> None:
+        """Ignore a request that is not queued yet."""
+
+    def record_grant(self, queued: QueuedRequest) -> None:
+        """Ignore a grant, which is charged by its tokens."""
+
+    def count_turns_before(
+        self, demand: SlotDemand, supply: SlotSupply
+    ) -> float:
+        """Return about how many requests precede a new one."""
+        return self.count_ahead(demand.organisation_id, demand.weight)
+
+    def first_to_evict(self, supply: SlotSupply) -> QueuedRequest:
+        """Return a request of the organisation with most queued."""
+        return max(self, key=self._eviction_rank)
+
     def pop(
-        self, excluded_ids: Set[OrganisationId] = frozenset()
+        self,
+        excluded_ids: Set[OrganisationId] = frozenset(),
+        supply: SlotSupply | None = None,
     ) -> QueuedRequest | None:
-        """Remove and return the next request, None if all are excluded."""
+        """Remove and return the next request, None if all are excluded.
+
+        The supply plays no part in this order.
+        """
         excluded_heads: list[tuple[float, float, OrganisationId]] = []
         found: QueuedRequest | None = None
         while self._heads and found is None:
@@ -177,6 +218,13 @@
         self._weighted_tokens_by_organisation[group] = weighted_tokens
         self._push_head(group)
 
+    def _eviction_rank(
+        self, queued: QueuedRequest
+    ) -> tuple[float, float, int]:
+        demand = queued.demand
+        share = self.count(demand.organisation_id) / demand.weight
+        return share, -demand.attained_tokens, queued.sequence
+
     def _group(self, organisation_id: OrganisationId) -> OrganisationId:
         return (
             organisation_id if self._settings.is_fair else OrganisationId('')
--- a/jackdawfield/decisions/slot_shares.py
+++ b/jackdawfield/decisions/slot_shares.py
@@ -72,6 +72,24 @@
         self._usage_by_organisation[organisation_id].in_flight -= 1
         self._in_flight -= 1
 
+    def held_shares(
+        self,
+        organisation_id: OrganisationId,
+        slots: int,
+        now_s: float,
+        further: int = 0,
+    ) -> float:
+        """Return how many of its shares one holds with further slots.
+
+        A share is at least a slot.
+        """
+        self._drop_inactive(now_s)
+        usage = self._usage_by_organisation.get(organisation_id)
+        if usage is None:
+            return 0.0
+        share = slots * usage.weight / self._weight_sum
+        return (usage.in_flight + further) / max(1.0, share)
+
     def allows(
         self, organisation_id: OrganisationId, slots: int, now_s: float
     ) -> bool:
--- a/jackdawfield/decisions/windows.py
+++ b/jackdawfield/decisions/windows.py
@@ -26,7 +26,7 @@
     in flight since the last report and between the last two reports.
     Foreign calls are those in flight that this pool has not granted, such
     as those of an earlier steward; they are estimated from the server's
-    reports.
+    reports. A `token_capacity` of zero is unknown.
     """
 
     slots: int
@@ -45,19 +45,36 @@
     token_s: float = INITIAL_TOKEN_S
     prefill_token_s: float = INITIAL_PREFILL_TOKEN_S
     best_prefill_token_s: float = inf
+    token_capacity: int = 0
+    held_tokens: int = 0
     decode_samples: int = 0
     prefill_samples: int = 0
     is_slow: bool = False
 
     @classmethod
-    def of(cls, slots: int) -> 'ServerWindow':
+    def of(
+        cls, slots: int, prefill_token_s: float = INITIAL_PREFILL_TOKEN_S
+    ) -> 'ServerWindow':
         """Return a window whose limit starts at the server's slots."""
-        return cls(slots=slots, limit=slots)
+        return cls(slots, slots, prefill_token_s=prefill_token_s)
 
     def load(self) -> int:
         """Return the calls in flight, foreign ones as of the last report."""
         return self.in_flight + self.foreign_in_flight
 
+    def may_hold(self, tokens: int) -> bool:
+        """Return whether a call of some tokens fits into an idle server."""
+        return not self.token_capacity or tokens <= self.token_capacity
+
+    def has_room(self, tokens: int) -> bool:
+        """Return whether a call of some tokens fits beside the others."""
+        return self.may_hold(self.held_tokens + tokens)
+
+    @property
+    def free_tokens(self) -> int:
+        """Return how many further tokens the server may hold."""
+        return self.token_capacity - self.held_tokens
+
     def is_usable(self, now_s: float) -> bool:
         """Return whether the server may be granted calls at all."""
         if not self.accepts_work or now_s < self.ejected_until_s:
@@ -192,11 +209,15 @@
     return min((window.estimated_token_s() for window in windows), default=inf)
 
 
-def mark_slow(windows: Iterable[ServerWindow], best_s: float) -> None:
+def mark_slow(
+    windows: Iterable[ServerWindow],
+    best_s: float,
+    slow_ratio: float = SLOW_RATIO,
+) -> None:
     """Mark servers far slower than the best server or than their own best."""
     for window in windows:
         has_samples = window.decode_samples >= MIN_SAMPLES
-        is_decode_slow = has_samples and window.token_s > SLOW_RATIO * best_s
+        is_decode_slow = has_samples and window.token_s > slow_ratio * best_s
         best_prefill_s = window.best_prefill_token_s
-        is_prefill_slow = window.prefill_token_s > SLOW_RATIO * best_prefill_s
+        is_prefill_slow = window.prefill_token_s > slow_ratio * best_prefill_s
         window.is_slow = is_decode_slow or is_prefill_slow
