Count a server's calls when it is listed again

Cause: a server that left the list and returned got an empty window, while the calls granted before still held its slots; their ends then counted below zero, so that later more calls than slots were granted. Change: a new window starts with the calls that are still in flight there. Measured: two tests that failed before (4 calls granted on 2 slots), now 2; tests of the pool unchanged and green.

--- a/jackdawfield/decisions/inflight.py
+++ b/jackdawfield/decisions/inflight.py
@@ -242,6 +242,7 @@
                     server.slots, self._settings.initial_prefill_token_s
                 )
                 self._windows_by_id[server_id] = window
+                self._count_calls(server_id, event.now_s)
             window.token_capacity = server.token_capacity
             window.accepts_work = server.state == ServerState.LIVE
             self.caches.set_server(server_id, server.cache_tokens)
@@ -252,6 +253,17 @@
         if window is not None:
             window.avoided_until_s = until_s
 
+    def _count_calls(self, server_id: ServerId, now_s: float) -> None:
+        """Count the calls that were granted before a server was delisted."""
+        window = self._windows_by_id[server_id]
+        for call in self._calls_by_id.values():
+            if call.server_id != server_id:
+                continue
+            window.record_grant(now_s, call.prefill_tokens)
+            window.held_tokens += call.demand.held_tokens
+            if call.first_token_at_s is not None:
+                window.record_first_token(now_s, call.prefill_tokens)
+
     def calls_of_homes(self, home_ids: Set[InstanceId]) -> list[GrantedCall]:
         """Return the granted calls of some homes."""
         return [
--- a/tests/test_gateway_pool.py
+++ b/tests/test_gateway_pool.py
@@ -158,6 +158,24 @@
         self.assertEqual({'t'}, servers)
         self.assertEqual(['c2'], names_granted(self.pool.on(TimePassed(0.5))))
 
+    def test_calls_count_at_a_server_that_is_listed_again(self) -> None:
+        self.submit(demand('c0'), demand('c1'))
+        self.list_servers()
+        self.list_servers('s', now_s=0.1)
+        self.assertEqual([], self.granted(demand('c2')))
+        self.assertEqual(['c2'], self.finish('c0'))
+
+    def test_call_that_ends_after_its_server_returned_frees_one_slot(
+        self,
+    ) -> None:
+        self.submit(demand('c0'), demand('c1'))
+        self.list_servers()
+        self.list_servers('s', now_s=0.1)
+        self.finish('c0')
+        self.finish('c1')
+        calls = [demand(f'd{n}') for n in range(4)]
+        self.assertEqual(2, len(self.granted(*calls)))
+
     def test_report_tells_other_domains_how_many_calls_wait(self) -> None:
         self.submit(*[demand(f'c{n}') for n in range(5)])
         report = self.pool.create_peer_report(
