Refuse short calls at once while no server takes calls in time

Cause: a call submitted while all servers leave, or are avoided for longer than it can wait, stayed queued until its limit. Change: the expected wait includes the time until a server is usable; queued calls are tested again with each TimePassed, after a spill was tried. Only under a gateway's settings.

--- a/jackdawfield/decisions/early_refusal.py
+++ b/jackdawfield/decisions/early_refusal.py
@@ -4,6 +4,7 @@
 """
 
 from dataclasses import dataclass
+from math import inf
 
 from jackdawfield.decisions.pool_events import RefusalReason
 from jackdawfield.decisions.pool_events import SlotDemand
@@ -19,12 +20,14 @@
     A new program is refused if its first wait takes more than the fraction
     `first_wait_fraction` of the time until its finish; zero sets no limit.
     With `counts_call`, a request that has to wait needs time for a mean call
-    as well. Returns are from `min_retry_after_s` to `max_retry_after_s` away,
-    and with `spaces_returns` not at the same time.
+    as well; with `counts_outage`, it is refused if no server takes calls
+    again in time. Returns are from `min_retry_after_s` to `max_retry_after_s`
+    away, and with `spaces_returns` not at the same time.
     """
 
     first_wait_fraction: float = 0.0
     counts_call: bool = False
+    counts_outage: bool = False
     min_retry_after_s: float = 0.5
     max_retry_after_s: float = 10.0
     spaces_returns: bool = False
@@ -56,6 +59,8 @@
     settings: RefusalSettings,
 ) -> RefusalReason:
     """Return why a request that would start too late is refused."""
+    if start_s == inf:
+        return RefusalReason.NO_SERVER
     if start_s + settings.counts_call * call_s >= demand.deadline_s:
         return RefusalReason.DEADLINE
     return RefusalReason.PROGRAM_LATE
--- a/jackdawfield/decisions/gateway_pool.py
+++ b/jackdawfield/decisions/gateway_pool.py
@@ -18,6 +18,7 @@
         refusal=RefusalSettings(
             first_wait_fraction=0.25,
             counts_call=True,
+            counts_outage=True,
             min_retry_after_s=0.1,
             max_retry_after_s=5.0,
             spaces_returns=True,
--- a/jackdawfield/decisions/inflight.py
+++ b/jackdawfield/decisions/inflight.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from collections.abc import Set
 from dataclasses import dataclass
+from math import inf
 
 from jackdawfield.decisions.caches import PrefixCaches
 from jackdawfield.decisions.pool_events import Failed
@@ -302,6 +303,15 @@
         windows = self._windows_by_id.values()
         return [window for window in windows if window.is_usable(now_s)]
 
+    def opens_in_s(self, now_s: float) -> float:
+        """Return the seconds until a server is usable, infinite if none."""
+        waits_s = (
+            window.usable_at_s - now_s
+            for window in self._windows_by_id.values()
+            if window.accepts_work
+        )
+        return max(0.0, min(waits_s, default=inf))
+
     def total_slots(self) -> int:
         """Return the number of slots of all servers of the pool."""
         return sum(window.slots for window in self._windows_by_id.values())
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -53,6 +53,7 @@
 from jackdawfield.model import ServerId
 
 MIN_QUEUE_LIMIT = 16
+NO_SERVER_RETRY_S = 1.0
 
 
 class Pool:
@@ -261,6 +262,8 @@
         wait_s: float,
         now_s: float,
     ) -> Refuse:
+        if reason == RefusalReason.NO_SERVER:
+            return Refuse(demand.request_id, reason, NO_SERVER_RETRY_S)
         longest_wait_s = self._latest_start_s(demand, now_s) - now_s
         after_s = self._returns.retry_after_s(
             wait_s,
@@ -360,22 +363,21 @@
 
     def _clear_unservable(self, now_s: float) -> Iterator[Action]:
         has_no_server = not self._in_flight.usable_windows(now_s)
+        earliest_s = now_s + self._outage_s(now_s)
         for queued in self._queue:
             demand = queued.demand
-            if now_s >= queued.latest_start_s:
+            domain_id = None
+            if has_no_server and demand.may_spill:
+                limit_s = demand.deadline_s - now_s
+                domain_id = self._peers.fallback_domain(now_s, limit_s)
+            if domain_id is not None and now_s < queued.latest_start_s:
+                self._peers.record_spill(domain_id)
+                self._queue.remove(demand.request_id)
+                yield Spill(demand.request_id, domain_id)
+            elif earliest_s >= queued.latest_start_s:
                 self._queue.remove(demand.request_id)
                 wait_s = self._returning_wait_s(demand, now_s)
                 yield self._refuse_late(demand, wait_s, now_s)
-                continue
-            if not has_no_server or not demand.may_spill:
-                continue
-            limit_s = demand.deadline_s - now_s
-            domain_id = self._peers.fallback_domain(now_s, limit_s)
-            if domain_id is None:
-                continue
-            self._peers.record_spill(domain_id)
-            self._queue.remove(demand.request_id)
-            yield Spill(demand.request_id, domain_id)
 
     def _spill_queued(self, now_s: float) -> Iterator[Action]:
         spills_left = self._settings.spills_per_tick
@@ -402,8 +404,17 @@
         if not len(self._queue) and self._in_flight.has_open_slot(now_s):
             return 0.0
         turns = self._queue.count_turns_before(demand, self._supply(now_s))
+        outage_s = self._outage_s(now_s)
+        if outage_s:
+            slots = max(1, self._in_flight.total_slots())
+            return outage_s + turns * self._in_flight.mean_call_s / slots
         return (1 + turns) * self._in_flight.mean_slot_wait_s(now_s)
 
+    def _outage_s(self, now_s: float) -> float:
+        if not self._settings.refusal.counts_outage:
+            return 0.0
+        return self._in_flight.opens_in_s(now_s)
+
     def _returning_wait_s(self, demand: SlotDemand, now_s: float) -> float:
         if not self._settings.refusal.spaces_returns:
             return 0.0
--- a/jackdawfield/decisions/windows.py
+++ b/jackdawfield/decisions/windows.py
@@ -77,12 +77,15 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether the server may be granted calls at all."""
-        if not self.accepts_work or now_s < self.ejected_until_s:
-            return False
-        if now_s < self.avoided_until_s:
+        if not self.accepts_work or now_s < self.usable_at_s:
             return False
         return not self.is_stalled(now_s)
 
+    @property
+    def usable_at_s(self) -> float:
+        """Return when the server is neither ejected nor avoided."""
+        return max(self.ejected_until_s, self.avoided_until_s)
+
     def is_failing(self) -> bool:
         """Return whether the server must first complete a single probe."""
         return self.consecutive_failures >= FAILURES_TO_EJECT
--- a/tests/test_gateway_pool.py
+++ b/tests/test_gateway_pool.py
@@ -176,6 +176,31 @@
         calls = [demand(f'd{n}') for n in range(4)]
         self.assertEqual(2, len(self.granted(*calls)))
 
+    def test_call_is_refused_at_once_while_no_server_takes_calls(
+        self,
+    ) -> None:
+        self.list_servers()
+        (refusal,) = self.submit(demand('c'))
+        assert isinstance(refusal, Refuse)
+        self.assertEqual(RefusalReason.NO_SERVER, refusal.reason)
+
+    def test_call_waits_for_a_server_that_returns_in_time(self) -> None:
+        self.pool.on(ServerAvoided(0.0, ServerId('s'), until_s=0.5))
+        self.assertEqual([], self.submit(demand('c')))
+        (refusal,) = self.submit(demand('short', limit_s=0.4))
+        assert isinstance(refusal, Refuse)
+        self.assertEqual(RefusalReason.DEADLINE, refusal.reason)
+        self.assertEqual(['c'], names_granted(self.pool.on(TimePassed(0.5))))
+
+    def test_queued_calls_are_refused_when_the_last_server_leaves(
+        self,
+    ) -> None:
+        self.submit(*[demand(f'c{n}') for n in range(3)])
+        self.list_servers()
+        (refusal,) = self.pool.on(TimePassed(0.05))
+        assert isinstance(refusal, Refuse)
+        self.assertEqual(RefusalReason.NO_SERVER, refusal.reason)
+
     def test_report_tells_other_domains_how_many_calls_wait(self) -> None:
         self.submit(*[demand(f'c{n}') for n in range(5)])
         report = self.pool.create_peer_report(
