--- a/jackdawfield/decisions/gateway_spill.py
+++ b/jackdawfield/decisions/gateway_spill.py
@@ -18,6 +18,7 @@
     reserve_share=0.02,
     offer_period_s=0.25,
     return_pause_s=0.25,
+    expects_past_wait=True,
     follows_contexts=True,
     domain_price=DOMAIN_PRICE,
     region_price=REGION_PRICE,
--- a/jackdawfield/decisions/spill_settings.py
+++ b/jackdawfield/decisions/spill_settings.py
@@ -33,10 +33,12 @@
     With `needs_open_slot`, requests are sent to open slots only and refused
     there if none is open; `reserve_share` of the slots is kept for a domain's
     own requests. Slots of other domains' requests that end within
-    `offer_period_s` are offered again. A domain that returns most requests
-    is paused for `return_pause_s` and longer, zero to never pause it. With
-    `follows_contexts`, later requests of a program go to the domain to which
-    its context has moved, as long as that pays.
+    `offer_period_s` are offered again. A domain that returns most requests is
+    paused for `return_pause_s` and longer, zero to never pause it. With
+    `expects_past_wait`, a queued request is expected to wait at least as long
+    again as it has waited. With `follows_contexts`, later requests of a
+    program go to the domain to which its context has moved, as long as that
+    pays.
     """
 
     margin_s: float = 1.0
@@ -48,6 +50,7 @@
     reserve_share: float = 0.0
     offer_period_s: float = 0.0
     return_pause_s: float = 0.0
+    expects_past_wait: bool = False
     follows_contexts: bool = False
     domain_price: CrossingPrice = field(default_factory=CrossingPrice)
     region_price: CrossingPrice = field(
--- a/tests/test_pool_spilling.py
+++ b/tests/test_pool_spilling.py
@@ -17,6 +17,7 @@
 from jackdawfield.decisions.pool_events import ServersChanged
 from jackdawfield.decisions.pool_events import SlotDemand
 from jackdawfield.decisions.pool_events import Spill
+from jackdawfield.decisions.pool_events import TimePassed
 from jackdawfield.decisions.pool_settings import PoolSettings
 from jackdawfield.decisions.spill_settings import SpillSettings
 from jackdawfield.model import BackendServer
@@ -100,6 +101,20 @@
         returned = replace(demand('b'), returned_by=DomainId('near'))
         self.assertEqual((), pool.on(RequestSubmitted(0.01, returned)))
 
+    def test_call_that_waits_behind_a_long_one_leaves_in_the_end(self) -> None:
+        pool = pool_of(slots=1)
+        for number in range(50):
+            request_id = RequestId(str(number))
+            pool.on(RequestSubmitted(0.0, demand(str(number))))
+            pool.on(FirstToken(0.0, request_id))
+            pool.on(Finished(0.01, request_id, 8000, 0, 10))
+        submit(pool, demand('long'))
+        self.assertEqual((), pool.on(RequestSubmitted(0.0, demand('b'))))
+        pool.on(FREE_ELSEWHERE)
+        self.assertEqual((), pool.on(TimePassed(0.02)))
+        (action,) = pool.on(TimePassed(0.3))
+        self.assertIsInstance(action, Spill)
+
     def test_program_that_left_stays_where_its_prefix_is(self) -> None:
         pool = pool_of(slots=1)
         pool.on(FREE_ELSEWHERE)
