--- a/jackdawfield/decisions/gateway_pool.py
+++ b/jackdawfield/decisions/gateway_pool.py
@@ -2,19 +2,22 @@
 
 from jackdawfield.decisions.early_refusal import RefusalSettings
 from jackdawfield.decisions.finish_queue import FinishOrder
+from jackdawfield.decisions.gateway_spill import GATEWAY_SPILL
 from jackdawfield.decisions.pool_settings import PoolSettings
 from jackdawfield.decisions.slot_placement import PlacementSettings
 from jackdawfield.decisions.slot_shares import ShareSettings
-from jackdawfield.decisions.spilling import SpillSettings
+from jackdawfield.decisions.spill_settings import SpillSettings
 
 
-def gateway_pool_settings() -> PoolSettings:
+def gateway_pool_settings(
+    spill: SpillSettings = GATEWAY_SPILL,
+) -> PoolSettings:
     """Return the settings of a pool that an owner runs for gateways."""
     return PoolSettings(
         queue=FinishOrder(),
         routing=PlacementSettings(),
         shares=ShareSettings(headroom=0.0, active_s=1.0),
-        spill=SpillSettings(margin_s=0.03, report_age_limit_s=1.0),
+        spill=spill,
         refusal=RefusalSettings(
             first_wait_fraction=0.25,
             counts_call=True,
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -252,6 +252,19 @@
             token_s=window.token_s,
             output_tokens=demand.output_tokens,
         )
+        spill = self._peers.choose_faster(demand, own, now_s)
+        if spill is not None or not wait_s:
+            return spill
+        if now_s + wait_s <= self._latest_start_s(demand, now_s):
+            return None
+        return self._choose_rescue(demand, now_s)
+
+    def _choose_rescue(self, demand: SlotDemand, now_s: float) -> Spill | None:
+        """Return a spill of a request that would be refused here."""
+        if not self._settings.spill.needs_open_slot or not demand.may_spill:
+            return None
+        left_s = demand.deadline_s - now_s
+        own = OwnFinish(left_s, left_s)
         return self._peers.choose_faster(demand, own, now_s)
 
     def _enforce_queue_limit(
@@ -406,13 +419,17 @@
         for queued in self._queue:
             demand = queued.demand
             spill = None
+            is_late = earliest_s >= queued.latest_start_s
             if has_no_server and demand.may_spill:
-                spill = self._peers.choose_fallback(demand, now_s)
-            if spill is not None and now_s < queued.latest_start_s:
+                if now_s < queued.latest_start_s:
+                    spill = self._peers.choose_fallback(demand, now_s)
+            elif is_late:
+                spill = self._choose_rescue(demand, now_s)
+            if spill is not None:
                 self._peers.record_spill(demand, spill, now_s)
                 self._queue.remove(demand.request_id)
                 yield spill
-            elif earliest_s >= queued.latest_start_s:
+            elif is_late:
                 self._queue.remove(demand.request_id)
                 wait_s = self._returning_wait_s(demand, now_s)
                 yield self._refuse_late(demand, wait_s, now_s)
--- a/jackdawfield/gateway/slots/service_pool.py
+++ b/jackdawfield/gateway/slots/service_pool.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from dataclasses import replace
 import logging
 
 from jackdawfield.decisions.gateway_pool import gateway_pool_settings
@@ -94,8 +93,7 @@
         self._domain_id = domain_id
         self._region_id = region_id
         self._servers = servers
-        settings = replace(gateway_pool_settings(), spill=spill)
-        self.pool = Pool(region_id, settings)
+        self.pool = Pool(region_id, gateway_pool_settings(spill))
         self._listed: tuple[BackendServer, ...] = ()
         self._requests_by_id: dict[str, OpenRequest] = {}
 
--- a/tests/test_pool_spilling.py
+++ b/tests/test_pool_spilling.py
@@ -3,9 +3,11 @@
 from dataclasses import replace
 import unittest
 
+from jackdawfield.decisions.gateway_pool import gateway_pool_settings
 from jackdawfield.decisions.gateway_spill import GATEWAY_SPILL
 from jackdawfield.decisions.pool import Pool
 from jackdawfield.decisions.pool_events import ContextEnded
+from jackdawfield.decisions.pool_events import Event
 from jackdawfield.decisions.pool_events import Finished
 from jackdawfield.decisions.pool_events import FirstToken
 from jackdawfield.decisions.pool_events import Grant
@@ -130,6 +132,38 @@
         self.assertIsInstance(action, Grant)
 
 
+class RescueTest(unittest.TestCase):
+    """Answers new programs that a full domain would refuse."""
+
+    def setUp(self) -> None:
+        self.pool = Pool(RegionId('r'), gateway_pool_settings())
+        self.pool.on(ServersChanged(0.0, (server('s', 1),)))
+        submit(self.pool, demand('a'))
+        one = replace(demand('b'), begins_program=True, deadline_s=2.0)
+        self.hurried = replace(one, finish_s=0.1)
+        self.patient = replace(one, finish_s=2.0)
+
+    def act(self, event: Event) -> object:
+        (action,) = self.pool.on(event)
+        return action
+
+    def test_call_that_would_be_refused_leaves(self) -> None:
+        dear = replace(FREE_ELSEWHERE, round_trip_s=0.18)
+        self.pool.on(dear)
+        action = self.act(RequestSubmitted(0.0, self.hurried))
+        self.assertIsInstance(action, Spill)
+
+    def test_call_is_refused_if_no_domain_is_free(self) -> None:
+        self.pool.on(replace(FREE_ELSEWHERE, open_slots=0))
+        action = self.act(RequestSubmitted(0.0, self.hurried))
+        self.assertIsInstance(action, Refuse)
+
+    def test_queued_call_leaves_before_it_is_refused(self) -> None:
+        self.pool.on(RequestSubmitted(0.0, self.patient))
+        self.pool.on(replace(FREE_ELSEWHERE, now_s=0.8, round_trip_s=0.7))
+        self.assertIsInstance(self.act(TimePassed(0.9)), Spill)
+
+
 class CallsOfOthersTest(unittest.TestCase):
     """Answers domains that fill the slots of their neighbour."""
 
