Hand slots in use over at a planned stop, and bear one late answer

Cause: a stopping owner's queued calls arrived at the next owner before the slots in use were known there, and it granted what was told to have moved; a single late answer made another member the owner.

--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -6,9 +6,11 @@
 """
 
 import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from contextlib import aclosing
 from dataclasses import dataclass
 from enum import Enum
 import itertools
@@ -62,11 +64,13 @@
 
     After NOT_SENT the peer has not received the request; after LOST that is
     unknown. After FAILED it has reported an error or sent no valid answer.
+    After SILENT an answer is overdue, and the peer may have the request.
     """
 
     NOT_SENT = 'not sent'
     LOST = 'lost'
     FAILED = 'failed'
+    SILENT = 'silent'
 
 
 @dataclass(frozen=True, slots=True)
@@ -161,7 +165,7 @@
 
     async def exchange(
         self, message: object, is_last: IsLast | None = None
-    ) -> AsyncIterator[Result[Any, PeerError]]:
+    ) -> AsyncGenerator[Result[Any, PeerError], None]:
         """Send a message and yield the peer's answers; an error ends them.
 
         The peer's end is not awaited after an answer for which `is_last` is
@@ -387,22 +391,23 @@
 
         `wait_s` returns for how long the next answer to the one given is
         waited for, None if that is the last; `timeout_s` is the time for the
-        first one. A timeout counts as LOST.
+        first one.
         """
         link = self._link(address)
         answers = link.exchange(message, lambda answer: wait_s(answer) is None)
         left_s: float | None = timeout_s
         try:
-            while left_s is not None:
-                async with asyncio.timeout(left_s):
-                    found = await anext(answers, NO_ANSWER)
-                if isinstance(found, Err):
-                    return found
-                left_s = wait_s(found.ok_value)
+            async with aclosing(answers):
+                while left_s is not None:
+                    async with asyncio.timeout(left_s):
+                        found = await anext(answers, NO_ANSWER)
+                    if isinstance(found, Err):
+                        return found
+                    left_s = wait_s(found.ok_value)
             return found
         except TimeoutError:
             await self._record_timeout(link)
-            return Err(PeerError(PeerFault.LOST, 'timeout'))
+            return Err(PeerError(PeerFault.SILENT, 'timeout'))
 
     async def notify(
         self, address: str, message: object, timeout_s: float
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -445,7 +445,7 @@
         self.detector.is_leaving = True
         self.rate_owner.hand_over_all()
         if self.slot_pooling is not None:
-            self.slot_pooling.owner.stop()
+            self._tasks.spawn(self.slot_pooling.stop())
         # A store that is slow or away must not delay what callers wait for.
         leaving = asyncio.create_task(self.seat_holder.leave())
         await drain(
--- a/jackdawfield/gateway/slots/client.py
+++ b/jackdawfield/gateway/slots/client.py
@@ -15,7 +15,10 @@
 from result import Ok
 from result import Result
 
+from jackdawfield.drivers.peers import PeerError
+from jackdawfield.drivers.peers import PeerFault
 from jackdawfield.drivers.peers import PeerLinks
+from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.http.pool import ConnectionPool
@@ -26,6 +29,7 @@
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.slots.changes import ChangeSender
 from jackdawfield.gateway.slots.demands import describe_call
+from jackdawfield.gateway.slots.demands import Home
 from jackdawfield.gateway.slots.held import HeldSlot
 from jackdawfield.gateway.slots.held import HeldSlots
 from jackdawfield.gateway.slots.owner import SlotOwner
@@ -42,9 +46,9 @@
 from jackdawfield.messages.fleet_slots import SlotEnd
 from jackdawfield.messages.fleet_slots import SlotGranted
 from jackdawfield.messages.fleet_slots import SlotNotOwned
+from jackdawfield.messages.fleet_slots import SlotOwnerStops
 from jackdawfield.messages.fleet_slots import SlotQueued
 from jackdawfield.model import DomainId
-from jackdawfield.model import InstanceId
 from jackdawfield.model import ServerId
 from jackdawfield.model import ServiceName
 
@@ -64,6 +68,7 @@
 
     NO_OWNER = 'no_owner'
     UNREACHED = 'unreached'
+    SILENT = 'silent'
     NOT_OWNED = 'not_owned'
     SERVER_UNKNOWN = 'server_unknown'
 
@@ -87,8 +92,7 @@
 
     def __init__(
         self,
-        domain_id: DomainId,
-        home_id: InstanceId,
+        home: Home,
         owner: SlotOwner,
         owners: OwnerChoice,
         links: PeerLinks,
@@ -96,8 +100,7 @@
         server_pool: ConnectionPool,
         metrics: GatewayMetrics,
     ) -> None:
-        self._domain_id = domain_id
-        self._home_id = home_id
+        self._home = home
         self._owner = owner
         self._owners = owners
         self._links = links
@@ -106,11 +109,13 @@
         self._server_pool = server_pool
         self._metrics = metrics
         self._numbers = itertools.count(1)
-        self.changes = ChangeSender(home_id, owner, owners, links)
+        self.changes = ChangeSender(home.home_id, owner, owners, links)
         self.held = HeldSlots(self.changes, self._new_grant_id)
         self._owners_by_pool: dict[
             tuple[DomainId, ServiceName], Owner | None
         ] = {}
+        # Members of the own failure domain to which there is a link.
+        self.linked: frozenset[Owner] = frozenset()
         self.asked_count = 0
         self.granted_count = 0
         self.queued_count = 0
@@ -119,8 +124,19 @@
         self._logged_at_s = float('-inf')
         self._unlogged_count = 0
 
+    def register(self, server: PeerServer) -> None:
+        """Register the handler of owners' messages."""
+        server.handle_notice(SlotOwnerStops, self.leave_owner)
+
+    def leave_owner(self, stops: SlotOwnerStops) -> None:
+        """Tell the slots in use to the next owner, as this one stops."""
+        owner = Owner(stops.address, stops.incarnation, is_own=False)
+        now_s = time.monotonic()
+        self._owners.avoid(owner, 'stopping', now_s, STOPPING_AVOID_S)
+        self.held.update_owners(self._choose_owner, now_s)
+
     def _new_grant_id(self) -> str:
-        return f'{self._home_id}.{next(self._numbers)}'
+        return f'{self._home.home_id}.{next(self._numbers)}'
 
     async def acquire(
         self, call: Call, criteria: ServerCriteria
@@ -141,7 +157,7 @@
     async def _acquire(
         self, call: Call, criteria: ServerCriteria
     ) -> Result[ServerState | Refusal, Fallback]:
-        service, domain_id = criteria.service, self._domain_id
+        service, domain_id = criteria.service, self._home.domain_id
         may_spill = True
         for _ in range(MAX_ASKS):
             owner = self._find_owner(domain_id, service)
@@ -203,7 +219,7 @@
             call,
             service,
             self._slot_queue.configuration,
-            self._home_id,
+            self._home,
             self._new_grant_id(),
         )
 
@@ -233,7 +249,7 @@
         self, owner: Owner, ask: AskSlot, domain_id: DomainId
     ) -> Result[SlotAnswer, Fallback]:
         self.asked_count += 1
-        is_near = domain_id == self._domain_id
+        is_near = domain_id == self._home.domain_id
         wait = _AnswerWait(
             ANSWER_TIMEOUT_S if is_near else OTHER_DOMAIN_TIMEOUT_S
         )
@@ -252,11 +268,18 @@
             if not is_answered:
                 self._withdraw(owner, ask)
         if isinstance(found, Err):
-            reason = found.err_value.reason
-            self._owners.avoid(owner, reason, time.monotonic())
-            return Err(Fallback.UNREACHED)
+            return Err(self._record_fault(owner, found.err_value))
+        self._owners.record_answer(owner)
         return found
 
+    def _record_fault(self, owner: Owner, error: PeerError) -> Fallback:
+        now_s = time.monotonic()
+        if error.fault is PeerFault.SILENT:
+            self._owners.record_silence(owner, now_s)
+            return Fallback.SILENT
+        self._owners.avoid(owner, error.reason, now_s)
+        return Fallback.UNREACHED
+
     async def _ask_here(
         self, ask: AskSlot, wait: _AnswerWait
     ) -> Result[SlotAnswer, Any]:
@@ -324,8 +347,18 @@
             await asyncio.sleep(RENEW_INTERVAL_S)
             self.held.update_owners(self._choose_owner, time.monotonic())
             self.held.renew()
+            self._open_links()
             self.changes.retry()
 
+    def _open_links(self) -> None:
+        """Have a link to each member that may become an owner here."""
+        domain_id = self._home.domain_id
+        serving = self._owners.serving(domain_id, time.monotonic())
+        for owner in serving:
+            if owner not in self.linked and not owner.is_own:
+                self.changes.renew(owner)
+        self.linked = frozenset(serving)
+
     def close(self) -> None:
         """Cancel the messages under way."""
         self.changes.close()
--- a/jackdawfield/gateway/slots/demands.py
+++ b/jackdawfield/gateway/slots/demands.py
@@ -1,5 +1,6 @@
 """Describe calls to the owner of slots, and demands to its pool."""
 
+from dataclasses import dataclass
 import time
 
 from jackdawfield.decisions.pool_events import RequestId
@@ -10,6 +11,7 @@
 from jackdawfield.gateway.servers.call_queue import priority_of
 from jackdawfield.messages.fleet_slots import AskSlot
 from jackdawfield.messages.fleet_slots import CallDemand
+from jackdawfield.model import DomainId
 from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
 from jackdawfield.model import ProgramId
@@ -19,11 +21,20 @@
 NO_ORGANISATION = OrganisationId('')
 
 
+@dataclass(frozen=True, slots=True)
+class Home:
+    """Identifies an instance that asks for slots, and one start of it."""
+
+    home_id: InstanceId
+    address: str
+    domain_id: DomainId
+
+
 def describe_call(
     call: Call,
     service: ServiceName,
     configuration: FleetConfiguration | None,
-    home_id: InstanceId,
+    home: Home,
     grant_id: str,
 ) -> CallDemand:
     """Return what the owner of slots has to know of a call.
@@ -37,7 +48,8 @@
         finish_left_s = route.target_latency_s
     return CallDemand(
         grant_id=grant_id,
-        home_id=home_id,
+        home_id=home.home_id,
+        home_address=home.address,
         service=service,
         request_id=call.request_id,
         organisation_id=call.organisation_id or NO_ORGANISATION,
--- a/jackdawfield/gateway/slots/owner.py
+++ b/jackdawfield/gateway/slots/owner.py
@@ -9,6 +9,7 @@
 import time
 
 from jackdawfield.decisions.pool_events import PeerReport
+from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.servers.choice import Servers
@@ -16,6 +17,7 @@
 from jackdawfield.messages.fleet_slots import AskSlot
 from jackdawfield.messages.fleet_slots import SlotChanges
 from jackdawfield.messages.fleet_slots import SlotNotOwned
+from jackdawfield.messages.fleet_slots import SlotOwnerStops
 from jackdawfield.messages.fleet_slots import SlotQueued
 from jackdawfield.model import InstanceId
 from jackdawfield.model import ServiceName
@@ -25,6 +27,10 @@
 QUEUED_INTERVAL_S = 0.2
 # A pool of which no slot was asked for so long is dropped.
 POOL_IDLE_S = 10.0
+# Longest time for telling the instances that use slots, and the time that
+# these have to tell the next owner.
+STOP_NOTICE_S = 0.05
+HANDOVER_S = 0.02
 STOPPING = SlotNotOwned('stopping', is_stopping=True)
 
 
@@ -72,7 +78,12 @@
                 pool.withdraw(ask.demand.grant_id, time.monotonic())
 
     def apply_changes(self, changes: SlotChanges) -> None:
-        """Apply what an instance tells of its slots."""
+        """Apply what an instance tells of its slots.
+
+        An owner that stops grants none of those that are told to the next.
+        """
+        if self.is_stopping:
+            return
         now_s = time.monotonic()
         for used in changes.used:
             self._pool_of(used.demand.service).adopt(used, now_s)
@@ -118,10 +129,24 @@
         if not self.pools_by_service:
             self._was_asked.clear()
 
-    def stop(self) -> None:
-        """Decide nothing any more; queued requests are to ask elsewhere."""
+    async def stop(self, links: PeerLinks, own: SlotOwnerStops) -> None:
+        """Decide nothing any more; queued requests are to ask elsewhere.
+
+        Instances that use slots are told before, so that the next owner knows
+        of these when the queued requests arrive there.
+        """
         self.is_stopping = True
-        for pool in self.pools_by_service.values():
+        pools = self.pools_by_service.values()
+        addresses = set().union(*(pool.home_addresses for pool in pools))
+        addresses.discard(own.address)
+        notices = [
+            asyncio.create_task(links.notify(address, own, STOP_NOTICE_S))
+            for address in addresses
+        ]
+        if notices:
+            await asyncio.wait(notices)
+        await asyncio.sleep(HANDOVER_S)
+        for pool in pools:
             pool.stop(STOPPING)
 
     def reports(
--- a/jackdawfield/gateway/slots/pooling.py
+++ b/jackdawfield/gateway/slots/pooling.py
@@ -10,8 +10,10 @@
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.slots.client import SlotClient
+from jackdawfield.gateway.slots.demands import Home
 from jackdawfield.gateway.slots.owner import SlotOwner
 from jackdawfield.gateway.slots.owner_choice import OwnerChoice
+from jackdawfield.messages.fleet_slots import SlotOwnerStops
 from jackdawfield.model import InstanceId
 
 
@@ -21,13 +23,22 @@
 
     owner: SlotOwner
     client: SlotClient
+    members: Members
+    links: PeerLinks
 
     def start(self, server: PeerServer, tasks: BackgroundTasks) -> None:
         """Take other instances' messages and start the periodic work."""
         self.owner.register(server)
+        self.client.register(server)
         tasks.supervise('slots', self.owner.run)
         tasks.supervise('slot renewals', self.client.run)
 
+    async def stop(self) -> None:
+        """Own slots no more, and have the next owner know those in use."""
+        members = self.members
+        own = SlotOwnerStops(members.own_address, members.incarnation)
+        await self.owner.stop(self.links, own)
+
 
 def build_pooling(
     members: Members,
@@ -44,8 +55,7 @@
     home_id = InstanceId(f'{settings.instance_id}.{members.incarnation}')
     owner = SlotOwner(settings, home_id, slot_queue.servers)
     client = SlotClient(
-        settings.domain_id,
-        home_id,
+        Home(home_id, members.own_address, settings.domain_id),
         owner,
         OwnerChoice(members),
         links,
@@ -53,4 +63,4 @@
         server_pool,
         metrics,
     )
-    return SlotPooling(owner, client)
+    return SlotPooling(owner, client, members, links)
--- a/jackdawfield/gateway/slots/service_pool.py
+++ b/jackdawfield/gateway/slots/service_pool.py
@@ -103,6 +103,15 @@
             for request in self._requests_by_id.values()
         )
 
+    @property
+    def home_addresses(self) -> set[str]:
+        """Return the addresses of the instances that use slots."""
+        return {
+            request.demand.home_address
+            for request in self._requests_by_id.values()
+            if request.server_id is not None
+        }
+
     @property
     def is_idle(self) -> bool:
         """Return whether nothing is queued and no slot is in use."""
--- a/jackdawfield/messages/fleet_slots.py
+++ b/jackdawfield/messages/fleet_slots.py
@@ -38,6 +38,7 @@
 
     grant_id: str
     home_id: InstanceId
+    home_address: str
     service: ServiceName
     # The id that the call has in the logs.
     request_id: str
@@ -164,4 +165,16 @@
     ended: tuple[EndedSlot, ...] = ()
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class SlotOwnerStops:
+    """Tells that an owner stops, to an instance whose slots it knows.
+
+    The instance tells them to the next owner. It has no answer.
+    """
+
+    address: str
+    incarnation: str
+
+
 SlotAnswer = SlotGranted | SlotDenied | SlotElsewhere | SlotNotOwned
--- a/tests/gateway/slots/builders.py
+++ b/tests/gateway/slots/builders.py
@@ -49,6 +49,7 @@
     return CallDemand(
         grant_id=grant_id,
         home_id=home_id,
+        home_address='home:1',
         service=SERVICE,
         request_id=f'request of {grant_id}',
         organisation_id=OrganisationId('org'),
