Give pools the call's own limit and finish only where known

Cause: a tool call without a finish counted as late at once, and plain calls were refused beyond a wait that only streams can't bear. Change: no finish where the caller names none; the longest wait of a plain call is what is left until its deadline.

--- a/jackdawfield/gateway/slots/client.py
+++ b/jackdawfield/gateway/slots/client.py
@@ -202,12 +202,13 @@
                 excluded_ids.append(entry.server_id)
             elif self._server_pool.has_idle(entry.host, entry.port):
                 connected_ids.append(entry.server_id)
-        waited_s = now_s - call.arrived_at_s
-        longest_wait_s = min(MAX_QUEUE_WAIT_S, call.deadline_s - now_s)
+        longest_wait_s = call.deadline_s - now_s
+        if criteria.needs_slot:
+            longest_wait_s = min(MAX_QUEUE_WAIT_S, longest_wait_s)
         return AskSlot(
             self._describe(call, criteria.service),
             max_wait_s=max(0.0, longest_wait_s),
-            waited_s=waited_s,
+            waited_s=now_s - call.arrived_at_s,
             may_spill=may_spill,
             preferred_id=criteria.preferred_id,
             connected_ids=tuple(connected_ids),
--- a/jackdawfield/gateway/slots/demands.py
+++ b/jackdawfield/gateway/slots/demands.py
@@ -37,15 +37,12 @@
     home: Home,
     grant_id: str,
 ) -> CallDemand:
-    """Return what the owner of slots has to know of a call.
-
-    A call without a time to finish by is to finish within its target latency.
-    """
+    """Return what the owner of slots has to know of a call."""
     headers, route = call.headers, call.route
     now_s = time.monotonic()
-    finish_left_s = headers.finish_left_s
-    if finish_left_s is None:
-        finish_left_s = route.target_latency_s
+    finish_in_s: float | None = None
+    if headers.finish_left_s is not None:
+        finish_in_s = call.arrived_at_s + headers.finish_left_s - now_s
     return CallDemand(
         grant_id=grant_id,
         home_id=home.home_id,
@@ -55,7 +52,7 @@
         organisation_id=call.organisation_id or NO_ORGANISATION,
         session=ProgramId(headers.session_id or call.request_id),
         priority=priority_of(call, configuration),
-        finish_in_s=call.arrived_at_s + finish_left_s - now_s,
+        finish_in_s=finish_in_s,
         ends_in_s=call.deadline_s - now_s,
         begins_program=call.begins_program,
         prompt_tokens=headers.prompt_tokens,
@@ -69,6 +66,9 @@
     demand: CallDemand, now_s: float, ask: AskSlot | None = None
 ) -> SlotDemand:
     """Return a call's demand to a pool; without `ask` it has its slot."""
+    finish_s: float | None = None
+    if demand.finish_in_s is not None:
+        finish_s = now_s + demand.finish_in_s
     tokens = demand.prompt_tokens + demand.max_tokens
     return SlotDemand(
         request_id=RequestId(demand.grant_id),
@@ -83,7 +83,7 @@
         may_spill=ask is not None and ask.may_spill,
         avoided_server_ids=frozenset(ask.excluded_ids if ask else ()),
         priority=demand.priority,
-        finish_s=now_s + demand.finish_in_s,
+        finish_s=finish_s,
         begins_program=demand.begins_program,
         preferred_server_id=ask.preferred_id if ask else None,
         connected_server_ids=frozenset(ask.connected_ids if ask else ()),
--- a/jackdawfield/messages/fleet_slots.py
+++ b/jackdawfield/messages/fleet_slots.py
@@ -45,7 +45,7 @@
     organisation_id: OrganisationId
     session: ProgramId
     priority: int
-    finish_in_s: float
+    finish_in_s: float | None
     ends_in_s: float
     begins_program: bool
     prompt_tokens: int
