--- a/jackdawfield/decisions/gateway_spill.py
+++ b/jackdawfield/decisions/gateway_spill.py
@@ -20,6 +20,7 @@
     return_pause_s=0.25,
     expects_past_wait=True,
     follows_contexts=True,
+    compares_speed=False,
     domain_price=DOMAIN_PRICE,
     region_price=REGION_PRICE,
 )
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -235,22 +235,8 @@
         if choice is None:
             return self._peers.choose_fallback(demand, now_s)
         window = self._in_flight.window(choice.server_id)
-        prefill_token_s = window.prefill_token_s
-        prefill_s = choice.prefill_tokens * prefill_token_s
-        full_prefill_s = demand.prompt_tokens * prefill_token_s
-        backlog_s = window.unstarted_prefill_tokens * prefill_token_s
-        decode_s = demand.output_tokens * window.token_s
-        moved = self._peers.moved_contexts.find(demand)
-        moved_tokens = 0 if moved is None else moved.tokens
-        own = OwnFinish(
-            wait_s,
-            wait_s + backlog_s + decode_s,
-            reread_s=full_prefill_s - prefill_s,
-            moved_prefill_s=(
-                min(moved_tokens, demand.prompt_tokens) * prefill_token_s
-            ),
-            token_s=window.token_s,
-            output_tokens=demand.output_tokens,
+        own = self._peers.expected_finish(
+            demand, wait_s, choice.prefill_tokens, window
         )
         spill = self._peers.choose_faster(demand, own, now_s)
         if spill is not None or not wait_s:
--- a/jackdawfield/decisions/spill_settings.py
+++ b/jackdawfield/decisions/spill_settings.py
@@ -38,7 +38,8 @@
     `expects_past_wait`, a queued request is expected to wait at least as long
     again as it has waited. With `follows_contexts`, later requests of a
     program go to the domain to which its context has moved, as long as that
-    pays.
+    pays. Without `compares_speed`, the servers of all domains are taken as
+    equally fast.
     """
 
     margin_s: float = 1.0
@@ -52,6 +53,7 @@
     return_pause_s: float = 0.0
     expects_past_wait: bool = False
     follows_contexts: bool = False
+    compares_speed: bool = True
     domain_price: CrossingPrice = field(default_factory=CrossingPrice)
     region_price: CrossingPrice = field(
         default_factory=lambda: CrossingPrice(call_s=inf)
--- a/jackdawfield/decisions/spilling.py
+++ b/jackdawfield/decisions/spilling.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from dataclasses import replace
 from math import inf
 
 from jackdawfield.decisions.link_load import LinkLoad
@@ -14,6 +15,7 @@
 from jackdawfield.decisions.pool_events import SpillObstacle
 from jackdawfield.decisions.pool_events import SpillReason
 from jackdawfield.decisions.spill_settings import SpillSettings
+from jackdawfield.decisions.windows import ServerWindow
 from jackdawfield.model import DomainId
 from jackdawfield.model import RegionId
 
@@ -98,6 +100,40 @@
         links = self._links_by_region.values()
         return sum(link.backlog_bytes(now_s) for link in links)
 
+    def expected_finish(
+        self,
+        demand: SlotDemand,
+        wait_s: float,
+        prefill_tokens: int,
+        window: ServerWindow,
+    ) -> OwnFinish:
+        """Return what a request would take on a server of the own domain.
+
+        `prefill_tokens` are those that the server does not have cached.
+        """
+        cached_tokens = demand.prompt_tokens - prefill_tokens
+        moved = self.moved_contexts.find(demand)
+        moved_tokens = 0 if moved is None else moved.tokens
+        own = OwnFinish(
+            wait_s,
+            wait_s,
+            reread_s=cached_tokens * window.prefill_token_s,
+            moved_prefill_s=(
+                min(moved_tokens, demand.prompt_tokens)
+                * window.prefill_token_s
+            ),
+        )
+        if not self._settings.compares_speed:
+            return own
+        backlog_s = window.unstarted_prefill_tokens * window.prefill_token_s
+        decode_s = demand.output_tokens * window.token_s
+        return replace(
+            own,
+            total_s=wait_s + backlog_s + decode_s,
+            token_s=window.token_s,
+            output_tokens=demand.output_tokens,
+        )
+
     def choose_faster(
         self, demand: SlotDemand, own: OwnFinish, now_s: float
     ) -> Spill | None:
--- a/jackdawfield/gateway/slots/client.py
+++ b/jackdawfield/gateway/slots/client.py
@@ -15,7 +15,10 @@
 from result import Ok
 from result import Result
 
+from jackdawfield.drivers.peers import PeerError
+from jackdawfield.drivers.peers import PeerFault
 from jackdawfield.drivers.peers import PeerLinks
+from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.calls import Call
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.http.pool import ConnectionPool
@@ -28,6 +31,7 @@
 from jackdawfield.gateway.slots.changes import ChangeSender
 from jackdawfield.gateway.slots.demands import describe_call
 from jackdawfield.gateway.slots.demands import estimate_bytes
+from jackdawfield.gateway.slots.demands import Home
 from jackdawfield.gateway.slots.held import HeldSlot
 from jackdawfield.gateway.slots.held import HeldSlots
 from jackdawfield.gateway.slots.owner import SlotOwner
@@ -44,9 +48,9 @@
 from jackdawfield.messages.fleet_slots import SlotEnd
 from jackdawfield.messages.fleet_slots import SlotGranted
 from jackdawfield.messages.fleet_slots import SlotNotOwned
+from jackdawfield.messages.fleet_slots import SlotOwnerStops
 from jackdawfield.messages.fleet_slots import SlotQueued
 from jackdawfield.model import DomainId
-from jackdawfield.model import InstanceId
 from jackdawfield.model import ServerId
 from jackdawfield.model import ServiceName
 
@@ -66,6 +70,7 @@
 
     NO_OWNER = 'no_owner'
     UNREACHED = 'unreached'
+    SILENT = 'silent'
     NOT_OWNED = 'not_owned'
     SERVER_UNKNOWN = 'server_unknown'
 
@@ -93,8 +98,7 @@
 
     def __init__(
         self,
-        domain_id: DomainId,
-        home_id: InstanceId,
+        home: Home,
         owner: SlotOwner,
         owners: OwnerChoice,
         links: PeerLinks,
@@ -102,8 +106,7 @@
         server_pool: ConnectionPool,
         metrics: GatewayMetrics,
     ) -> None:
-        self._domain_id = domain_id
-        self._home_id = home_id
+        self._home = home
         self._owner = owner
         self._owners = owners
         self._links = links
@@ -112,11 +115,13 @@
         self._server_pool = server_pool
         self._metrics = metrics
         self._numbers = itertools.count(1)
-        self.changes = ChangeSender(home_id, owner, owners, links)
+        self.changes = ChangeSender(home.home_id, owner, owners, links)
         self.held = HeldSlots(self.changes, self._new_grant_id)
         self._owners_by_pool: dict[
             tuple[DomainId, ServiceName], Owner | None
         ] = {}
+        # Members of the own failure domain to which there is a link.
+        self.linked: frozenset[Owner] = frozenset()
         self.asked_count = 0
         self.granted_count = 0
         self.queued_count = 0
@@ -125,8 +130,19 @@
         self._logged_at_s = float('-inf')
         self._unlogged_count = 0
 
+    def register(self, server: PeerServer) -> None:
+        """Register the handler of owners' messages."""
+        server.handle_notice(SlotOwnerStops, self.leave_owner)
+
+    def leave_owner(self, stops: SlotOwnerStops) -> None:
+        """Tell the slots in use to the next owner, as this one stops."""
+        owner = Owner(stops.address, stops.incarnation, is_own=False)
+        now_s = time.monotonic()
+        self._owners.avoid(owner, 'stopping', now_s, STOPPING_AVOID_S)
+        self.held.update_owners(self._choose_owner, now_s)
+
     def _new_grant_id(self) -> str:
-        return f'{self._home_id}.{next(self._numbers)}'
+        return f'{self._home.home_id}.{next(self._numbers)}'
 
     async def acquire(
         self, call: Call, criteria: ServerCriteria
@@ -147,7 +163,7 @@
     async def _acquire(
         self, call: Call, criteria: ServerCriteria
     ) -> Result[ServerState | Refusal, Fallback]:
-        service, own_id = criteria.service, self._domain_id
+        service, own_id = criteria.service, self._home.domain_id
         target = AskTarget(own_id)
         for _ in range(MAX_ASKS):
             owner = self._find_owner(target.domain_id, service)
@@ -197,12 +213,13 @@
                 excluded_ids.append(entry.server_id)
             elif self._server_pool.has_idle(entry.host, entry.port):
                 connected_ids.append(entry.server_id)
-        waited_s = now_s - call.arrived_at_s
-        longest_wait_s = min(MAX_QUEUE_WAIT_S, call.deadline_s - now_s)
+        longest_wait_s = call.deadline_s - now_s
+        if criteria.needs_slot:
+            longest_wait_s = min(MAX_QUEUE_WAIT_S, longest_wait_s)
         return AskSlot(
             self._describe(call, service),
             max_wait_s=max(0.0, longest_wait_s),
-            waited_s=waited_s,
+            waited_s=now_s - call.arrived_at_s,
             may_spill=target.may_spill,
             preferred_id=criteria.preferred_id,
             connected_ids=tuple(connected_ids),
@@ -230,7 +247,7 @@
             call,
             service,
             self._slot_queue.configuration,
-            self._home_id,
+            self._home,
             self._new_grant_id(),
         )
 
@@ -260,7 +277,7 @@
         self, owner: Owner, ask: AskSlot, domain_id: DomainId
     ) -> Result[SlotAnswer, Fallback]:
         self.asked_count += 1
-        is_near = domain_id == self._domain_id
+        is_near = domain_id == self._home.domain_id
         wait = _AnswerWait(
             ANSWER_TIMEOUT_S if is_near else OTHER_DOMAIN_TIMEOUT_S,
             ends_queued=ask.needs_open_slot,
@@ -282,11 +299,18 @@
             if not is_answered:
                 self._withdraw(owner, ask)
         if isinstance(found, Err):
-            reason = found.err_value.reason
-            self._owners.avoid(owner, reason, time.monotonic())
-            return Err(Fallback.UNREACHED)
+            return Err(self._record_fault(owner, found.err_value))
+        self._owners.record_answer(owner)
         return found
 
+    def _record_fault(self, owner: Owner, error: PeerError) -> Fallback:
+        now_s = time.monotonic()
+        if error.fault is PeerFault.SILENT:
+            self._owners.record_silence(owner, now_s)
+            return Fallback.SILENT
+        self._owners.avoid(owner, error.reason, now_s)
+        return Fallback.UNREACHED
+
     async def _ask_here(
         self, ask: AskSlot, wait: _AnswerWait
     ) -> Result[SlotAnswer, Any]:
@@ -354,8 +378,18 @@
             await asyncio.sleep(RENEW_INTERVAL_S)
             self.held.update_owners(self._choose_owner, time.monotonic())
             self.held.renew()
+            self._open_links()
             self.changes.retry()
 
+    def _open_links(self) -> None:
+        """Have a link to each member that may become an owner here."""
+        domain_id = self._home.domain_id
+        serving = self._owners.serving(domain_id, time.monotonic())
+        for owner in serving:
+            if owner not in self.linked and not owner.is_own:
+                self.changes.renew(owner)
+        self.linked = frozenset(serving)
+
     def close(self) -> None:
         """Cancel the messages under way."""
         self.changes.close()
--- a/jackdawfield/gateway/slots/demands.py
+++ b/jackdawfield/gateway/slots/demands.py
@@ -1,5 +1,6 @@
 """Describe calls to the owner of slots, and demands to its pool."""
 
+from dataclasses import dataclass
 import time
 
 from jackdawfield.decisions.pool_events import RequestId
@@ -10,6 +11,7 @@
 from jackdawfield.gateway.servers.call_queue import priority_of
 from jackdawfield.messages.fleet_slots import AskSlot
 from jackdawfield.messages.fleet_slots import CallDemand
+from jackdawfield.model import DomainId
 from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
 from jackdawfield.model import ProgramId
@@ -22,31 +24,38 @@
 BYTES_PER_TOKEN = 4
 
 
+@dataclass(frozen=True, slots=True)
+class Home:
+    """Identifies an instance that asks for slots, and one start of it."""
+
+    home_id: InstanceId
+    address: str
+    domain_id: DomainId
+
+
 def describe_call(
     call: Call,
     service: ServiceName,
     configuration: FleetConfiguration | None,
-    home_id: InstanceId,
+    home: Home,
     grant_id: str,
 ) -> CallDemand:
-    """Return what the owner of slots has to know of a call.
-
-    A call without a time to finish by is to finish within its target latency.
-    """
+    """Return what the owner of slots has to know of a call."""
     headers, route = call.headers, call.route
     now_s = time.monotonic()
-    finish_left_s = headers.finish_left_s
-    if finish_left_s is None:
-        finish_left_s = route.target_latency_s
+    finish_in_s: float | None = None
+    if headers.finish_left_s is not None:
+        finish_in_s = call.arrived_at_s + headers.finish_left_s - now_s
     return CallDemand(
         grant_id=grant_id,
-        home_id=home_id,
+        home_id=home.home_id,
+        home_address=home.address,
         service=service,
         request_id=call.request_id,
         organisation_id=call.organisation_id or NO_ORGANISATION,
         session=ProgramId(headers.session_id or call.request_id),
         priority=priority_of(call, configuration),
-        finish_in_s=call.arrived_at_s + finish_left_s - now_s,
+        finish_in_s=finish_in_s,
         ends_in_s=call.deadline_s - now_s,
         begins_program=call.begins_program,
         prompt_tokens=headers.prompt_tokens,
@@ -69,6 +78,9 @@
     demand: CallDemand, now_s: float, ask: AskSlot | None = None
 ) -> SlotDemand:
     """Return a call's demand to a pool; without `ask` it has its slot."""
+    finish_s: float | None = None
+    if demand.finish_in_s is not None:
+        finish_s = now_s + demand.finish_in_s
     tokens = demand.prompt_tokens + demand.max_tokens
     return SlotDemand(
         request_id=RequestId(demand.grant_id),
@@ -83,7 +95,7 @@
         may_spill=ask is not None and ask.may_spill,
         avoided_server_ids=frozenset(ask.excluded_ids if ask else ()),
         priority=demand.priority,
-        finish_s=now_s + demand.finish_in_s,
+        finish_s=finish_s,
         begins_program=demand.begins_program,
         preferred_server_id=ask.preferred_id if ask else None,
         connected_server_ids=frozenset(ask.connected_ids if ask else ()),
--- a/jackdawfield/gateway/slots/pooling.py
+++ b/jackdawfield/gateway/slots/pooling.py
@@ -10,9 +10,11 @@
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.slots.client import SlotClient
+from jackdawfield.gateway.slots.demands import Home
 from jackdawfield.gateway.slots.domain_reports import DomainReports
 from jackdawfield.gateway.slots.owner import SlotOwner
 from jackdawfield.gateway.slots.owner_choice import OwnerChoice
+from jackdawfield.messages.fleet_slots import SlotOwnerStops
 from jackdawfield.model import InstanceId
 
 
@@ -23,15 +25,24 @@
     owner: SlotOwner
     client: SlotClient
     reports: DomainReports
+    members: Members
+    links: PeerLinks
 
     def start(self, server: PeerServer, tasks: BackgroundTasks) -> None:
         """Take other instances' messages and start the periodic work."""
         self.owner.register(server)
         self.reports.register(server)
+        self.client.register(server)
         tasks.supervise('slots', self.owner.run)
         tasks.supervise('domain reports', self.reports.run)
         tasks.supervise('slot renewals', self.client.run)
 
+    async def stop(self) -> None:
+        """Own slots no more, and have the next owner know those in use."""
+        members = self.members
+        own = SlotOwnerStops(members.own_address, members.incarnation)
+        await self.owner.stop(self.links, own)
+
     def close(self) -> None:
         """Cancel the messages under way."""
         self.client.close()
@@ -54,8 +65,7 @@
     owner = SlotOwner(settings, home_id, slot_queue.servers, settings.spill)
     owners = OwnerChoice(members)
     client = SlotClient(
-        settings.domain_id,
-        home_id,
+        Home(home_id, members.own_address, settings.domain_id),
         owner,
         owners,
         links,
@@ -66,4 +76,4 @@
     reports = DomainReports(
         settings, members.incarnation, owner, owners, links
     )
-    return SlotPooling(owner, client, reports)
+    return SlotPooling(owner, client, reports, members, links)
