Refuse nothing while it is unknown when servers take calls

A spilled program counted as one that was not begun here. Change: only avoidance and ejection, whose ends are known, count as an outage; turns take the time that all listed slots give; a first token reported with the grant tells nothing of the start; programs are counted once they stay.

--- a/jackdawfield/decisions/early_refusal.py
+++ b/jackdawfield/decisions/early_refusal.py
@@ -4,7 +4,6 @@
 """
 
 from dataclasses import dataclass
-from math import inf
 
 from jackdawfield.decisions.pool_events import RefusalReason
 from jackdawfield.decisions.pool_events import SlotDemand
@@ -20,8 +19,8 @@
     A new program is refused if its first wait takes more than the fraction
     `first_wait_fraction` of the time until its finish; zero sets no limit.
     With `counts_call`, a request that has to wait needs time for a mean call
-    as well; with `counts_outage`, it is refused if no server takes calls
-    again in time. Returns are from `min_retry_after_s` to `max_retry_after_s`
+    as well; with `counts_outage`, it is refused if all servers are avoided
+    for too long. Returns are from `min_retry_after_s` to `max_retry_after_s`
     away, and with `spaces_returns` not at the same time.
     """
 
@@ -59,8 +58,6 @@
     settings: RefusalSettings,
 ) -> RefusalReason:
     """Return why a request that would start too late is refused."""
-    if start_s == inf:
-        return RefusalReason.NO_SERVER
     if start_s + settings.counts_call * call_s >= demand.deadline_s:
         return RefusalReason.DEADLINE
     return RefusalReason.PROGRAM_LATE
--- a/jackdawfield/decisions/inflight.py
+++ b/jackdawfield/decisions/inflight.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterator
 from collections.abc import Set
 from dataclasses import dataclass
-from math import inf
 
 from jackdawfield.decisions.caches import PrefixCaches
 from jackdawfield.decisions.pool_events import Failed
@@ -46,6 +45,16 @@
     is_adopted: bool = False
     first_token_at_s: float | None = None
 
+    @property
+    def start_at_s(self) -> float | None:
+        """Return when it started, None if unknown.
+
+        A first token that is reported with the grant tells nothing.
+        """
+        if self.first_token_at_s == self.granted_at_s:
+            return None
+        return self.first_token_at_s
+
 
 class InFlight:
     """Counts granted calls and estimates the speed and health of servers."""
@@ -170,8 +179,8 @@
         if call is None or call.first_token_at_s is not None:
             return
         call.first_token_at_s = now_s
-        self._start_times.remove(call.server_id, request_id)
-        self._record_start(call, now_s)
+        if call.start_at_s is not None:
+            self._record_start(call, now_s)
         window = self._windows_by_id.get(call.server_id)
         if window is not None:
             window.record_first_token(now_s, call.prefill_tokens)
@@ -179,7 +188,7 @@
     def record_finish(self, event: Finished, call: GrantedCall) -> float:
         """Update estimates from a finished call; return tokens not charged."""
         now_s = event.now_s
-        if call.first_token_at_s is None:
+        if call.start_at_s is None:
             self._record_start(call, now_s)
         if not call.is_adopted:
             call_s = now_s - call.granted_at_s
@@ -304,13 +313,15 @@
         return [window for window in windows if window.is_usable(now_s)]
 
     def opens_in_s(self, now_s: float) -> float:
-        """Return the seconds until a server is usable, infinite if none."""
+        """Return the seconds until a server is usable, zero if unknown.
+
+        A server that accepts no work may accept some at any time.
+        """
         waits_s = (
-            window.usable_at_s - now_s
+            window.usable_at_s - now_s if window.accepts_work else 0.0
             for window in self._windows_by_id.values()
-            if window.accepts_work
         )
-        return max(0.0, min(waits_s, default=inf))
+        return max(0.0, min(waits_s, default=0.0))
 
     def total_slots(self) -> int:
         """Return the number of slots of all servers of the pool."""
@@ -342,6 +353,7 @@
         return prefill_tokens * weight + output_tokens
 
     def _record_start(self, call: GrantedCall, now_s: float) -> None:
+        self._start_times.remove(call.server_id, call.demand.request_id)
         if call.is_adopted or call.server_id not in self._windows_by_id:
             return
         start_s = now_s - call.granted_at_s
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -166,12 +166,12 @@
         self._renewed_at_s_by_home[demand.home_id] = now_s
         if self._is_tracked(demand.request_id):
             return ()
-        self._queue.record_submitted(demand, now_s)
         wait_s = self._expected_wait_s(demand, now_s)
         domain_id = self._choose_spill_domain(demand, wait_s, now_s)
         if domain_id is not None:
             self._peers.record_spill(domain_id)
             return (Spill(demand.request_id, domain_id),)
+        self._queue.record_submitted(demand, now_s)
         refusal = self._refuse_early(demand, wait_s, now_s)
         if refusal is not None:
             return (refusal,)
@@ -404,11 +404,14 @@
         if not len(self._queue) and self._in_flight.has_open_slot(now_s):
             return 0.0
         turns = self._queue.count_turns_before(demand, self._supply(now_s))
-        outage_s = self._outage_s(now_s)
-        if outage_s:
+        return self._outage_s(now_s) + (1 + turns) * self._turn_s(now_s)
+
+    def _turn_s(self, now_s: float) -> float:
+        is_outage = not self._in_flight.usable_limit(now_s)
+        if is_outage and self._settings.refusal.counts_outage:
             slots = max(1, self._in_flight.total_slots())
-            return outage_s + turns * self._in_flight.mean_call_s / slots
-        return (1 + turns) * self._in_flight.mean_slot_wait_s(now_s)
+            return self._in_flight.mean_call_s / slots
+        return self._in_flight.mean_slot_wait_s(now_s)
 
     def _outage_s(self, now_s: float) -> float:
         if not self._settings.refusal.counts_outage:
