--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -315,17 +315,25 @@
                 if reserved_id is not None:
                     reserved_ids.add(reserved_id)
                 continue
-            server_id = choice.server_id
-            call = self._in_flight.grant(demand, server_id, now_s)
-            if call is not None:
-                self._charge_grant(call, now_s)
-                self._queue.record_grant(queued)
-                self._returns.record_grant(demand.begins_program)
-                actions.append(Grant(demand.request_id, server_id))
+            grant = self._grant(queued, choice.server_id, now_s)
+            if grant is not None:
+                actions.append(grant)
         for queued in skipped:
             self._queue.restore(queued)
         return tuple(actions)
 
+    def _grant(
+        self, queued: QueuedRequest, server_id: ServerId, now_s: float
+    ) -> Grant | None:
+        demand = queued.demand
+        call = self._in_flight.grant(demand, server_id, now_s)
+        if call is None:
+            return None
+        self._charge_grant(call, now_s)
+        self._queue.record_grant(queued)
+        self._returns.record_grant(demand.begins_program)
+        return Grant(demand.request_id, server_id)
+
     def _time_passed(self, now_s: float) -> tuple[Action, ...]:
         expired = tuple(self._expire_homes(now_s))
         recalled = tuple(self._recall_stalled(now_s))
--- a/tests/pool_load.py
+++ b/tests/pool_load.py
@@ -43,6 +43,7 @@
     time_s: float = 1.0
     organisation: str = 'o'
     priority: int = 0
+    weight: float = 1.0
 
     def demand(self, number: int, now_s: float) -> SlotDemand:
         """Return the demand of a call of the program."""
@@ -54,6 +55,7 @@
             prompt_tokens=0,
             output_tokens=0,
             deadline_s=now_s + LIMIT_S,
+            weight=self.weight,
             priority=self.priority,
             finish_s=self.arrives_s + self.time_s,
             begins_program=number == 0,
--- a/tests/test_finish_queue.py
+++ b/tests/test_finish_queue.py
@@ -156,6 +156,19 @@
         others = [p for p in programs if p.organisation != 'a']
         self.assertEqual(len(others), run.in_time(others))
 
+    def test_scarce_slots_are_shared_by_weight(self) -> None:
+        heavy = Program('', 0.0, organisation='a', weight=3.0)
+        light = Program('', 0.0, organisation='b', weight=1.0)
+        programs = [
+            replace(one, name=f'{one.organisation}{n}', arrives_s=n * 0.01)
+            for n in range(400)
+            for one in (heavy, light)
+        ]
+        run = played(GATEWAY, programs, slots=8)
+        served = [p for p in programs if p.name in run.ended_s_by_name]
+        light_count = sum(p.organisation == 'b' for p in served)
+        self.assertAlmostEqual(len(served) / 4, light_count, delta=20)
+
     def test_flood_takes_the_slots_that_nobody_else_needs(self) -> None:
         flood = [
             Program(f'a{n}', 0.0, organisation='a', time_s=3.0)
