--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -202,14 +202,13 @@
             reason = RefusalReason.NO_OPEN_SLOT
             return (Refuse(demand.request_id, reason, 0.0),)
         self._peers.record_submitted(demand, now_s)
-        if demand.returned_by is None:
-            self._queue.record_submitted(demand, now_s)
         wait_s = self._expected_wait_s(demand, now_s)
         spill = self._choose_spill(demand, wait_s, now_s)
         if spill is not None:
             self._peers.record_spill(demand, spill, now_s)
             return (spill,)
         self._peers.moved_contexts.remove(demand.context_id)
+        self._queue.record_submitted(demand, now_s)
         refusal = self._refuse_early(demand, wait_s, now_s)
         if refusal is not None:
             return (refusal,)
@@ -353,17 +352,25 @@
                 if reserved_id is not None:
                     reserved_ids.add(reserved_id)
                 continue
-            server_id = choice.server_id
-            call = self._in_flight.grant(demand, server_id, now_s)
-            if call is not None:
-                self._charge_grant(call, now_s)
-                self._queue.record_grant(queued)
-                self._returns.record_grant(demand.begins_program)
-                actions.append(Grant(demand.request_id, server_id))
+            grant = self._grant(queued, choice.server_id, now_s)
+            if grant is not None:
+                actions.append(grant)
         for queued in skipped:
             self._queue.restore(queued)
         return tuple(actions)
 
+    def _grant(
+        self, queued: QueuedRequest, server_id: ServerId, now_s: float
+    ) -> Grant | None:
+        demand = queued.demand
+        call = self._in_flight.grant(demand, server_id, now_s)
+        if call is None:
+            return None
+        self._charge_grant(call, now_s)
+        self._queue.record_grant(queued)
+        self._returns.record_grant(demand.begins_program)
+        return Grant(demand.request_id, server_id)
+
     def _time_passed(self, now_s: float) -> tuple[Action, ...]:
         expired = tuple(self._expire_homes(now_s))
         recalled = tuple(self._recall_stalled(now_s))
@@ -447,11 +454,14 @@
         if not len(self._queue) and self._in_flight.has_open_slot(now_s):
             return 0.0
         turns = self._queue.count_turns_before(demand, self._supply(now_s))
-        outage_s = self._outage_s(now_s)
-        if outage_s:
+        return self._outage_s(now_s) + (1 + turns) * self._turn_s(now_s)
+
+    def _turn_s(self, now_s: float) -> float:
+        is_outage = not self._in_flight.usable_limit(now_s)
+        if is_outage and self._settings.refusal.counts_outage:
             slots = max(1, self._in_flight.total_slots())
-            return outage_s + turns * self._in_flight.mean_call_s / slots
-        return (1 + turns) * self._in_flight.mean_slot_wait_s(now_s)
+            return self._in_flight.mean_call_s / slots
+        return self._in_flight.mean_slot_wait_s(now_s)
 
     def _outage_s(self, now_s: float) -> float:
         if not self._settings.refusal.counts_outage:
--- a/jackdawfield/gateway/slots/crossings.py
+++ b/jackdawfield/gateway/slots/crossings.py
@@ -15,6 +15,8 @@
 
 LOG = logging.getLogger(__name__)
 MS_PER_S = 1000
+# A gain over a wait without a known end is logged as this one.
+MAX_GAIN_S = 60.0
 # Calls of a service to a domain have ended after this long without one.
 ENDED_AFTER_S = 2.0
 
@@ -72,7 +74,7 @@
                 service=service,
                 domain=domain_id,
                 reason=spill.reason.value,
-                gain_ms=round(spill.gain_s * MS_PER_S),
+                gain_ms=round(min(spill.gain_s, MAX_GAIN_S) * MS_PER_S),
             )
         run.last_at_s = now_s
         run.calls += 1
--- a/tests/gateway/slots/test_crossings.py
+++ b/tests/gateway/slots/test_crossings.py
@@ -1,3 +1,4 @@
+from math import inf
 import unittest
 
 from jackdawfield.decisions.pool_events import RequestId
@@ -38,6 +39,12 @@
         self.assertIn('spill_ended', ended)
         self.assertIn('reason="no gain" calls=300 bytes=210000', ended)
 
+    def test_gain_over_an_endless_wait_is_logged(self) -> None:
+        spill = Spill(RequestId('a'), NEAR, gain_s=inf)
+        with self.assertLogs(level='INFO') as logs:
+            self.crossings.record_spill(CHAT, spill, 700, 0.0)
+        self.assertIn('gain_ms=60000', logs.output[0])
+
     def test_calls_are_counted_by_domain_and_reason(self) -> None:
         self.spill(0.0)
         self.spill(0.0)
