Check a gateway's configuration before it is sent

Cause: operators saw errors, entries that never match and limits that contradict each other only once instances had read them. It doesn't know servers, so rates against slots aren't checked.

--- a/jackdawfield/cmdline.py
+++ b/jackdawfield/cmdline.py
@@ -19,6 +19,7 @@
 
 COMMANDS_BY_NAME = {
     'check': 'local:Check',
+    'configuration check': 'configuration:CheckConfiguration',
     'effects list': 'fleet:Effects',
     'effects settle': 'fleet:SettleEffect',
     'explain': 'explain:Explain',
--- a/jackdawfield/platform/configuration.py
+++ b/jackdawfield/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decode the operators' configuration and the rows of backend servers."""
 
+from collections.abc import Iterator
 import re
 from typing import Annotated
 
@@ -119,6 +120,32 @@
         return Err(RowDecodeError(f'configuration: {error}'))
 
 
+def find_repeated(data: bytes) -> tuple[tuple[str, str], ...]:
+    """Return the entries listed twice in a valid configuration, and how."""
+    wire = msgspec.json.decode(data, type=_Configuration)
+    return (
+        *_repeated('service', [service.name for service in wire.services]),
+        *_repeated('organisation', [tenant.name for tenant in wire.tenants]),
+        *_shared_keys(wire.tenants),
+    )
+
+
+def _repeated(kind: str, names: list[str]) -> Iterator[tuple[str, str]]:
+    for name in sorted(set(names)):
+        if names.count(name) > 1:
+            yield f'{kind} {name}', 'is listed twice'
+
+
+def _shared_keys(tenants: list[_Tenant]) -> Iterator[tuple[str, str]]:
+    names_by_key: dict[str, str] = {}
+    for tenant in tenants:
+        for key in tenant.api_keys:
+            first = names_by_key.setdefault(key, tenant.name)
+            if first != tenant.name:
+                text = f'has a key of organisation {first}'
+                yield f'organisation {tenant.name}', text
+
+
 def _build_configuration(wire: _Configuration) -> FleetConfiguration:
     routes_by_host: dict[str, list[CallRoute]] = {}
     for route in wire.routes:
