--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -28,6 +28,7 @@
 from jackdawfield.drivers.peer_frames import encode_frame
 from jackdawfield.drivers.peer_frames import Frame
 from jackdawfield.drivers.peer_frames import FrameKind
+from jackdawfield.drivers.peer_frames import NO_EXCHANGE
 from jackdawfield.drivers.peer_frames import NOT_TAKEN
 from jackdawfield.drivers.peer_frames import not_taken_frame
 from jackdawfield.drivers.peer_frames import STOPPING_EXCHANGE
@@ -164,13 +165,9 @@
         return None
 
     async def exchange(
-        self, message: object, is_last: IsLast | None = None
+        self, message: object
     ) -> AsyncGenerator[Result[Any, PeerError], None]:
-        """Send a message and yield the peer's answers; an error ends them.
-
-        The peer's end is not awaited after an answer for which `is_last` is
-        true.
-        """
+        """Send a message and yield the peer's answers; an error ends them."""
         reason = self._unusable_reason()
         if reason is not None:
             yield Err(PeerError(PeerFault.NOT_SENT, reason))
@@ -187,8 +184,6 @@
                 frame = await queue.get()
                 has_ended = frame.kind is not FrameKind.ITEM
                 for result in self._results(frame):
-                    if is_last is not None and isinstance(result, Ok):
-                        has_ended = is_last(result.ok_value)
                     yield result
         finally:
             del self._queues_by_exchange[number]
@@ -196,9 +191,19 @@
                 cancel_frame = Frame(number, FrameKind.CANCEL)
                 self._outgoing.put_nowait(encode_frame(cancel_frame))
 
+    def notify(self, message: object) -> Result[None, PeerError]:
+        """Send a message that has no answer."""
+        reason = self._unusable_reason()
+        if reason is not None:
+            return Err(PeerError(PeerFault.NOT_SENT, reason))
+        name, body = encode(message)
+        notice = Frame(NO_EXCHANGE, FrameKind.NOTICE, name, body)
+        self._outgoing.put_nowait(encode_frame(notice))
+        return Ok(None)
+
     def _results(self, frame: Frame) -> list[Result[Any, PeerError]]:
         match frame.kind:
-            case FrameKind.ITEM:
+            case FrameKind.ITEM | FrameKind.LAST:
                 return [
                     decode(frame.name, frame.body).map_err(
                         lambda e: PeerError(PeerFault.FAILED, str(e))
@@ -227,14 +232,24 @@
 
     def __init__(self) -> None:
         self._handlers_by_name: dict[str, Handler] = {}
+        self._notice_handlers_by_name: dict[str, NoticeHandler] = {}
+        # Tell the answer that ends an exchange, by name of its request.
+        self._is_last_by_name: dict[str, IsLast] = {}
         self._server: grpc.aio.Server | None = None
         self._links: set[ServedLink] = set()
         self._is_stopping = False
         self.open_exchange_count = 0
 
-    def handle_stream(self, cls: type, handler: Handler) -> None:
-        """Register a handler that answers with a stream of messages."""
+    def handle_stream(
+        self, cls: type, handler: Handler, is_last: IsLast | None = None
+    ) -> None:
+        """Register a handler that answers with a stream of messages.
+
+        It ends with the answer for which `is_last` is true.
+        """
         self._handlers_by_name[cls.__name__] = handler
+        if is_last is not None:
+            self._is_last_by_name[cls.__name__] = is_last
 
     def handle(self, cls: type, handler: UnaryHandler) -> None:
         """Register a handler that answers with one message."""
@@ -246,14 +261,7 @@
 
     def handle_notice(self, cls: type, handler: NoticeHandler) -> None:
         """Register a handler of messages that have no answer."""
-
-        async def stream(message: Any) -> AsyncIterator[object]:
-            handler(message)
-            answers: tuple[object, ...] = ()
-            for answer in answers:
-                yield answer
-
-        self._handlers_by_name[cls.__name__] = stream
+        self._notice_handlers_by_name[cls.__name__] = handler
 
     async def start(
         self, address: str, credentials: grpc.ServerCredentials | None
@@ -315,6 +323,8 @@
             frame = decode_frame(data)
             if frame.kind is FrameKind.CANCEL:
                 link.cancel(frame.exchange)
+            elif frame.kind is FrameKind.NOTICE:
+                self._take_notice(frame)
             elif self._is_stopping:
                 link.send(not_taken_frame(frame.exchange))
             else:
@@ -322,6 +332,14 @@
                 link.take(frame.exchange, asyncio.create_task(answer))
         link.end()
 
+    def _take_notice(self, frame: Frame) -> None:
+        handler = self._notice_handlers_by_name.get(frame.name)
+        match decode(frame.name, frame.body):
+            case Ok(message) if handler is not None:
+                handler(message)
+            case _:
+                log_event(LOG, 'notice_not_taken', message=frame.name)
+
     async def _answer(self, frame: Frame, link: ServedLink) -> None:
         self.open_exchange_count += 1
         try:
@@ -345,11 +363,16 @@
                 reason = str(error).encode()
                 return Frame(frame.exchange, FrameKind.FAILED, '', reason)
             case Ok(message):
+                is_last = self._is_last_by_name.get(frame.name)
                 async for answer in handler(message):
                     name, body = encode(answer)
-                    link.send(
-                        Frame(frame.exchange, FrameKind.ITEM, name, body)
-                    )
+                    kind = FrameKind.ITEM
+                    if is_last is not None and is_last(answer):
+                        kind = FrameKind.LAST
+                    item = Frame(frame.exchange, kind, name, body)
+                    if kind is FrameKind.LAST:
+                        return item
+                    link.send(item)
         return Frame(frame.exchange, FrameKind.END)
 
 
@@ -394,7 +417,7 @@
         first one.
         """
         link = self._link(address)
-        answers = link.exchange(message, lambda answer: wait_s(answer) is None)
+        answers = link.exchange(message)
         left_s: float | None = timeout_s
         try:
             async with aclosing(answers):
@@ -409,20 +432,12 @@
             await self._record_timeout(link)
             return Err(PeerError(PeerFault.SILENT, 'timeout'))
 
-    async def notify(
-        self, address: str, message: object, timeout_s: float
-    ) -> Result[None, PeerError]:
-        """Send a message that has no answer; return Ok once it is handled."""
-        link = self._link(address)
-        try:
-            async with asyncio.timeout(timeout_s):
-                async for answer in link.exchange(message):
-                    if isinstance(answer, Err):
-                        return answer
-        except TimeoutError:
-            await self._record_timeout(link)
-            return Err(PeerError(PeerFault.LOST, 'timeout'))
-        return Ok(None)
+    def notify(self, address: str, message: object) -> Result[None, PeerError]:
+        """Send a message that has no answer.
+
+        It is lost if the link breaks before it has arrived.
+        """
+        return self._link(address).notify(message)
 
     async def request(
         self, address: str, message: object, timeout_s: float
--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -476,8 +476,6 @@
         self.server_paths.close()
         self.broadcast.close()
         self.quarantine_sharing.close()
-        if self.slot_pooling is not None:
-            self.slot_pooling.client.close()
         for listener in (
             self.caller_listener,
             self._health_listener,
--- a/jackdawfield/gateway/slots/changes.py
+++ b/jackdawfield/gateway/slots/changes.py
@@ -7,7 +7,6 @@
 
 from result import Err
 
-from jackdawfield.background import BackgroundTasks
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.gateway.slots.owner import SlotOwner
 from jackdawfield.gateway.slots.owner_choice import Owner
@@ -20,7 +19,6 @@
 
 # Time for which changes are gathered before they are sent together.
 GATHER_S = 0.005
-SEND_TIMEOUT_S = 0.3
 # Changes that are kept for one owner at most, for another try.
 MAX_KEPT = 1_000
 
@@ -55,7 +53,6 @@
         self._owners = owners
         self._links = links
         self._outboxes_by_owner: dict[Owner, _Outbox] = {}
-        self._tasks = BackgroundTasks()
         self.sent_count = 0
 
     def tell_used(self, owner: Owner, used: UsedSlot) -> None:
@@ -119,22 +116,18 @@
             self._owner.apply_changes(changes)
             return
         self.sent_count += 1
-        self._tasks.spawn(self._notify(owner, outbox, changes))
-
-    async def _notify(
-        self, owner: Owner, outbox: _Outbox, changes: SlotChanges
-    ) -> None:
-        sent = await self._links.notify(owner.address, changes, SEND_TIMEOUT_S)
-        if not isinstance(sent, Err):
-            return
-        self._owners.avoid(owner, sent.err_value.reason, time.monotonic())
-        outbox.used[:0] = changes.used
-        outbox.begun[:0] = changes.begun
-        outbox.ended[:0] = changes.ended
-        del outbox.used[:-MAX_KEPT]
-        del outbox.begun[:-MAX_KEPT]
-        del outbox.ended[:-MAX_KEPT]
-
-    def close(self) -> None:
-        """Cancel the messages under way."""
-        self._tasks.cancel()
+        sent = self._links.notify(owner.address, changes)
+        if isinstance(sent, Err):
+            _keep(outbox, changes)
+            reason = sent.err_value.reason
+            self._owners.avoid(owner, reason, time.monotonic())
+
+
+def _keep(outbox: _Outbox, changes: SlotChanges) -> None:
+    """Keep changes that were not sent for another try."""
+    outbox.used[:0] = changes.used
+    outbox.begun[:0] = changes.begun
+    outbox.ended[:0] = changes.ended
+    del outbox.used[:-MAX_KEPT]
+    del outbox.begun[:-MAX_KEPT]
+    del outbox.ended[:-MAX_KEPT]
--- a/jackdawfield/gateway/slots/client.py
+++ b/jackdawfield/gateway/slots/client.py
@@ -27,6 +27,7 @@
 from jackdawfield.gateway.servers.choice import ServerCriteria
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
+from jackdawfield.gateway.slots.bounded_log import BoundedLog
 from jackdawfield.gateway.slots.changes import ChangeSender
 from jackdawfield.gateway.slots.demands import describe_call
 from jackdawfield.gateway.slots.demands import Home
@@ -36,7 +37,6 @@
 from jackdawfield.gateway.slots.owner_choice import Owner
 from jackdawfield.gateway.slots.owner_choice import OwnerChoice
 from jackdawfield.gateway.slots.owner_choice import STOPPING_AVOID_S
-from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_slots import AskSlot
 from jackdawfield.messages.fleet_slots import CallDemand
 from jackdawfield.messages.fleet_slots import EndedSlot
@@ -59,8 +59,6 @@
 # Owners that are asked for one call: those that stop count too.
 MAX_ASKS = 4
 RENEW_INTERVAL_S = 0.5
-# Minimum time between two log lines of calls that were decided here.
-LOG_INTERVAL_S = 0.2
 
 
 class Fallback(Enum):
@@ -121,8 +119,7 @@
         self.queued_count = 0
         self.refused_count = 0
         self.fallback_counts = dict.fromkeys(Fallback, 0)
-        self._logged_at_s = float('-inf')
-        self._unlogged_count = 0
+        self._log = BoundedLog(LOG)
 
     def register(self, server: PeerServer) -> None:
         """Register the handler of owners' messages."""
@@ -327,20 +324,13 @@
     ) -> None:
         self.fallback_counts[fallback] += 1
         now_s = time.monotonic()
-        if now_s - self._logged_at_s < LOG_INTERVAL_S:
-            self._unlogged_count += 1
-            return
-        log_event(
-            LOG,
+        self._log.log(
             'slot_chosen_alone',
             request=call.request_id,
             service=criteria.service,
             reason=fallback.value,
             ms=round((now_s - call.arrived_at_s) * 1000),
-            not_logged=self._unlogged_count,
         )
-        self._logged_at_s = now_s
-        self._unlogged_count = 0
 
     async def run(self) -> None:
         """Renew the slots in use until the task is cancelled."""
@@ -359,7 +349,3 @@
             if owner not in self.linked and not owner.is_own:
                 self.changes.renew(owner)
         self.linked = frozenset(serving)
-
-    def close(self) -> None:
-        """Cancel the messages under way."""
-        self.changes.close()
--- a/jackdawfield/gateway/slots/owner.py
+++ b/jackdawfield/gateway/slots/owner.py
@@ -27,9 +27,7 @@
 QUEUED_INTERVAL_S = 0.2
 # A pool of which no slot was asked for so long is dropped.
 POOL_IDLE_S = 10.0
-# Longest time for telling the instances that use slots, and the time that
-# these have to tell the next owner.
-STOP_NOTICE_S = 0.05
+# Time that instances have to tell the slots that they use to the next owner.
 HANDOVER_S = 0.02
 STOPPING = SlotNotOwned('stopping', is_stopping=True)
 
@@ -53,7 +51,11 @@
 
     def register(self, server: PeerServer) -> None:
         """Register the handlers of other instances' messages."""
-        server.handle_stream(AskSlot, self.ask)
+        server.handle_stream(
+            AskSlot,
+            self.ask,
+            lambda answer: not isinstance(answer, SlotQueued),
+        )
         server.handle_notice(SlotChanges, self.apply_changes)
 
     async def ask(self, ask: AskSlot) -> AsyncIterator[object]:
@@ -139,12 +141,8 @@
         pools = self.pools_by_service.values()
         addresses = set().union(*(pool.home_addresses for pool in pools))
         addresses.discard(own.address)
-        notices = [
-            asyncio.create_task(links.notify(address, own, STOP_NOTICE_S))
-            for address in addresses
-        ]
-        if notices:
-            await asyncio.wait(notices)
+        for address in addresses:
+            links.notify(address, own)
         await asyncio.sleep(HANDOVER_S)
         for pool in pools:
             pool.stop(STOPPING)
--- a/jackdawfield/gateway/slots/service_pool.py
+++ b/jackdawfield/gateway/slots/service_pool.py
@@ -28,8 +28,8 @@
 from jackdawfield.gateway.servers.choice import record_success
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.servers.choice import ServerState
+from jackdawfield.gateway.slots.bounded_log import BoundedLog
 from jackdawfield.gateway.slots.demands import to_slot_demand
-from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_slots import AskSlot
 from jackdawfield.messages.fleet_slots import CallDemand
 from jackdawfield.messages.fleet_slots import EndedSlot
@@ -87,6 +87,7 @@
         self._region_id = region_id
         self._servers = servers
         self.pool = Pool(region_id, gateway_pool_settings())
+        self._bounded_log = BoundedLog(LOG)
         self._listed: tuple[BackendServer, ...] = ()
         self._requests_by_id: dict[str, OpenRequest] = {}
 
@@ -296,10 +297,8 @@
         _put_answer(request, granted)
 
     def _log(self, event: str, request: OpenRequest, **fields: object) -> None:
-        log_event(
-            LOG,
+        self._bounded_log.log(
             event,
-            logging.INFO,
             request=request.demand.request_id,
             service=self.service,
             home=request.demand.home_id,
--- a/tests/gateway/slots/test_client.py
+++ b/tests/gateway/slots/test_client.py
@@ -77,8 +77,8 @@
         await asyncio.sleep(0)
         return self.script(address, message)
 
-    async def notify(
-        self, address: str, message: SlotChanges, _: float
+    def notify(
+        self, address: str, message: SlotChanges
     ) -> Result[None, PeerError]:
         self.changes.append((address, message))
         return self.notified
