--- a/jackdawfield/decisions/early_refusal.py
+++ b/jackdawfield/decisions/early_refusal.py
@@ -19,12 +19,14 @@
     A new program is refused if its first wait takes more than the fraction
     `first_wait_fraction` of the time until its finish; zero sets no limit.
     With `counts_call`, a request that has to wait needs time for a mean call
-    as well. Returns are from `min_retry_after_s` to `max_retry_after_s` away,
-    and with `spaces_returns` not at the same time.
+    as well; with `counts_outage`, it is refused if all servers are avoided
+    for too long. Returns are from `min_retry_after_s` to `max_retry_after_s`
+    away, and with `spaces_returns` not at the same time.
     """
 
     first_wait_fraction: float = 0.0
     counts_call: bool = False
+    counts_outage: bool = False
     min_retry_after_s: float = 0.5
     max_retry_after_s: float = 10.0
     spaces_returns: bool = False
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -53,6 +53,7 @@
 from jackdawfield.model import ServerId
 
 MIN_QUEUE_LIMIT = 16
+NO_SERVER_RETRY_S = 1.0
 
 
 class Pool:
@@ -165,12 +166,12 @@
         self._renewed_at_s_by_home[demand.home_id] = now_s
         if self._is_tracked(demand.request_id):
             return ()
-        self._queue.record_submitted(demand, now_s)
         wait_s = self._expected_wait_s(demand, now_s)
         domain_id = self._choose_spill_domain(demand, wait_s, now_s)
         if domain_id is not None:
             self._peers.record_spill(domain_id)
             return (Spill(demand.request_id, domain_id),)
+        self._queue.record_submitted(demand, now_s)
         refusal = self._refuse_early(demand, wait_s, now_s)
         if refusal is not None:
             return (refusal,)
@@ -261,6 +262,8 @@
         wait_s: float,
         now_s: float,
     ) -> Refuse:
+        if reason == RefusalReason.NO_SERVER:
+            return Refuse(demand.request_id, reason, NO_SERVER_RETRY_S)
         longest_wait_s = self._latest_start_s(demand, now_s) - now_s
         after_s = self._returns.retry_after_s(
             wait_s,
@@ -312,17 +315,25 @@
                 if reserved_id is not None:
                     reserved_ids.add(reserved_id)
                 continue
-            server_id = choice.server_id
-            call = self._in_flight.grant(demand, server_id, now_s)
-            if call is not None:
-                self._charge_grant(call, now_s)
-                self._queue.record_grant(queued)
-                self._returns.record_grant(demand.begins_program)
-                actions.append(Grant(demand.request_id, server_id))
+            grant = self._grant(queued, choice.server_id, now_s)
+            if grant is not None:
+                actions.append(grant)
         for queued in skipped:
             self._queue.restore(queued)
         return tuple(actions)
 
+    def _grant(
+        self, queued: QueuedRequest, server_id: ServerId, now_s: float
+    ) -> Grant | None:
+        demand = queued.demand
+        call = self._in_flight.grant(demand, server_id, now_s)
+        if call is None:
+            return None
+        self._charge_grant(call, now_s)
+        self._queue.record_grant(queued)
+        self._returns.record_grant(demand.begins_program)
+        return Grant(demand.request_id, server_id)
+
     def _time_passed(self, now_s: float) -> tuple[Action, ...]:
         expired = tuple(self._expire_homes(now_s))
         recalled = tuple(self._recall_stalled(now_s))
@@ -360,22 +371,21 @@
 
     def _clear_unservable(self, now_s: float) -> Iterator[Action]:
         has_no_server = not self._in_flight.usable_windows(now_s)
+        earliest_s = now_s + self._outage_s(now_s)
         for queued in self._queue:
             demand = queued.demand
-            if now_s >= queued.latest_start_s:
+            domain_id = None
+            if has_no_server and demand.may_spill:
+                limit_s = demand.deadline_s - now_s
+                domain_id = self._peers.fallback_domain(now_s, limit_s)
+            if domain_id is not None and now_s < queued.latest_start_s:
+                self._peers.record_spill(domain_id)
+                self._queue.remove(demand.request_id)
+                yield Spill(demand.request_id, domain_id)
+            elif earliest_s >= queued.latest_start_s:
                 self._queue.remove(demand.request_id)
                 wait_s = self._returning_wait_s(demand, now_s)
                 yield self._refuse_late(demand, wait_s, now_s)
-                continue
-            if not has_no_server or not demand.may_spill:
-                continue
-            limit_s = demand.deadline_s - now_s
-            domain_id = self._peers.fallback_domain(now_s, limit_s)
-            if domain_id is None:
-                continue
-            self._peers.record_spill(domain_id)
-            self._queue.remove(demand.request_id)
-            yield Spill(demand.request_id, domain_id)
 
     def _spill_queued(self, now_s: float) -> Iterator[Action]:
         spills_left = self._settings.spills_per_tick
@@ -402,7 +412,19 @@
         if not len(self._queue) and self._in_flight.has_open_slot(now_s):
             return 0.0
         turns = self._queue.count_turns_before(demand, self._supply(now_s))
-        return (1 + turns) * self._in_flight.mean_slot_wait_s(now_s)
+        return self._outage_s(now_s) + (1 + turns) * self._turn_s(now_s)
+
+    def _turn_s(self, now_s: float) -> float:
+        is_outage = not self._in_flight.usable_limit(now_s)
+        if is_outage and self._settings.refusal.counts_outage:
+            slots = max(1, self._in_flight.total_slots())
+            return self._in_flight.mean_call_s / slots
+        return self._in_flight.mean_slot_wait_s(now_s)
+
+    def _outage_s(self, now_s: float) -> float:
+        if not self._settings.refusal.counts_outage:
+            return 0.0
+        return self._in_flight.opens_in_s(now_s)
 
     def _returning_wait_s(self, demand: SlotDemand, now_s: float) -> float:
         if not self._settings.refusal.spaces_returns:
--- a/tests/pool_load.py
+++ b/tests/pool_load.py
@@ -25,6 +25,7 @@
 from jackdawfield.model import ProgramId
 from jackdawfield.model import RegionId
 from jackdawfield.model import ServerId
+from jackdawfield.model import ServerState
 
 HOME = InstanceId('home')
 TICK_S = 0.05
@@ -42,6 +43,7 @@
     time_s: float = 1.0
     organisation: str = 'o'
     priority: int = 0
+    weight: float = 1.0
 
     def demand(self, number: int, now_s: float) -> SlotDemand:
         """Return the demand of a call of the program."""
@@ -53,6 +55,7 @@
             prompt_tokens=0,
             output_tokens=0,
             deadline_s=now_s + LIMIT_S,
+            weight=self.weight,
             priority=self.priority,
             finish_s=self.arrives_s + self.time_s,
             begins_program=number == 0,
@@ -127,9 +130,12 @@
 
 
 def backend_server(
-    name: str, slots: int, token_capacity: int = 0
+    name: str,
+    slots: int,
+    token_capacity: int = 0,
+    state: ServerState = ServerState.LIVE,
 ) -> BackendServer:
-    """Return a live server."""
+    """Return a server."""
     return BackendServer(
         ServerId(name),
         DomainId('d'),
@@ -137,6 +143,7 @@
         '',
         'chat',
         slots=slots,
+        state=state,
         token_capacity=token_capacity,
     )
 
