Close an answered ask's handler at once

Cause: a handler that ended with its last answer was left to the garbage collector, which closes it in a task of its own. Change: it is closed before the frame is sent.

--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -364,15 +364,17 @@
                 return Frame(frame.exchange, FrameKind.FAILED, '', reason)
             case Ok(message):
                 is_last = self._is_last_by_name.get(frame.name)
-                async for answer in handler(message):
+                answers: Any = handler(message)
+                async for answer in answers:
                     name, body = encode(answer)
-                    kind = FrameKind.ITEM
                     if is_last is not None and is_last(answer):
-                        kind = FrameKind.LAST
-                    item = Frame(frame.exchange, kind, name, body)
-                    if kind is FrameKind.LAST:
-                        return item
-                    link.send(item)
+                        await answers.aclose()
+                        return Frame(
+                            frame.exchange, FrameKind.LAST, name, body
+                        )
+                    link.send(
+                        Frame(frame.exchange, FrameKind.ITEM, name, body)
+                    )
         return Frame(frame.exchange, FrameKind.END)
 
 
