--- a/jackdawfield/gateway/slots/owner.py
+++ b/jackdawfield/gateway/slots/owner.py
@@ -15,6 +15,7 @@
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.gateway.slots.service_pool import ServicePool
 from jackdawfield.messages.fleet_slots import AskSlot
+from jackdawfield.messages.fleet_slots import EndedSlot
 from jackdawfield.messages.fleet_slots import SlotChanges
 from jackdawfield.messages.fleet_slots import SlotNotOwned
 from jackdawfield.messages.fleet_slots import SlotOwnerStops
@@ -90,16 +91,25 @@
         for used in changes.used:
             self._pool_of(used.demand.service).adopt(used, now_s)
         for begun in changes.begun:
-            self._pool_of(begun.service).begin(begun.grant_id, now_s)
+            pool = self.pools_by_service.get(begun.service)
+            if pool is not None:
+                pool.begin(begun.grant_id, now_s)
         for ended in changes.ended:
-            pool = self._pool_of(ended.service)
-            # The ends of its own calls are known to its servers already.
-            if changes.home_id != self._home_id:
-                pool.record_outcome(ended, now_s)
-            pool.end(ended, now_s)
+            self._apply_end(changes.home_id, ended, now_s)
         for pool in self.pools_by_service.values():
             pool.renew(changes.home_id, now_s)
 
+    def _apply_end(
+        self, home_id: InstanceId, ended: EndedSlot, now_s: float
+    ) -> None:
+        pool = self.pools_by_service.get(ended.service)
+        if pool is None:
+            return
+        # The ends of its own calls are known to its servers already.
+        if home_id != self._home_id:
+            pool.record_outcome(ended, now_s)
+        pool.end(ended, now_s)
+
     def _pool_of(self, service: ServiceName) -> ServicePool:
         self._asked_at_s_by_service[service] = time.monotonic()
         pool = self.pools_by_service.get(service)
--- a/jackdawfield/gateway/slots/service_pool.py
+++ b/jackdawfield/gateway/slots/service_pool.py
@@ -22,12 +22,12 @@
 from jackdawfield.decisions.pool_events import ServersChanged
 from jackdawfield.decisions.pool_events import Spill
 from jackdawfield.decisions.pool_events import TimePassed
+from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.servers.choice import grantable
 from jackdawfield.gateway.servers.choice import record_failure
 from jackdawfield.gateway.servers.choice import record_full
 from jackdawfield.gateway.servers.choice import record_success
 from jackdawfield.gateway.servers.choice import Servers
-from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.slots.bounded_log import BoundedLog
 from jackdawfield.gateway.slots.demands import to_slot_demand
 from jackdawfield.messages.fleet_slots import AskSlot
@@ -88,7 +88,8 @@
         self._servers = servers
         self.pool = Pool(region_id, gateway_pool_settings())
         self._bounded_log = BoundedLog(LOG)
-        self._listed: tuple[BackendServer, ...] = ()
+        # The servers as the pool knows them, and whether it may grant them.
+        self._listed: tuple[tuple[ServerEntry, bool], ...] = ()
         self._requests_by_id: dict[str, OpenRequest] = {}
 
     @property
@@ -236,17 +237,21 @@
             if state.full_until_s <= now_s
         }
         listed = tuple(
-            self._to_backend_server(state, state.entry.server_id in open_ids)
+            (state.entry, state.entry.server_id in open_ids)
             for state in states
         )
-        if listed != self._listed:
-            self._listed = listed
-            self.apply(ServersChanged(now_s, listed))
+        if listed == self._listed:
+            return
+        self._listed = listed
+        servers = tuple(
+            self._to_backend_server(entry, is_open)
+            for entry, is_open in listed
+        )
+        self.apply(ServersChanged(now_s, servers))
 
     def _to_backend_server(
-        self, state: ServerState, is_open: bool
+        self, entry: ServerEntry, is_open: bool
     ) -> BackendServer:
-        entry = state.entry
         return BackendServer(
             entry.server_id,
             entry.domain_id,
--- a/tests/gateway/slots/test_owner.py
+++ b/tests/gateway/slots/test_owner.py
@@ -125,10 +125,17 @@
         self.assertEqual((await self.first(make_ask('g'))).server_id, 's2')
 
     async def test_own_failures_are_not_counted_twice(self) -> None:
+        await self.first(make_ask('g1', home_id=OWN_HOME))
         record_failure(self.state('s1'), time.monotonic())
         failed = make_ended('g1', end=SlotEnd.FAILED)
         self.tell(OWN_HOME, ended=(failed,))
         self.assertEqual(self.state('s1').failures, 1)
+        self.assertTrue(self.pool.is_idle)
+
+    async def test_an_end_alone_makes_no_owner(self) -> None:
+        self.tell(ended=(make_ended('g1'),))
+        self.tell(begun=(BegunSlot('g1', SERVICE),))
+        self.assertEqual(self.owner.pools_by_service, {})
 
     async def test_refers_a_call_without_a_server_back(self) -> None:
         self.assertEqual(await self.first(make_ask('g1', 's1')), NO_SERVER)
