Weigh organisations by their rates; keep a link whose notice fails

Cause: an owner saw all organisations with equal weights, though their rates say what they usually use; a notice that its handler fails at ended the link. Change: weights from the configuration's rates; the failure is logged.

--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -336,7 +336,12 @@
         handler = self._notice_handlers_by_name.get(frame.name)
         match decode(frame.name, frame.body):
             case Ok(message) if handler is not None:
-                handler(message)
+                try:
+                    handler(message)
+                except Exception:
+                    LOG.exception(
+                        'event=handler_failed message=%s', frame.name
+                    )
             case _:
                 log_event(LOG, 'notice_not_taken', message=frame.name)
 
--- a/jackdawfield/gateway/slots/client.py
+++ b/jackdawfield/gateway/slots/client.py
@@ -37,6 +37,7 @@
 from jackdawfield.gateway.slots.owner_choice import Owner
 from jackdawfield.gateway.slots.owner_choice import OwnerChoice
 from jackdawfield.gateway.slots.owner_choice import STOPPING_AVOID_S
+from jackdawfield.gateway.slots.weights import OrganisationWeights
 from jackdawfield.messages.fleet_slots import AskSlot
 from jackdawfield.messages.fleet_slots import CallDemand
 from jackdawfield.messages.fleet_slots import EndedSlot
@@ -106,6 +107,7 @@
         self._servers = slot_queue.servers
         self._server_pool = server_pool
         self._metrics = metrics
+        self._weights = OrganisationWeights()
         self._numbers = itertools.count(1)
         self.changes = ChangeSender(home.home_id, owner, owners, links)
         self.held = HeldSlots(self.changes, self._new_grant_id)
@@ -213,10 +215,12 @@
         )
 
     def _describe(self, call: Call, service: ServiceName) -> CallDemand:
+        configuration = self._slot_queue.configuration
         return describe_call(
             call,
             service,
-            self._slot_queue.configuration,
+            configuration,
+            self._weights.weight_of(call.organisation_id, configuration),
             self._home,
             self._new_grant_id(),
         )
--- a/jackdawfield/gateway/slots/demands.py
+++ b/jackdawfield/gateway/slots/demands.py
@@ -34,6 +34,7 @@
     call: Call,
     service: ServiceName,
     configuration: FleetConfiguration | None,
+    weight: float,
     home: Home,
     grant_id: str,
 ) -> CallDemand:
@@ -50,6 +51,7 @@
         service=service,
         request_id=call.request_id,
         organisation_id=call.organisation_id or NO_ORGANISATION,
+        weight=weight,
         session=ProgramId(headers.session_id or call.request_id),
         priority=priority_of(call, configuration),
         finish_in_s=finish_in_s,
@@ -78,6 +80,7 @@
         prompt_tokens=demand.prompt_tokens,
         output_tokens=demand.max_tokens,
         deadline_s=now_s + (ask.max_wait_s if ask else demand.ends_in_s),
+        weight=demand.weight,
         waited_s=ask.waited_s if ask else 0.0,
         repeatable=demand.is_repeatable,
         may_spill=ask is not None and ask.may_spill,
--- a/jackdawfield/messages/fleet_slots.py
+++ b/jackdawfield/messages/fleet_slots.py
@@ -43,6 +43,8 @@
     # The id that the call has in the logs.
     request_id: str
     organisation_id: OrganisationId
+    # Its part in scarce slots, relative to those of others.
+    weight: float
     session: ProgramId
     priority: int
     finish_in_s: float | None
--- a/tests/gateway/slots/builders.py
+++ b/tests/gateway/slots/builders.py
@@ -53,6 +53,7 @@
         service=SERVICE,
         request_id=f'request of {grant_id}',
         organisation_id=OrganisationId('org'),
+        weight=1.0,
         session=ProgramId(grant_id),
         priority=0,
         finish_in_s=1.0,
--- a/tests/test_peer_asks.py
+++ b/tests/test_peer_asks.py
@@ -78,6 +78,16 @@
         assert isinstance(found, Err)
         self.assertIsNot(found.err_value.fault, PeerFault.SILENT)
 
+    async def test_a_failed_notice_leaves_the_link_open(self) -> None:
+        def fail(_: SlotOwnerStops) -> None:
+            raise ValueError('not handled')
+
+        self.server.handle_notice(SlotOwnerStops, fail)
+        self.may_answer.set()
+        with self.assertLogs('jackdawfield.drivers.peers', 'ERROR'):
+            self.links.notify(self.address, NOTICE)
+            self.assertEqual(await self.ask(LONG_S), Ok(LAST))
+
     async def test_a_notice_arrives_without_an_answer(self) -> None:
         taken = asyncio.get_running_loop().create_future()
         self.server.handle_notice(SlotOwnerStops, taken.set_result)
