--- a/jackdawfield/gateway/slots/client.py
+++ b/jackdawfield/gateway/slots/client.py
@@ -28,6 +28,7 @@
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.slot_queue import SlotQueue
 from jackdawfield.gateway.slots.ask_target import AskTarget
+from jackdawfield.gateway.slots.bounded_log import BoundedLog
 from jackdawfield.gateway.slots.changes import ChangeSender
 from jackdawfield.gateway.slots.demands import describe_call
 from jackdawfield.gateway.slots.demands import estimate_bytes
@@ -38,7 +39,7 @@
 from jackdawfield.gateway.slots.owner_choice import Owner
 from jackdawfield.gateway.slots.owner_choice import OwnerChoice
 from jackdawfield.gateway.slots.owner_choice import STOPPING_AVOID_S
-from jackdawfield.logs import log_event
+from jackdawfield.gateway.slots.weights import OrganisationWeights
 from jackdawfield.messages.fleet_slots import AskSlot
 from jackdawfield.messages.fleet_slots import CallDemand
 from jackdawfield.messages.fleet_slots import EndedSlot
@@ -61,8 +62,6 @@
 # Owners that are asked for one call: those that stop count too.
 MAX_ASKS = 7
 RENEW_INTERVAL_S = 0.5
-# Minimum time between two log lines of calls that were decided here.
-LOG_INTERVAL_S = 0.2
 
 
 class Fallback(Enum):
@@ -114,6 +113,7 @@
         self._servers = slot_queue.servers
         self._server_pool = server_pool
         self._metrics = metrics
+        self._weights = OrganisationWeights()
         self._numbers = itertools.count(1)
         self.changes = ChangeSender(home.home_id, owner, owners, links)
         self.held = HeldSlots(self.changes, self._new_grant_id)
@@ -127,8 +127,7 @@
         self.queued_count = 0
         self.refused_count = 0
         self.fallback_counts = dict.fromkeys(Fallback, 0)
-        self._logged_at_s = float('-inf')
-        self._unlogged_count = 0
+        self._log = BoundedLog(LOG)
 
     def register(self, server: PeerServer) -> None:
         """Register the handler of owners' messages."""
@@ -243,10 +242,12 @@
         return state.entry.domain_id
 
     def _describe(self, call: Call, service: ServiceName) -> CallDemand:
+        configuration = self._slot_queue.configuration
         return describe_call(
             call,
             service,
-            self._slot_queue.configuration,
+            configuration,
+            self._weights.weight_of(call.organisation_id, configuration),
             self._home,
             self._new_grant_id(),
         )
@@ -357,20 +358,13 @@
     ) -> None:
         self.fallback_counts[fallback] += 1
         now_s = time.monotonic()
-        if now_s - self._logged_at_s < LOG_INTERVAL_S:
-            self._unlogged_count += 1
-            return
-        log_event(
-            LOG,
+        self._log.log(
             'slot_chosen_alone',
             request=call.request_id,
             service=criteria.service,
             reason=fallback.value,
             ms=round((now_s - call.arrived_at_s) * 1000),
-            not_logged=self._unlogged_count,
         )
-        self._logged_at_s = now_s
-        self._unlogged_count = 0
 
     async def run(self) -> None:
         """Renew the slots in use until the task is cancelled."""
@@ -389,7 +383,3 @@
             if owner not in self.linked and not owner.is_own:
                 self.changes.renew(owner)
         self.linked = frozenset(serving)
-
-    def close(self) -> None:
-        """Cancel the messages under way."""
-        self.changes.close()
--- a/jackdawfield/gateway/slots/owner.py
+++ b/jackdawfield/gateway/slots/owner.py
@@ -19,6 +19,7 @@
 from jackdawfield.gateway.slots.crossings import Crossings
 from jackdawfield.gateway.slots.service_pool import ServicePool
 from jackdawfield.messages.fleet_slots import AskSlot
+from jackdawfield.messages.fleet_slots import EndedSlot
 from jackdawfield.messages.fleet_slots import SlotChanges
 from jackdawfield.messages.fleet_slots import SlotNotOwned
 from jackdawfield.messages.fleet_slots import SlotOwnerStops
@@ -32,9 +33,7 @@
 QUEUED_INTERVAL_S = 0.2
 # A pool of which no slot was asked for so long is dropped.
 POOL_IDLE_S = 10.0
-# Longest time for telling the instances that use slots, and the time that
-# these have to tell the next owner.
-STOP_NOTICE_S = 0.05
+# Time that instances have to tell the slots that they use to the next owner.
 HANDOVER_S = 0.02
 STOPPING = SlotNotOwned('stopping', is_stopping=True)
 
@@ -61,7 +60,11 @@
 
     def register(self, server: PeerServer) -> None:
         """Register the handlers of other instances' messages."""
-        server.handle_stream(AskSlot, self.ask)
+        server.handle_stream(
+            AskSlot,
+            self.ask,
+            lambda answer: not isinstance(answer, SlotQueued),
+        )
         server.handle_notice(SlotChanges, self.apply_changes)
 
     async def ask(self, ask: AskSlot) -> AsyncIterator[object]:
@@ -96,16 +99,25 @@
         for used in changes.used:
             self._pool_of(used.demand.service).adopt(used, now_s)
         for begun in changes.begun:
-            self._pool_of(begun.service).begin(begun.grant_id, now_s)
+            pool = self.pools_by_service.get(begun.service)
+            if pool is not None:
+                pool.begin(begun.grant_id, now_s)
         for ended in changes.ended:
-            pool = self._pool_of(ended.service)
-            # The ends of its own calls are known to its servers already.
-            if changes.home_id != self._home_id:
-                pool.record_outcome(ended, now_s)
-            pool.end(ended, now_s)
+            self._apply_end(changes.home_id, ended, now_s)
         for pool in self.pools_by_service.values():
             pool.renew(changes.home_id, now_s)
 
+    def _apply_end(
+        self, home_id: InstanceId, ended: EndedSlot, now_s: float
+    ) -> None:
+        pool = self.pools_by_service.get(ended.service)
+        if pool is None:
+            return
+        # The ends of its own calls are known to its servers already.
+        if home_id != self._home_id:
+            pool.record_outcome(ended, now_s)
+        pool.end(ended, now_s)
+
     def _pool_of(self, service: ServiceName) -> ServicePool:
         self._asked_at_s_by_service[service] = time.monotonic()
         pool = self.pools_by_service.get(service)
@@ -161,12 +173,8 @@
         pools = self.pools_by_service.values()
         addresses = set().union(*(pool.home_addresses for pool in pools))
         addresses.discard(own.address)
-        notices = [
-            asyncio.create_task(links.notify(address, own, STOP_NOTICE_S))
-            for address in addresses
-        ]
-        if notices:
-            await asyncio.wait(notices)
+        for address in addresses:
+            links.notify(address, own)
         await asyncio.sleep(HANDOVER_S)
         for pool in pools:
             pool.stop(STOPPING)
--- a/jackdawfield/gateway/slots/pooling.py
+++ b/jackdawfield/gateway/slots/pooling.py
@@ -44,8 +44,7 @@
         await self.owner.stop(self.links, own)
 
     def close(self) -> None:
-        """Cancel the messages under way."""
-        self.client.close()
+        """Cancel the reports under way."""
         self.reports.close()
 
 
--- a/tests/gateway/slots/test_owner.py
+++ b/tests/gateway/slots/test_owner.py
@@ -125,10 +125,17 @@
         self.assertEqual((await self.first(make_ask('g'))).server_id, 's2')
 
     async def test_own_failures_are_not_counted_twice(self) -> None:
+        await self.first(make_ask('g1', home_id=OWN_HOME))
         record_failure(self.state('s1'), time.monotonic())
         failed = make_ended('g1', end=SlotEnd.FAILED)
         self.tell(OWN_HOME, ended=(failed,))
         self.assertEqual(self.state('s1').failures, 1)
+        self.assertTrue(self.pool.is_idle)
+
+    async def test_an_end_alone_makes_no_owner(self) -> None:
+        self.tell(ended=(make_ended('g1'),))
+        self.tell(begun=(BegunSlot('g1', SERVICE),))
+        self.assertEqual(self.owner.pools_by_service, {})
 
     async def test_refers_a_call_without_a_server_back(self) -> None:
         self.assertEqual(await self.first(make_ask('g1', 's1')), NO_SERVER)
@@ -203,11 +210,11 @@
     async def test_an_owner_that_stops_sends_queued_calls_away(self) -> None:
         await self.first(make_ask('g1'))
         answers = await self.queue(make_ask('g2'))
-        links = mock.Mock(notify=mock.AsyncMock())
+        links = mock.Mock()
         stops = SlotOwnerStops('owner:1', 'start')
         stop = asyncio.create_task(self.owner.stop(links, stops))
         self.assertEqual(await anext(answers), STOPPING)
         self.assertEqual(await self.first(make_ask('g3')), STOPPING)
         await stop
         # The instance of the slot in use tells it to the next owner.
-        self.assertEqual(links.notify.call_args.args[:2], ('home:1', stops))
+        self.assertEqual(links.notify.call_args.args, ('home:1', stops))
