--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -5,7 +5,13 @@
 """
 
 from collections.abc import Iterator
+from math import ceil
 
+from jackdawfield.decisions.early_refusal import late_reason
+from jackdawfield.decisions.early_refusal import latest_start_s
+from jackdawfield.decisions.early_refusal import ReturnSchedule
+from jackdawfield.decisions.finish_queue import FinishOrder
+from jackdawfield.decisions.finish_queue import FinishQueue
 from jackdawfield.decisions.inflight import GrantedCall
 from jackdawfield.decisions.inflight import InFlight
 from jackdawfield.decisions.pool_events import Action
@@ -28,23 +34,29 @@
 from jackdawfield.decisions.pool_events import Refuse
 from jackdawfield.decisions.pool_events import RequestId
 from jackdawfield.decisions.pool_events import RequestSubmitted
+from jackdawfield.decisions.pool_events import ServerAvoided
 from jackdawfield.decisions.pool_events import ServersChanged
 from jackdawfield.decisions.pool_events import SlotDemand
 from jackdawfield.decisions.pool_events import Spill
+from jackdawfield.decisions.pool_events import SpillObstacle
 from jackdawfield.decisions.pool_events import TimePassed
 from jackdawfield.decisions.pool_settings import PoolSettings
 from jackdawfield.decisions.queueing import FairQueue
 from jackdawfield.decisions.queueing import QueuedRequest
+from jackdawfield.decisions.queueing import QueueSettings
+from jackdawfield.decisions.queueing import SlotSupply
 from jackdawfield.decisions.slot_shares import SlotShares
+from jackdawfield.decisions.spilling import OwnFinish
 from jackdawfield.decisions.spilling import PeerDomains
 from jackdawfield.decisions.windows import best_token_s
 from jackdawfield.model import DomainId
 from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
 from jackdawfield.model import RegionId
+from jackdawfield.model import ServerId
 
-MAX_RETRY_AFTER_S = 10.0
 MIN_QUEUE_LIMIT = 16
+NO_SERVER_RETRY_S = 1.0
 
 
 class Pool:
@@ -52,8 +64,9 @@
 
     def __init__(self, region_id: RegionId, settings: PoolSettings) -> None:
         self._settings = settings
-        self._queue = FairQueue(settings.queue)
         self._shares = SlotShares(settings.shares)
+        self._queue = create_queue(settings.queue, self._shares)
+        self._returns = ReturnSchedule(settings.refusal)
         self._peers = PeerDomains(region_id, settings.spill)
         self._in_flight = InFlight(settings)
         self._renewed_at_s_by_home: dict[InstanceId, float] = {}
@@ -76,10 +89,13 @@
                 caches.apply_report(server_id, prefixes, complete)
             case ContextEnded(_, context_id):
                 self._in_flight.caches.remove_context(context_id)
+                self._peers.moved_contexts.remove(context_id)
             case PeerReport():
                 self._peers.record_report(event)
             case PeerLost(_, domain_id):
                 self._peers.remove(domain_id)
+            case ServerAvoided(_, server_id, until_s):
+                self._in_flight.avoid_server(server_id, until_s)
             case _:
                 self._handle_capacity_event(event)
                 return self._dispatch(event.now_s)
@@ -96,11 +112,40 @@
             region_id=region_id,
             usable=bool(usable),
             wait_s=self._queue_wait_s(now_s),
-            open_slots=sum(window.open_slots(now_s) for window in usable),
+            open_slots=self._offered_slots(now_s),
             call_s=self._in_flight.mean_slot_wait_s(now_s),
             token_s=best_token_s(usable),
+            queued=len(self._queue),
+            link_bytes=self._peers.link_bytes(now_s),
         )
 
+    def find_spill_obstacle(
+        self, domain_id: DomainId, now_s: float
+    ) -> SpillObstacle:
+        """Return why no request is sent to another domain now."""
+        return self._peers.find_obstacle(domain_id, now_s)
+
+    def _offered_slots(self, now_s: float) -> int:
+        """Return how many requests of other domains may be sent here."""
+        open_slots = self._slots_for_others(now_s)
+        period_s = self._settings.spill.offer_period_s
+        if not period_s or len(self._queue):
+            return open_slots
+        call_s = self._in_flight.mean_call_s
+        ending_share = min(1.0, period_s / call_s) if call_s else 1.0
+        ending = self._in_flight.count_of_others() * ending_share
+        return open_slots + round(ending)
+
+    def _slots_for_others(self, now_s: float) -> int:
+        """Return the open slots that requests of other domains may take."""
+        spill = self._settings.spill
+        if spill.needs_open_slot and len(self._queue):
+            return 0
+        usable = self._in_flight.usable_windows(now_s)
+        open_slots = sum(window.open_slots(now_s) for window in usable)
+        reserve = spill.reserve_share * self._in_flight.usable_limit(now_s)
+        return max(0, open_slots - ceil(reserve))
+
     def _handle_capacity_event(
         self,
         event: Finished | Failed | Cancelled | LoadReport | ServersChanged,
@@ -153,18 +198,25 @@
         self._renewed_at_s_by_home[demand.home_id] = now_s
         if self._is_tracked(demand.request_id):
             return ()
+        if demand.needs_open_slot and not self._slots_for_others(now_s):
+            reason = RefusalReason.NO_OPEN_SLOT
+            return (Refuse(demand.request_id, reason, 0.0),)
+        self._peers.record_submitted(demand, now_s)
         wait_s = self._expected_wait_s(demand, now_s)
-        domain_id = self._choose_spill_domain(demand, wait_s, now_s)
-        if domain_id is not None:
-            self._peers.record_spill(domain_id)
-            return (Spill(demand.request_id, domain_id),)
-        slack_s = demand.deadline_s - now_s
-        if self._settings.refuse_early and wait_s > slack_s:
-            return (self._refuse(demand, RefusalReason.DEADLINE, wait_s),)
+        spill = self._choose_spill(demand, wait_s, now_s)
+        if spill is not None:
+            self._peers.record_spill(demand, spill, now_s)
+            return (spill,)
+        self._peers.moved_contexts.remove(demand.context_id)
+        self._queue.record_submitted(demand, now_s)
+        refusal = self._refuse_early(demand, wait_s, now_s)
+        if refusal is not None:
+            return (refusal,)
         cached_tokens = self._in_flight.caches.max_cached_tokens(
             demand.context_id
         )
-        self._queue.push(demand, now_s, cached_tokens)
+        latest_start_s = self._latest_start_s(demand, now_s)
+        self._queue.push(demand, now_s, cached_tokens, latest_start_s)
         self._shares.record_request(
             demand.organisation_id, demand.weight, now_s
         )
@@ -173,32 +225,32 @@
     def _is_tracked(self, request_id: RequestId) -> bool:
         return request_id in self._queue or request_id in self._in_flight
 
-    def _choose_spill_domain(
+    def _choose_spill(
         self, demand: SlotDemand, wait_s: float, now_s: float
-    ) -> DomainId | None:
+    ) -> Spill | None:
         if not demand.may_spill:
             return None
-        if not self._in_flight.usable_windows(now_s):
-            return self._peers.fallback_domain(
-                now_s, demand.deadline_s - now_s
-            )
         choice = self._in_flight.choose_server(demand, now_s)
         if choice is None:
-            return self._peers.fallback_domain(
-                now_s, demand.deadline_s - now_s
-            )
+            return self._peers.choose_fallback(demand, now_s)
         window = self._in_flight.window(choice.server_id)
-        prefill_s = choice.prefill_tokens * window.prefill_token_s
-        full_prefill_s = demand.prompt_tokens * window.prefill_token_s
-        backlog_s = window.unstarted_prefill_tokens * window.prefill_token_s
-        decode_s = demand.output_tokens * window.token_s
-        return self._peers.faster_domain(
-            wait_s + backlog_s + decode_s,
-            full_prefill_s - prefill_s,
-            demand.output_tokens,
-            window.token_s,
-            now_s,
+        own = self._peers.expected_finish(
+            demand, wait_s, choice.prefill_tokens, window
         )
+        spill = self._peers.choose_faster(demand, own, now_s)
+        if spill is not None or not wait_s:
+            return spill
+        if now_s + wait_s <= self._latest_start_s(demand, now_s):
+            return None
+        return self._choose_rescue(demand, now_s)
+
+    def _choose_rescue(self, demand: SlotDemand, now_s: float) -> Spill | None:
+        """Return a spill of a request that would be refused here."""
+        if not self._settings.spill.needs_open_slot or not demand.may_spill:
+            return None
+        left_s = demand.deadline_s - now_s
+        own = OwnFinish(left_s, left_s)
+        return self._peers.choose_faster(demand, own, now_s)
 
     def _enforce_queue_limit(
         self, now_s: float, wait_s: float
@@ -209,59 +261,116 @@
         )
         if len(self._queue) <= limit:
             return ()
-        dropped = max(self._queue, key=self._eviction_rank)
+        dropped = self._queue.first_to_evict(self._supply(now_s))
         self._queue.remove(dropped.demand.request_id)
         reason = RefusalReason.QUEUE_FULL
-        return (self._refuse(dropped.demand, reason, wait_s),)
+        return (self._refuse(dropped.demand, reason, wait_s, now_s),)
 
-    def _eviction_rank(
-        self, queued: QueuedRequest
-    ) -> tuple[float, float, int]:
-        demand = queued.demand
-        queued_count = self._queue.count(demand.organisation_id)
-        share = queued_count / demand.weight
-        return share, -demand.attained_tokens, queued.sequence
+    def _refuse_early(
+        self, demand: SlotDemand, wait_s: float, now_s: float
+    ) -> Refuse | None:
+        if not self._settings.refuse_early:
+            return None
+        if self._in_flight.fits_no_server(demand):
+            reason = RefusalReason.NO_SERVER
+            return self._refuse(demand, reason, wait_s, now_s)
+        latest_s = demand.deadline_s
+        if wait_s:
+            latest_s = self._latest_start_s(demand, now_s)
+        if now_s + wait_s <= latest_s:
+            return None
+        return self._refuse_late(demand, wait_s, now_s)
+
+    def _refuse_late(
+        self, demand: SlotDemand, wait_s: float, now_s: float
+    ) -> Refuse:
+        reason = late_reason(
+            demand,
+            now_s + wait_s,
+            self._in_flight.mean_call_s,
+            self._settings.refusal,
+        )
+        return self._refuse(demand, reason, wait_s, now_s)
 
     def _refuse(
-        self, demand: SlotDemand, reason: RefusalReason, wait_s: float
+        self,
+        demand: SlotDemand,
+        reason: RefusalReason,
+        wait_s: float,
+        now_s: float,
     ) -> Refuse:
-        after_s = min(MAX_RETRY_AFTER_S, max(0.5, wait_s / 2))
+        if reason == RefusalReason.NO_SERVER:
+            return Refuse(demand.request_id, reason, NO_SERVER_RETRY_S)
+        longest_wait_s = self._latest_start_s(demand, now_s) - now_s
+        after_s = self._returns.retry_after_s(
+            wait_s,
+            longest_wait_s,
+            self._in_flight.mean_slot_wait_s(now_s),
+            now_s,
+        )
         return Refuse(demand.request_id, reason, after_s)
 
+    def _latest_start_s(
+        self, demand: SlotDemand, submitted_at_s: float
+    ) -> float:
+        return latest_start_s(
+            demand,
+            submitted_at_s,
+            self._in_flight.mean_call_s,
+            self._settings.refusal,
+        )
+
+    def _supply(self, now_s: float) -> SlotSupply:
+        slots = self._in_flight.usable_limit(now_s)
+        return SlotSupply(now_s, slots, self._in_flight.mean_call_s)
+
     def _dispatch(self, now_s: float) -> tuple[Action, ...]:
         if not len(self._queue):
             return ()
         actions: list[Action] = []
         over_share_ids: set[OrganisationId] = set()
+        reserved_ids: set[ServerId] = set()
         skipped: list[QueuedRequest] = []
+        supply = self._supply(now_s)
         while len(skipped) < self._settings.scan_limit:
             if not self._in_flight.has_open_slot(now_s):
                 break
-            queued = self._queue.pop(over_share_ids)
+            queued = self._queue.pop(over_share_ids, supply)
             if queued is None:
                 break
             demand = queued.demand
             if not self._shares.allows(
-                demand.organisation_id,
-                self._in_flight.usable_limit(now_s),
-                now_s,
+                demand.organisation_id, supply.slots, now_s
             ):
                 over_share_ids.add(demand.organisation_id)
                 self._queue.restore(queued)
                 continue
-            choice = self._in_flight.choose_server(demand, now_s)
+            choice = self._in_flight.choose_server(demand, now_s, reserved_ids)
             if choice is None or not choice.is_open:
                 skipped.append(queued)
+                reserved_id = self._in_flight.choose_reserved(demand, now_s)
+                if reserved_id is not None:
+                    reserved_ids.add(reserved_id)
                 continue
-            server_id = choice.server_id
-            call = self._in_flight.grant(demand, server_id, now_s)
-            if call is not None:
-                self._charge_grant(call, now_s)
-                actions.append(Grant(demand.request_id, server_id))
+            grant = self._grant(queued, choice.server_id, now_s)
+            if grant is not None:
+                actions.append(grant)
         for queued in skipped:
             self._queue.restore(queued)
         return tuple(actions)
 
+    def _grant(
+        self, queued: QueuedRequest, server_id: ServerId, now_s: float
+    ) -> Grant | None:
+        demand = queued.demand
+        call = self._in_flight.grant(demand, server_id, now_s)
+        if call is None:
+            return None
+        self._charge_grant(call, now_s)
+        self._queue.record_grant(queued)
+        self._returns.record_grant(demand.begins_program)
+        return Grant(demand.request_id, server_id)
+
     def _time_passed(self, now_s: float) -> tuple[Action, ...]:
         expired = tuple(self._expire_homes(now_s))
         recalled = tuple(self._recall_stalled(now_s))
@@ -291,27 +400,32 @@
             yield Expire(call.demand.request_id, call.server_id)
 
     def _recall_stalled(self, now_s: float) -> Iterator[Action]:
+        if not self._settings.recalls_stalled:
+            return
         for call in self._in_flight.eject_stalled(now_s):
             self._release(call.demand.request_id)
             yield Recall(call.demand.request_id, call.server_id)
 
     def _clear_unservable(self, now_s: float) -> Iterator[Action]:
         has_no_server = not self._in_flight.usable_windows(now_s)
+        earliest_s = now_s + self._outage_s(now_s)
         for queued in self._queue:
             demand = queued.demand
-            if now_s >= demand.deadline_s:
+            spill = None
+            is_late = earliest_s >= queued.latest_start_s
+            if has_no_server and demand.may_spill:
+                if now_s < queued.latest_start_s:
+                    spill = self._peers.choose_fallback(demand, now_s)
+            elif is_late:
+                spill = self._choose_rescue(demand, now_s)
+            if spill is not None:
+                self._peers.record_spill(demand, spill, now_s)
                 self._queue.remove(demand.request_id)
-                yield self._refuse(demand, RefusalReason.DEADLINE, 1.0)
-                continue
-            if not has_no_server or not demand.may_spill:
-                continue
-            limit_s = demand.deadline_s - now_s
-            domain_id = self._peers.fallback_domain(now_s, limit_s)
-            if domain_id is None:
-                continue
-            self._peers.record_spill(domain_id)
-            self._queue.remove(demand.request_id)
-            yield Spill(demand.request_id, domain_id)
+                yield spill
+            elif is_late:
+                self._queue.remove(demand.request_id)
+                wait_s = self._returning_wait_s(demand, now_s)
+                yield self._refuse_late(demand, wait_s, now_s)
 
     def _spill_queued(self, now_s: float) -> Iterator[Action]:
         spills_left = self._settings.spills_per_tick
@@ -324,23 +438,53 @@
                 or self._in_flight.caches.max_cached_tokens(demand.context_id)
             ):
                 continue
-            domain_id = self._peers.faster_domain(
-                self._queue_wait_s(now_s), 0.0, 0, 0.0, now_s
-            )
-            if domain_id is None:
+            wait_s = self._queue_wait_s(now_s)
+            if self._settings.spill.expects_past_wait:
+                wait_s = max(wait_s, now_s - queued.enqueued_at_s)
+            own = OwnFinish(wait_s, wait_s)
+            spill = self._peers.choose_faster(demand, own, now_s)
+            if spill is None:
                 return
             spills_left -= 1
-            self._peers.record_spill(domain_id)
+            self._peers.record_spill(demand, spill, now_s)
             self._queue.remove(demand.request_id)
-            yield Spill(demand.request_id, domain_id)
+            yield spill
 
     def _expected_wait_s(self, demand: SlotDemand, now_s: float) -> float:
         if not len(self._queue) and self._in_flight.has_open_slot(now_s):
             return 0.0
-        ahead = self._queue.count_ahead(demand.organisation_id, demand.weight)
-        return (1 + ahead) * self._in_flight.mean_slot_wait_s(now_s)
+        turns = self._queue.count_turns_before(demand, self._supply(now_s))
+        return self._outage_s(now_s) + (1 + turns) * self._turn_s(now_s)
+
+    def _turn_s(self, now_s: float) -> float:
+        is_outage = not self._in_flight.usable_limit(now_s)
+        if is_outage and self._settings.refusal.counts_outage:
+            slots = max(1, self._in_flight.total_slots())
+            return self._in_flight.mean_call_s / slots
+        return self._in_flight.mean_slot_wait_s(now_s)
+
+    def _outage_s(self, now_s: float) -> float:
+        if not self._settings.refusal.counts_outage:
+            return 0.0
+        return self._in_flight.opens_in_s(now_s)
+
+    def _returning_wait_s(self, demand: SlotDemand, now_s: float) -> float:
+        if not self._settings.refusal.spaces_returns:
+            return 0.0
+        return self._expected_wait_s(demand, now_s)
 
     def _queue_wait_s(self, now_s: float) -> float:
         if not len(self._queue) and self._in_flight.has_open_slot(now_s):
             return 0.0
         return (1 + len(self._queue)) * self._in_flight.mean_slot_wait_s(now_s)
+
+
+def create_queue(
+    settings: QueueSettings | FinishOrder, shares: SlotShares
+) -> FairQueue | FinishQueue:
+    """Return an empty queue with the order that the settings name."""
+    match settings:
+        case QueueSettings():
+            return FairQueue(settings)
+        case FinishOrder():
+            return FinishQueue(settings, shares)
--- a/jackdawfield/decisions/pool_events.py
+++ b/jackdawfield/decisions/pool_events.py
@@ -1,6 +1,7 @@
 """Define the events and actions of a pool's scheduler."""
 
 from dataclasses import dataclass
+from dataclasses import field
 from enum import Enum
 from typing import NewType
 
@@ -21,6 +22,27 @@
     DEADLINE = 'deadline would pass'
     QUEUE_FULL = 'queue is full'
     NO_SERVER = 'no server can serve'
+    NO_OPEN_SLOT = 'no open slot for other failure domains'
+    PROGRAM_LATE = 'program could not end in time'
+
+
+class SpillReason(Enum):
+    """Lists the reasons to send a request to another failure domain."""
+
+    FASTER = 'sooner finish'
+    PREFIX = 'cached prefix'
+    NO_SERVER = 'no own server'
+
+
+class SpillObstacle(Enum):
+    """Lists why no request is sent to another failure domain."""
+
+    NO_REPORT = 'no recent report'
+    NO_SERVER = 'no server there'
+    RETURNED = 'requests were returned'
+    LINK_FULL = 'link is full'
+    NO_OPEN_SLOT = 'no open slot there'
+    NO_GAIN = 'no gain'
 
 
 class FailureKind(Enum):
@@ -39,7 +61,16 @@
     program or sub-agent whose prompt prefix a server may have cached.
     `attained_tokens` counts what the whole program with its sub-agents has
     been served. `waited_s` is the time waited before this submission, in
-    another domain or before a refusal.
+    another domain or before a refusal. `priority` is smaller for a more
+    urgent call. `finish_s` is the time by which the program, or a call of no
+    program, is to end. `preferred_server_id` has the prompt prefix cached,
+    and to `connected_server_ids` the home has idle connections.
+    `held_tokens` are held at the server while the call runs, zero if unknown.
+    With `needs_open_slot`, a request of another domain is refused at once if
+    no slot is open for it. `body_bytes` are sent to another domain if the
+    request is spilled. `returned_by` is a domain that it was spilled to and
+    that did not serve it in time, and `prefix_domain_id` another domain that
+    has its prompt prefix cached.
     """
 
     request_id: RequestId
@@ -55,6 +86,16 @@
     repeatable: bool = True
     may_spill: bool = True
     avoided_server_ids: frozenset[ServerId] = frozenset()
+    priority: int = 0
+    finish_s: float | None = None
+    begins_program: bool = False
+    preferred_server_id: ServerId | None = None
+    connected_server_ids: frozenset[ServerId] = frozenset()
+    held_tokens: int = 0
+    needs_open_slot: bool = False
+    body_bytes: int = 0
+    returned_by: DomainId | None = None
+    prefix_domain_id: DomainId | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -166,9 +207,22 @@
     servers: tuple[BackendServer, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerAvoided:
+    """Reports that a server is granted no calls until `until_s`."""
+
+    now_s: float
+    server_id: ServerId
+    until_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class PeerReport:
-    """Carries the load of the same pool in another failure domain."""
+    """Carries the load of the same pool in another failure domain.
+
+    `now_s` is when it was made. `link_bytes` are under way from the domain to
+    other regions, and `round_trip_s` is measured by the receiver.
+    """
 
     now_s: float
     domain_id: DomainId
@@ -178,6 +232,9 @@
     open_slots: int
     call_s: float
     token_s: float
+    queued: int = 0
+    link_bytes: float = 0.0
+    round_trip_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +264,7 @@
     | LoadReport
     | CacheReport
     | ServersChanged
+    | ServerAvoided
     | PeerReport
     | PeerLost
     | TimePassed
@@ -232,10 +290,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Spill:
-    """Sends a queued request to the same pool of another domain."""
+    """Sends a queued request to the same pool of another domain.
+
+    `gain_s` is how much sooner it is expected to finish there, less the
+    price of crossing.
+    """
 
     request_id: RequestId
     domain_id: DomainId
+    needs_open_slot: bool = False
+    reason: SpillReason = field(default=SpillReason.FASTER, compare=False)
+    gain_s: float = field(default=0.0, compare=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -6,12 +6,13 @@
 """
 
 import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Awaitable
 from collections.abc import Callable
+from contextlib import aclosing
 from dataclasses import dataclass
 from enum import Enum
-from functools import partial
 import itertools
 import logging
 import time
@@ -19,11 +20,19 @@
 
 import grpc
 import grpc.aio
-import msgspec
 from result import Err
 from result import Ok
 from result import Result
 
+from jackdawfield.drivers.peer_frames import decode_frame
+from jackdawfield.drivers.peer_frames import encode_frame
+from jackdawfield.drivers.peer_frames import Frame
+from jackdawfield.drivers.peer_frames import FrameKind
+from jackdawfield.drivers.peer_frames import NO_EXCHANGE
+from jackdawfield.drivers.peer_frames import NOT_TAKEN
+from jackdawfield.drivers.peer_frames import not_taken_frame
+from jackdawfield.drivers.peer_frames import STOPPING_EXCHANGE
+from jackdawfield.drivers.served_link import ServedLink
 from jackdawfield.logs import log_event
 from jackdawfield.messages.base import decode
 from jackdawfield.messages.base import encode
@@ -36,11 +45,6 @@
 # An open connection can stop carrying data while new ones work.
 TIMEOUTS_TO_REOPEN = 3
 MAX_FRAME_BYTES = 64 * 1024 * 1024
-# Exchange number of the frame by which a peer announces its stop; exchanges
-# count from 1. Its body is the number of the last exchange that it has taken.
-STOPPING_EXCHANGE = 0
-# Name of a failed frame for an exchange that the peer has not taken.
-NOT_TAKEN = 'not taken'
 STOP_CHECK_S = 0.01
 GRPC_OPTIONS = [
     ('grpc.enable_retries', 0),
@@ -56,44 +60,18 @@
 ]
 
 
-class FrameKind(Enum):
-    """Lists the kinds of frames.
-
-    OPEN carries the request, ITEM one answer. END, FAILED and CANCEL end the
-    exchange, the last one from the requester.
-    """
-
-    OPEN = 0
-    ITEM = 1
-    END = 2
-    FAILED = 3
-    CANCEL = 4
-
-
-@dataclass(frozen=True, slots=True)
-class Frame:
-    """Holds one message of one exchange.
-
-    The name is that of the message class; with FAILED, the body is the reason
-    as text, and the name may be NOT_TAKEN.
-    """
-
-    exchange: int
-    kind: FrameKind
-    name: str = ''
-    body: bytes = b''
-
-
 class PeerFault(Enum):
     """Lists the reasons for which an exchange with a peer fails.
 
     After NOT_SENT the peer has not received the request; after LOST that is
     unknown. After FAILED it has reported an error or sent no valid answer.
+    After SILENT an answer is overdue, and the peer may have the request.
     """
 
     NOT_SENT = 'not sent'
     LOST = 'lost'
     FAILED = 'failed'
+    SILENT = 'silent'
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,34 +82,13 @@
     reason: str
 
 
+NO_ANSWER: Err[PeerError] = Err(PeerError(PeerFault.FAILED, 'no answer'))
 Handler = Callable[[Any], AsyncIterator[object]]
+NoticeHandler = Callable[[Any], None]
+IsLast = Callable[[Any], bool]
 UnaryHandler = Callable[[Any], Awaitable[object]]
 
 
-def encode_frame(frame: Frame) -> bytes:
-    """Encode a frame as MessagePack."""
-    return msgspec.msgpack.encode(frame)
-
-
-def decode_frame(data: bytes) -> Frame:
-    """Decode a frame from MessagePack."""
-    return msgspec.msgpack.decode(data, type=Frame)
-
-
-def not_taken_frame(exchange: int) -> Frame:
-    """Return the frame that ends an exchange that the peer has not taken."""
-    return Frame(exchange, FrameKind.FAILED, NOT_TAKEN, b'peer is stopping')
-
-
-def remove_task(
-    tasks: dict[int, asyncio.Task[None]],
-    exchange: int,
-    task: asyncio.Task[None],
-) -> None:
-    """Remove the task of an exchange that has ended."""
-    tasks.pop(exchange, None)
-
-
 class Link:
     """Holds a bidirectional stream to a peer and its open exchanges."""
 
@@ -209,7 +166,7 @@
 
     async def exchange(
         self, message: object
-    ) -> AsyncIterator[Result[Any, PeerError]]:
+    ) -> AsyncGenerator[Result[Any, PeerError], None]:
         """Send a message and yield the peer's answers; an error ends them."""
         reason = self._unusable_reason()
         if reason is not None:
@@ -234,9 +191,19 @@
                 cancel_frame = Frame(number, FrameKind.CANCEL)
                 self._outgoing.put_nowait(encode_frame(cancel_frame))
 
+    def notify(self, message: object) -> Result[None, PeerError]:
+        """Send a message that has no answer."""
+        reason = self._unusable_reason()
+        if reason is not None:
+            return Err(PeerError(PeerFault.NOT_SENT, reason))
+        name, body = encode(message)
+        notice = Frame(NO_EXCHANGE, FrameKind.NOTICE, name, body)
+        self._outgoing.put_nowait(encode_frame(notice))
+        return Ok(None)
+
     def _results(self, frame: Frame) -> list[Result[Any, PeerError]]:
         match frame.kind:
-            case FrameKind.ITEM:
+            case FrameKind.ITEM | FrameKind.LAST:
                 return [
                     decode(frame.name, frame.body).map_err(
                         lambda e: PeerError(PeerFault.FAILED, str(e))
@@ -260,56 +227,29 @@
         await self._channel.close()
 
 
-class ServedLink:
-    """Holds a peer's stream to this instance and its exchanges."""
-
-    def __init__(self) -> None:
-        # Number of the last exchange, below the first one's before any.
-        self.last_taken = 0
-        self.tasks_by_exchange: dict[int, asyncio.Task[None]] = {}
-        # None ends the stream.
-        self.outgoing: asyncio.Queue[bytes | None] = asyncio.Queue()
-
-    def send(self, frame: Frame) -> None:
-        """Send a frame to the peer."""
-        self.outgoing.put_nowait(encode_frame(frame))
-
-    def announce_stop(self) -> None:
-        """Tell the peer which exchanges were taken, and that none will be."""
-        body = str(self.last_taken).encode()
-        self.send(Frame(STOPPING_EXCHANGE, FrameKind.END, '', body))
-
-    def take(self, exchange: int, task: asyncio.Task[None]) -> None:
-        """Hold the task that answers an exchange until it has ended."""
-        self.last_taken = exchange
-        self.tasks_by_exchange[exchange] = task
-        remove = partial(remove_task, self.tasks_by_exchange, exchange)
-        task.add_done_callback(remove)
-
-    def cancel(self, exchange: int) -> None:
-        """Cancel an exchange that its requester has given up."""
-        task = self.tasks_by_exchange.pop(exchange, None)
-        if task is not None:
-            task.cancel()
-
-    def end(self) -> None:
-        """End the stream after what was sent."""
-        self.outgoing.put_nowait(None)
-
-
 class PeerServer:
     """Serves exchanges with the handlers of their message classes."""
 
     def __init__(self) -> None:
         self._handlers_by_name: dict[str, Handler] = {}
+        self._notice_handlers_by_name: dict[str, NoticeHandler] = {}
+        # Tell the answer that ends an exchange, by name of its request.
+        self._is_last_by_name: dict[str, IsLast] = {}
         self._server: grpc.aio.Server | None = None
         self._links: set[ServedLink] = set()
         self._is_stopping = False
         self.open_exchange_count = 0
 
-    def handle_stream(self, cls: type, handler: Handler) -> None:
-        """Register a handler that answers with a stream of messages."""
+    def handle_stream(
+        self, cls: type, handler: Handler, is_last: IsLast | None = None
+    ) -> None:
+        """Register a handler that answers with a stream of messages.
+
+        It ends with the answer for which `is_last` is true.
+        """
         self._handlers_by_name[cls.__name__] = handler
+        if is_last is not None:
+            self._is_last_by_name[cls.__name__] = is_last
 
     def handle(self, cls: type, handler: UnaryHandler) -> None:
         """Register a handler that answers with one message."""
@@ -319,6 +259,10 @@
 
         self._handlers_by_name[cls.__name__] = stream
 
+    def handle_notice(self, cls: type, handler: NoticeHandler) -> None:
+        """Register a handler of messages that have no answer."""
+        self._notice_handlers_by_name[cls.__name__] = handler
+
     async def start(
         self, address: str, credentials: grpc.ServerCredentials | None
     ) -> None:
@@ -379,6 +323,8 @@
             frame = decode_frame(data)
             if frame.kind is FrameKind.CANCEL:
                 link.cancel(frame.exchange)
+            elif frame.kind is FrameKind.NOTICE:
+                self._take_notice(frame)
             elif self._is_stopping:
                 link.send(not_taken_frame(frame.exchange))
             else:
@@ -386,6 +332,19 @@
                 link.take(frame.exchange, asyncio.create_task(answer))
         link.end()
 
+    def _take_notice(self, frame: Frame) -> None:
+        handler = self._notice_handlers_by_name.get(frame.name)
+        match decode(frame.name, frame.body):
+            case Ok(message) if handler is not None:
+                try:
+                    handler(message)
+                except Exception:
+                    LOG.exception(
+                        'event=handler_failed message=%s', frame.name
+                    )
+            case _:
+                log_event(LOG, 'notice_not_taken', message=frame.name)
+
     async def _answer(self, frame: Frame, link: ServedLink) -> None:
         self.open_exchange_count += 1
         try:
@@ -409,8 +368,15 @@
                 reason = str(error).encode()
                 return Frame(frame.exchange, FrameKind.FAILED, '', reason)
             case Ok(message):
-                async for answer in handler(message):
+                is_last = self._is_last_by_name.get(frame.name)
+                answers: Any = handler(message)
+                async for answer in answers:
                     name, body = encode(answer)
+                    if is_last is not None and is_last(answer):
+                        await answers.aclose()
+                        return Frame(
+                            frame.exchange, FrameKind.LAST, name, body
+                        )
                     link.send(
                         Frame(frame.exchange, FrameKind.ITEM, name, body)
                     )
@@ -444,6 +410,42 @@
         """Send a message and yield the peer's answers; an error ends them."""
         return self._link(address).exchange(message)
 
+    async def ask(
+        self,
+        address: str,
+        message: object,
+        wait_s: Callable[[Any], float | None],
+        timeout_s: float,
+    ) -> Result[Any, PeerError]:
+        """Send a message and return the peer's last answer.
+
+        `wait_s` returns for how long the next answer to the one given is
+        waited for, None if that is the last; `timeout_s` is the time for the
+        first one.
+        """
+        link = self._link(address)
+        answers = link.exchange(message)
+        left_s: float | None = timeout_s
+        try:
+            async with aclosing(answers):
+                while left_s is not None:
+                    async with asyncio.timeout(left_s):
+                        found = await anext(answers, NO_ANSWER)
+                    if isinstance(found, Err):
+                        return found
+                    left_s = wait_s(found.ok_value)
+            return found
+        except TimeoutError:
+            await self._record_timeout(link)
+            return Err(PeerError(PeerFault.SILENT, 'timeout'))
+
+    def notify(self, address: str, message: object) -> Result[None, PeerError]:
+        """Send a message that has no answer.
+
+        It is lost if the link breaks before it has arrived.
+        """
+        return self._link(address).notify(message)
+
     async def request(
         self, address: str, message: object, timeout_s: float
     ) -> Result[Any, PeerError]:
@@ -459,7 +461,7 @@
         except TimeoutError:
             await self._record_timeout(link)
             return Err(PeerError(PeerFault.LOST, 'timeout'))
-        return Err(PeerError(PeerFault.FAILED, 'no answer'))
+        return NO_ANSWER
 
     async def _record_timeout(self, link: Link) -> None:
         """Close a link after repeated timeouts; the next use reopens it.
