Space the returns of begun programs' calls by single calls

Cause: where all calls belong to begun programs, as at a plain service, the count of new programs faded to nothing, the calls of a program grew without bound, and each refused caller was told the longest time. Change: a refused call of a begun program takes one slot, a new program at most the calls that the faded counts hold.

--- a/jackdawfield/decisions/early_refusal.py
+++ b/jackdawfield/decisions/early_refusal.py
@@ -79,6 +79,7 @@
 
     def retry_after_s(
         self,
+        begins_program: bool,
         wait_s: float,
         longest_wait_s: float,
         slot_wait_s: float,
@@ -87,15 +88,16 @@
         """Return the seconds until a caller may return.
 
         By then its wait is expected to be down to the longest one that it
-        can bear, and those who were refused before it have been served, all
-        their programs' calls at one slot every `slot_wait_s`.
+        can bear, and those who were refused before it have been served, a
+        new program with all its calls, at one slot every `slot_wait_s`.
         """
         least_s = self._settings.min_retry_after_s
         most_s = self._settings.max_retry_after_s
         if not self._settings.spaces_returns:
             return min(most_s, max(least_s, wait_s / 2))
         excess_s = wait_s - max(0.0, longest_wait_s)
-        interval_s = slot_wait_s * self._grants / self._begun
+        calls = self._grants / max(1.0, self._begun) if begins_program else 1
+        interval_s = slot_wait_s * calls
         own_after_s = max(least_s, excess_s)
         after_others_s = self._next_at_s + interval_s - now_s
         after_s = min(most_s, max(own_after_s, after_others_s))
--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -266,6 +266,7 @@
             return Refuse(demand.request_id, reason, NO_SERVER_RETRY_S)
         longest_wait_s = self._latest_start_s(demand, now_s) - now_s
         after_s = self._returns.retry_after_s(
+            demand.begins_program,
             wait_s,
             longest_wait_s,
             self._in_flight.mean_slot_wait_s(now_s),
--- a/tests/test_early_refusal.py
+++ b/tests/test_early_refusal.py
@@ -78,11 +78,21 @@
     def test_returns_are_soon_again_after_a_burst(self) -> None:
         schedule = ReturnSchedule(GATEWAY.refusal)
         for _ in range(1000):
-            schedule.retry_after_s(1.0, 0.2, 0.05, now_s=0.0)
+            schedule.retry_after_s(True, 1.0, 0.2, 0.05, now_s=0.0)
         self.assertAlmostEqual(
-            0.8, schedule.retry_after_s(1.0, 0.2, 0.05, now_s=6.0)
+            0.8, schedule.retry_after_s(True, 1.0, 0.2, 0.05, now_s=6.0)
         )
 
+    def test_calls_of_begun_programs_return_by_single_calls(self) -> None:
+        schedule = ReturnSchedule(GATEWAY.refusal)
+        for _ in range(100_000):
+            schedule.record_grant(begins_program=False)
+        returns_s = [
+            schedule.retry_after_s(False, 1.0, 0.2, 0.05, now_s=0.0)
+            for _ in range(2)
+        ]
+        self.assertAlmostEqual(0.05, returns_s[1] - returns_s[0])
+
 
 class LatestStartTest(unittest.TestCase):
     settings = RefusalSettings(first_wait_fraction=0.25, counts_call=True)
