Start from peers' tables while the store is silent

Cause: an instance that starts while the store accepts calls and answers none waited for the time limits of its reads and of two relays before it asked other instances for the configuration, the servers and the members, one after the other and four in all; the members waited for two such reads, as the earlier seat was taken first.

The read goes on, so that the store's path learns of the silence. A copy counts as read in an outage, so that entries which the store forgot are held for their grace. The seat is taken beside.

Ruled out: cancelling the overdue read, since the path would not avoid the store then.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -361,8 +361,7 @@
 
     async def _follow_members(self) -> None:
         # An own seat is taken first, since its rates may be granted at once.
-        if not await self.seat_holder.try_reclaim():
-            self._tasks.spawn(self.seat_holder.reclaim())
+        await self.seat_holder.begin_reclaim(self._tasks)
         await self.followers[-1].run()
 
     async def _remove_expired(self) -> None:
--- a/jackdawfield/gateway/fleet/seat_holder.py
+++ b/jackdawfield/gateway/fleet/seat_holder.py
@@ -14,6 +14,7 @@
 import msgspec
 from result import Err
 
+from jackdawfield.background import BackgroundTasks
 from jackdawfield.decisions.placement import choose_owner
 from jackdawfield.decisions.table import Committed
 from jackdawfield.gateway.clock import boot_time_s
@@ -34,6 +35,8 @@
 LOG = logging.getLogger(__name__)
 WRITE_TIMEOUT_S = 1.0
 RECLAIM_RETRY_S = 0.3
+# Time for the store to answer a start, which takes a tenth of it.
+RECLAIM_WAIT_S = 0.3
 # Minimum time between two writes to the table by one instance. The last write
 # is read back in it, or arrives late.
 WRITE_INTERVAL_S = 1.0
@@ -81,6 +84,22 @@
             established,
         )
 
+    async def begin_reclaim(self, tasks: BackgroundTasks) -> None:
+        """Take the earlier seat, or go on with that in the background.
+
+        Without an answer of the store, the members are followed meanwhile.
+        """
+        trying = asyncio.create_task(self.try_reclaim())
+        done, _ = await asyncio.wait((trying,), timeout=RECLAIM_WAIT_S)
+        if done and trying.result():
+            return
+        self._members.adopts_earlier = True
+        tasks.spawn(self._end_reclaim(trying))
+
+    async def _end_reclaim(self, trying: asyncio.Task[bool]) -> None:
+        if not await trying:
+            await self.reclaim()
+
     async def reclaim(self) -> None:
         """Take the seat of this instance's earlier incarnation, if any.
 
--- a/jackdawfield/gateway/fleet/shared_tables.py
+++ b/jackdawfield/gateway/fleet/shared_tables.py
@@ -10,6 +10,7 @@
 import asyncio
 from contextlib import suppress
 from dataclasses import replace
+from functools import partial
 import logging
 
 from result import Err
@@ -20,17 +21,19 @@
 from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.fleet.member_rows import MEMBERS_TABLE
 from jackdawfield.gateway.fleet.members import Members
+from jackdawfield.gateway.fleet.peer_copies import PeerCopies
+from jackdawfield.gateway.fleet.peer_copies import START_TIMEOUT_S
 from jackdawfield.gateway.fleet.seats import SeatId
+from jackdawfield.gateway.fleet.table_sharing import decode_rows
 from jackdawfield.gateway.fleet.table_sharing import MAX_SHARED_AGE_S
-from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.hedging import first_answer
+from jackdawfield.gateway.hedging import Source
 from jackdawfield.gateway.storage.rows import RowsChanged
 from jackdawfield.gateway.storage.rows import RowsRead
 from jackdawfield.gateway.storage.rows import RowStore
-from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.gateway.storage.rows import StoreError
 from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_tables import FollowTable
-from jackdawfield.messages.fleet_tables import SharedRow
 from jackdawfield.messages.fleet_tables import TableNotFollowed
 from jackdawfield.messages.fleet_tables import TableRows
 from jackdawfield.messages.fleet_tables import WHOLE_TABLE
@@ -52,11 +55,9 @@
 AVOID_S = 2.0
 # Time left to act on a holder that is silent until a table is overdue.
 ANSWER_MARGIN_S = 0.05
-# Rows up to this age serve an instance that starts during an outage of the
-# store, and the time in which another instance has to answer it.
-MAX_START_AGE_S = 60.0
-START_TIMEOUT_S = 0.5
-MAX_ASKED_AT_START = 4
+# An instance that starts asks others if the store has not answered by then,
+# which takes a tenth of it.
+STORE_OVERDUE_S = 0.3
 
 
 class SharedTables:
@@ -74,6 +75,9 @@
         self._avoided_until_s_by_seat: dict[SeatId, float] = {}
         # The tables that were read from the store or a holder.
         self._read_tables: set[str] = set()
+        self._copies = PeerCopies(members, links)
+        # Reads of the store that are not waited for any more.
+        self._reads: set[asyncio.Task[Result[RowsRead, StoreError]]] = set()
 
     async def read_table(self, table: str) -> Result[RowsRead, StoreError]:
         """Return all rows of a table."""
@@ -85,7 +89,7 @@
         match found:
             case TableRows() as shared:
                 self._read_tables.add(table)
-                rows = _decode_rows(table, shared.rows)
+                rows = decode_rows(table, shared.rows)
                 return Ok(
                     RowsRead(
                         rows,
@@ -95,46 +99,28 @@
                         str(seat_id),
                     )
                 )
-        read = await self._store.read(table, '')
-        if isinstance(read, Err) and table not in self._read_tables:
-            known = await self._ask_any(table)
-            if known is not None:
-                return Ok(known)
-        if isinstance(read, Ok):
+        if table in self._read_tables:
+            return await self._store.read(table, '')
+        read = await self._read_first(table)
+        if isinstance(read, Ok) and not read.ok_value.is_copy:
             self._read_tables.add(table)
         return read
 
-    async def _ask_any(self, table: str) -> RowsRead | None:
-        """Return a table as another instance knows it, None if none does.
+    async def _read_first(self, table: str) -> Result[RowsRead, StoreError]:
+        """Return a table as the store has it, or another instance's copy.
 
-        An instance that starts during an outage has no rows of its own.
+        An instance that starts has no rows of its own. A store that does not
+        answer at once is read on, since its path has to learn of that.
         """
-        message = FollowTable(
-            table, WHOLE_TABLE, 0.0, self._members.own_address, True
+        reading = asyncio.create_task(self._store.read(table, ''))
+        self._reads.add(reading)
+        reading.add_done_callback(self._reads.discard)
+        sources = (
+            Source(lambda: asyncio.shield(reading), STORE_OVERDUE_S),
+            Source(partial(self._copies.read, table), START_TIMEOUT_S),
         )
-        addresses = self._members.relay_addresses()
-        for address in addresses[:MAX_ASKED_AT_START]:
-            asked_at_s = boot_time_s()
-            found = await self._links.request(
-                address, message, START_TIMEOUT_S
-            )
-            match found:
-                case Ok(TableRows() as shared):
-                    pass
-                case _:
-                    continue
-            if shared.age_s <= MAX_START_AGE_S:
-                log_event(
-                    LOG,
-                    'table_from_peer',
-                    table=table,
-                    peer=address,
-                    age_s=round(shared.age_s, 2),
-                )
-                rows = _decode_rows(table, shared.rows)
-                read_at_s = asked_at_s - shared.age_s
-                return RowsRead(rows, shared.version, True, read_at_s, address)
-        return None
+        found = await first_answer(sources)
+        return found.map_err(lambda errors: errors[0])
 
     async def await_changes(
         self, table: str, after_version: int, confirmed_at_s: float
@@ -187,7 +173,7 @@
         found = await self._ask_holder(seat_id, table, after_version, limit_s)
         match found:
             case TableRows() as shared:
-                rows = _decode_rows(table, shared.rows)
+                rows = decode_rows(table, shared.rows)
                 return Ok(
                     RowsChanged(
                         rows,
@@ -283,12 +269,3 @@
             if self._avoided_until_s_by_seat.get(seat_id, 0.0) <= now_s:
                 return seat_id
         return None
-
-
-def _decode_rows(
-    table: str, rows: tuple[SharedRow, ...]
-) -> tuple[StoredRow, ...]:
-    return tuple(
-        StoredRow(RowKey(table, '', row.key), row.value, row.version)
-        for row in rows
-    )
--- a/jackdawfield/gateway/fleet/table_sharing.py
+++ b/jackdawfield/gateway/fleet/table_sharing.py
@@ -3,6 +3,7 @@
 from jackdawfield.drivers.peers import PeerServer
 from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.storage.follower import TableFollower
+from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.messages.fleet_tables import FollowTable
 from jackdawfield.messages.fleet_tables import SharedRow
@@ -76,3 +77,13 @@
         follower.is_recovering,
         held_s,
     )
+
+
+def decode_rows(
+    table: str, rows: tuple[SharedRow, ...]
+) -> tuple[StoredRow, ...]:
+    """Return the rows of a table that another instance has sent."""
+    return tuple(
+        StoredRow(RowKey(table, '', row.key), row.value, row.version)
+        for row in rows
+    )
--- a/jackdawfield/gateway/storage/follower.py
+++ b/jackdawfield/gateway/storage/follower.py
@@ -130,6 +130,9 @@
             self._log_failure(found.err_value.reason)
             return False
         read = found.ok_value
+        if read.is_copy:
+            # The store may forget rows until it answers again.
+            self._failed_at_s = asked_at_s
         self._record_source(read.source)
         self.version = read.version
         self.log.replace(read.rows, read.version)
--- a/jackdawfield/gateway/storage/rows.py
+++ b/jackdawfield/gateway/storage/rows.py
@@ -72,6 +72,8 @@
     read_at_s: float | None = None
     # Who was asked, for the logs.
     source: str = STORE_SOURCE
+    # Another instance remembers the rows; the store gave no answer.
+    is_copy: bool = False
 
 
 @dataclass(frozen=True, slots=True)
