Move unused tokens of programs between instances in an outage

Cause: while the store is away, a program's next call is refused with 'budget not readable now' at any instance but the one that holds its tokens. What a stopped instance held counted as spent at once, also while the store answered, and what a lender had lent was forgotten with it.

Change: tokens are moved, never copied. An instance that stops gives its unused tokens to the programs' holders, and tells the next lenders what it lent before these lend. A call whose reservation is not written within 0.3 s takes tokens from two holders and the row's last writers, before any are lent; what it does not use goes back. An account whose write is due or in doubt gives nothing away. Before a 402 the holders are asked, too.

Ruled out: a copied number of granted tokens, from which two instances spend the same rest; sending a hand-over again whose answer was lost.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -36,10 +36,9 @@
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
+from jackdawfield.gateway.programs.advances import Advances
 from jackdawfield.gateway.programs.chains import ChainReader
 from jackdawfield.gateway.programs.expiry import RowExpiry
-from jackdawfield.gateway.programs.overdraft import OverdraftLender
-from jackdawfield.gateway.programs.overdraft import Overdrafts
 from jackdawfield.gateway.programs.stream_calls import StreamCalls
 from jackdawfield.gateway.programs.turn_cache import TurnCache
 from jackdawfield.gateway.programs.turn_store import TurnStore
@@ -258,7 +257,7 @@
         settings = self.settings
         cache = TurnCache(int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE))
         self.expiry = RowExpiry(self.store)
-        self.unused_tokens = UnusedTokens(self.links)
+        self.unused_tokens = UnusedTokens(self.links, self.members)
         self.accounts = ProgramAccounts(
             self.store,
             writer_name(self.members.own_address, self._incarnation),
@@ -268,18 +267,20 @@
             self.store, self.accounts, self.expiry, settings.row_bytes, cache
         )
         chains = ChainReader(self.store, cache)
-        self.overdraft_lender = OverdraftLender(self.rate_owner.ownership)
+        self.advances = Advances(
+            self.members,
+            self.links,
+            self.rate_owner.ownership,
+            self.accounts,
+            self.unused_tokens.pool,
+        )
+        self.overdraft_lender = self.advances.lender
         self.stream_calls = StreamCalls(
             self.dispatcher,
             chains,
             turns,
             self.accounts,
-            Overdrafts(
-                self.members,
-                self.links,
-                self.rate_owner.ownership,
-                self.overdraft_lender,
-            ),
+            self.advances,
             self.expiry,
             self.admission,
             self.metrics,
@@ -338,7 +339,7 @@
         self.table_sharing.register(self.peers)
         self.relay_server.register(self.peers)
         self.server_limits.register(self.peers)
-        self.overdraft_lender.register(self.peers)
+        self.advances.register(self.peers)
         self.unused_tokens.register(self.peers, self.accounts)
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
         self.caller_listener.listen(settings.host, settings.caller_port)
@@ -453,6 +454,7 @@
         log_event(LOG, 'stopping', in_flight=self.caller_listener.in_flight)
         self.detector.is_leaving = True
         self.rate_owner.hand_over_all()
+        self.advances.begin_stop(is_store_away=not self.store_path.is_direct)
         # A store that is slow or away must not delay what callers wait for.
         leaving = asyncio.create_task(self.seat_holder.leave())
         await drain(
@@ -462,6 +464,7 @@
             self.stop_rule.refuse_calls_due_after,
         )
         await self.relay_server.drain(drain_until_s)
+        await self.advances.end_stop(drain_until_s)
         await self._wait_until_left(leaving, drain_until_s)
         log_event(LOG, 'stopped', in_flight=self.caller_listener.in_flight)
         await self.close()
--- a/jackdawfield/gateway/programs/accounts.py
+++ b/jackdawfield/gateway/programs/accounts.py
@@ -105,6 +105,14 @@
             if isinstance(update.event, Reserve)
         )
 
+    @property
+    def is_in_use(self) -> bool:
+        """Return whether a write is due, or may still be applied.
+
+        Its plan counts on the available tokens.
+        """
+        return self.task is not None or bool(self.unknown_writes)
+
 
 async def collect_nothing(program: ProgramKey, writers: Iterable[str]) -> bool:
     """Stand for a fleet in which no other instance holds tokens."""
@@ -178,6 +186,54 @@
         verdict = await self.submit(program, Return(), (), deadline_s)
         return verdict is Verdict.FITS
 
+    def writers_of(self, program: ProgramKey) -> list[str]:
+        """Return the other instances that wrote the row, the last one first.
+
+        That is as of the row that was read last.
+        """
+        account = self._accounts_by_program.get(program)
+        if account is None:
+            return []
+        marks = account.ledger.row.marks
+        return [w for w in reversed(marks) if w != self._writer]
+
+    def give_away(self, program: ProgramKey, most: int) -> int:
+        """Take tokens out of an account that no call and no write uses.
+
+        They stay granted in the row, so that whoever gets them may use them.
+        """
+        account = self._accounts_by_program.get(program)
+        if account is None or account.is_in_use:
+            return 0
+        given = max(0, min(most, account.ledger.available))
+        account.ledger.available -= given
+        return given
+
+    def give_all_away(self) -> dict[str, int]:
+        """Take the unused tokens out of every account, by program.
+
+        The most recently used program comes first.
+        """
+        given_by_program = {}
+        for program, account in reversed(self._accounts_by_program.items()):
+            given = self.give_away(program, account.ledger.available)
+            if given:
+                given_by_program[program.text] = given
+        return given_by_program
+
+    def receive(self, program: ProgramKey, tokens: int) -> None:
+        """Add tokens to an account that another instance gave away."""
+        self._account_of(program).ledger.available += tokens
+
+    async def return_given(self, program: ProgramKey, tokens: int) -> bool:
+        """Write tokens back that others gave away; return if any."""
+        await self.refresh(program)
+        ledger = self._account_of(program).ledger
+        if not ledger.is_loaded or ledger.row.granted < tokens:
+            return False
+        ledger.available += tokens
+        return await self.return_unused(program)
+
     def _account_of(self, program: ProgramKey) -> _Account:
         account = self._accounts_by_program.pop(program, None)
         if account is None:
@@ -277,8 +333,7 @@
         for update in updates:
             update.has_collected = True
         others = [w for w in ledger.row.marks if w != self._writer]
-        if others:
-            await self._collect_unused(program, others)
+        await self._collect_unused(program, others)
 
     async def _write(
         self,
--- /dev/null
+++ b/jackdawfield/gateway/programs/advances.py
@@ -0,0 +1,95 @@
+"""Obtain tokens for calls whose reservations the store does not answer.
+
+Those that other instances hold come first, since the program's row counts
+them already. What is missing is lent beyond the budget.
+"""
+
+from dataclasses import dataclass
+import time
+
+from jackdawfield.background import BackgroundTasks
+from jackdawfield.drivers.peers import PeerLinks
+from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.fleet.members import Members
+from jackdawfield.gateway.fleet.ownership import Ownership
+from jackdawfield.gateway.programs.accounts import ProgramAccounts
+from jackdawfield.gateway.programs.overdraft import OverdraftLender
+from jackdawfield.gateway.programs.overdraft import Overdrafts
+from jackdawfield.gateway.programs.token_pool import TokenPool
+from jackdawfield.gateway.programs.token_transfers import ASK_TIMEOUT_S
+from jackdawfield.gateway.programs.token_transfers import TokenTransfers
+from jackdawfield.gateway.programs.turns import ProgramKey
+
+
+@dataclass(frozen=True, slots=True)
+class Advance:
+    """Holds a call's tokens that were taken from peers, and those lent."""
+
+    taken: int = 0
+    borrowed: int = 0
+
+    @property
+    def tokens(self) -> int:
+        """Return the tokens that may be handed over without a reservation."""
+        return self.taken + self.borrowed
+
+    def part_used(self, used: int) -> 'Advance':
+        """Return what a call has used of it; taken tokens are used first."""
+        taken = min(used, self.taken)
+        return Advance(taken, min(used - taken, self.borrowed))
+
+    def without(self, part: 'Advance') -> 'Advance':
+        """Return what is left of it without a part."""
+        return Advance(self.taken - part.taken, self.borrowed - part.borrowed)
+
+
+class Advances:
+    """Obtains tokens while the store is away, and gives them back."""
+
+    def __init__(
+        self,
+        members: Members,
+        links: PeerLinks,
+        ownership: Ownership,
+        accounts: ProgramAccounts,
+        pool: TokenPool,
+    ) -> None:
+        self.lender = OverdraftLender(ownership)
+        self._overdrafts = Overdrafts(members, links, ownership, self.lender)
+        self.transfers = TokenTransfers(
+            members, links, accounts, self.lender, pool
+        )
+        self._tasks = BackgroundTasks()
+
+    def register(self, server: PeerServer) -> None:
+        """Handle the requests of the other instances."""
+        self.lender.register(server)
+        self.transfers.register(server)
+
+    def begin_stop(self, is_store_away: bool) -> None:
+        """Lend no more, and give away what others can't reserve now.
+
+        While the store answers, calls that still come use what is here.
+        """
+        self._tasks.spawn(self.transfers.hand_over_lent(ASK_TIMEOUT_S))
+        if is_store_away:
+            self._tasks.spawn(self.transfers.hand_over_unused(ASK_TIMEOUT_S))
+
+    async def end_stop(self, until_s: float) -> None:
+        """Give away what the last calls left, before a monotonic time."""
+        await self.transfers.hand_over_unused(until_s - time.monotonic())
+
+    async def obtain(
+        self, program: ProgramKey, most: int, may_borrow: bool, request_id: str
+    ) -> Advance:
+        """Return tokens for one call, at most as many as it generates."""
+        taken = await self.transfers.take(program, most, request_id)
+        if taken >= most or not may_borrow:
+            return Advance(taken)
+        borrowed = await self._overdrafts.borrow(program, most - taken)
+        return Advance(taken, borrowed)
+
+    def give_back(self, program: ProgramKey, part: Advance) -> None:
+        """Give tokens back that were not handed over, or are reserved now."""
+        self.transfers.give(program, part.taken)
+        self._overdrafts.give_back(program, part.borrowed)
--- a/jackdawfield/gateway/programs/overdraft.py
+++ b/jackdawfield/gateway/programs/overdraft.py
@@ -38,6 +38,7 @@
         self._ownership = ownership
         self._started_at_s = time.monotonic()
         self._lent_by_program: dict[str, int] = {}
+        self._is_closed = False
 
     def register(self, server: PeerServer) -> None:
         """Handle the requests of the other instances."""
@@ -55,7 +56,8 @@
 
     def lend(self, program: str, most_tokens: int) -> int:
         """Lend what is left of the tokens, none if another may lend too."""
-        if time.monotonic() - self._started_at_s < MIN_UPTIME_S:
+        uptime_s = time.monotonic() - self._started_at_s
+        if self._is_closed or uptime_s < MIN_UPTIME_S:
             return 0
         if not self._ownership.is_sole_owner(
             OrganisationId(program), boot_time_s()
@@ -68,6 +70,22 @@
             del self._lent_by_program[next(iter(self._lent_by_program))]
         return tokens
 
+    def close(self) -> dict[str, int]:
+        """Lend nothing more; return the tokens that are lent, by program."""
+        lent_by_program = {
+            program: lent
+            for program, lent in self._lent_by_program.items()
+            if lent
+        }
+        self._lent_by_program.clear()
+        self._is_closed = True
+        return lent_by_program
+
+    def adopt(self, program: str, tokens: int) -> None:
+        """Count tokens as lent that an earlier lender has lent."""
+        lent = self._lent_by_program.pop(program, 0)
+        self._lent_by_program[program] = lent + tokens
+
     def take_back(self, program: str, tokens: int) -> None:
         """Lend these tokens again when they are asked for."""
         lent = self._lent_by_program.get(program, 0)
--- a/jackdawfield/gateway/programs/spending.py
+++ b/jackdawfield/gateway/programs/spending.py
@@ -9,10 +9,11 @@
 from jackdawfield.gateway.calls import Refusal
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
 from jackdawfield.gateway.programs.accounts import Verdict
+from jackdawfield.gateway.programs.advances import Advance
+from jackdawfield.gateway.programs.advances import Advances
 from jackdawfield.gateway.programs.ledger import Reserve
 from jackdawfield.gateway.programs.ledger import Settle
 from jackdawfield.gateway.programs.ledger import Spend
-from jackdawfield.gateway.programs.overdraft import Overdrafts
 from jackdawfield.gateway.programs.turns import ProgramKey
 from jackdawfield.logs import log_event
 
@@ -27,7 +28,8 @@
 # still refused as not run.
 REFUSAL_MARGIN_S = 0.05
 # A reservation that is not written within this time is not waited for if the
-# call's tokens can be borrowed. The store answers within a tenth of it.
+# call's tokens can be taken from others or borrowed. The store answers within
+# a tenth of it.
 BORROW_AFTER_S = 0.3
 
 
@@ -40,20 +42,20 @@
     def __init__(
         self,
         accounts: ProgramAccounts,
-        overdrafts: Overdrafts,
+        advances: Advances,
         tasks: BackgroundTasks,
         program: ProgramKey,
         call: Call,
         tokens_per_event: int,
     ) -> None:
         self._accounts = accounts
-        self._overdrafts = overdrafts
+        self._advances = advances
         self._tasks = tasks
         self._program = program
         self._call = call
         self._tokens_per_event = tokens_per_event
         self._reservation: asyncio.Task[Verdict] | None = None
-        self._borrowed_tokens = 0
+        self._advance = Advance()
         self._is_settled = False
         self._has_handed_over = False
         # Events with data that were handed to the caller, or may have been.
@@ -100,7 +102,7 @@
         )
 
     async def _reserve_or_borrow(self) -> Verdict:
-        """Return the reservation's verdict, FITS if tokens were borrowed."""
+        """Return the reservation's verdict, FITS with an advance."""
         assert self._reservation is not None
         done, _ = await asyncio.wait(
             {self._reservation}, timeout=BORROW_AFTER_S
@@ -108,35 +110,37 @@
         if done or self._call.route.keeps_turns:
             # A turn is written before its end, so the store is awaited.
             return await asyncio.shield(self._reservation)
-        self._borrowed_tokens = await self._borrow()
-        if self._borrowed_tokens >= self._tokens_per_event > 0:
+        if not self._advance.tokens:
+            self._advance = await self._obtain_advance()
+        if self._advance.tokens >= self._tokens_per_event > 0:
             return Verdict.FITS
         return await asyncio.shield(self._reservation)
 
-    async def _borrow(self) -> int:
-        """Return the tokens that were lent for this call."""
+    async def _obtain_advance(self) -> Advance:
+        """Return tokens for this call from other instances."""
         headers = self._call.headers
         most = headers.max_tokens
         known = self._accounts.granted_tokens(self._program)
-        if known + most > (headers.budget_tokens or 0):
-            # The budget is spent, as far as this instance knows.
-            return 0
-        return await self._overdrafts.borrow(self._program, most)
+        # If not, the budget is spent, as far as this instance knows.
+        may_borrow = known + most <= (headers.budget_tokens or 0)
+        return await self._advances.obtain(
+            self._program, most, may_borrow, self._call.request_id
+        )
 
     async def wait_until_reserved(self) -> bool:
         """Wait for the reservation; return whether events may be passed."""
-        if self._reservation is None or self._borrowed_tokens:
+        if self._reservation is None or self._advance.tokens:
             return True
         return await self._reserve_or_borrow() is Verdict.FITS
 
     async def hand_over(self, event_count: int) -> bool:
         """Record events before they are written to the caller.
 
-        Return False if they must not be written, since the tokens that were
-        borrowed are used up and none are reserved in time.
+        Return False if they must not be written, since the tokens of the
+        advance are used up and none are reserved in time.
         """
         tokens = (self._events_used + event_count) * self._tokens_per_event
-        if self._borrowed_tokens and tokens > self._borrowed_tokens:
+        if self._advance.tokens and tokens > self._advance.tokens:
             assert self._reservation is not None
             verdict = await asyncio.shield(self._reservation)
             if verdict is not Verdict.FITS:
@@ -169,13 +173,14 @@
 
     async def _settle_later(self, settled: Settle) -> None:
         assert self._reservation is not None
-        used = min(settled.used, self._borrowed_tokens)
-        self._overdrafts.give_back(self._program, self._borrowed_tokens - used)
+        advance = self._advance
+        used = advance.part_used(settled.used)
+        self._advances.give_back(self._program, advance.without(used))
         if await self._reservation is Verdict.FITS:
             await self._settle_reserved(settled)
-            self._overdrafts.give_back(self._program, used)
-        elif used:
-            await self._record_borrowed(used)
+            self._advances.give_back(self._program, used)
+        elif used.borrowed:
+            await self._record_borrowed(used.borrowed)
 
     async def _record_borrowed(self, used_tokens: int) -> None:
         """Record tokens beyond the budget; they are not lent again."""
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -16,12 +16,12 @@
 from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.model import TurnId
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
+from jackdawfield.gateway.programs.advances import Advances
 from jackdawfield.gateway.programs.chains import Chain
 from jackdawfield.gateway.programs.chains import ChainReader
 from jackdawfield.gateway.programs.chains import TurnNotFound
 from jackdawfield.gateway.programs.chains import TurnUnavailable
 from jackdawfield.gateway.programs.expiry import RowExpiry
-from jackdawfield.gateway.programs.overdraft import Overdrafts
 from jackdawfield.gateway.programs.retention import ExpiringRows
 from jackdawfield.gateway.programs.spending import Spending
 from jackdawfield.gateway.programs.spending import STORE_RETRY_S
@@ -83,7 +83,7 @@
         chains: ChainReader,
         turns: TurnStore,
         accounts: ProgramAccounts,
-        overdrafts: Overdrafts,
+        advances: Advances,
         expiry: RowExpiry,
         admission: Admission,
         metrics: GatewayMetrics,
@@ -96,7 +96,7 @@
         self._chains = chains
         self._turns = turns
         self._accounts = accounts
-        self._overdrafts = overdrafts
+        self._advances = advances
         self._expiry = expiry
         self._tasks = BackgroundTasks()
         self.configuration: FleetConfiguration | None = None
@@ -143,7 +143,7 @@
             self._expiry.add(ExpiringRows(program, (), call.route.retention_s))
         spending = Spending(
             self._accounts,
-            self._overdrafts,
+            self._advances,
             self._tasks,
             program,
             call,
--- a/jackdawfield/messages/fleet_budgets.py
+++ b/jackdawfield/messages/fleet_budgets.py
@@ -57,3 +57,46 @@
 @dataclass(frozen=True, slots=True)
 class OverdraftGivenBack:
     """Confirms a GiveBackOverdraft."""
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class TakeTokens:
+    """Asks an instance to give away tokens of a program that it does not use.
+
+    `program` is the text of a ProgramKey.
+    """
+
+    program: str
+    most_tokens: int
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class TokensGiven:
+    """Gives tokens to the asker; the sender no longer has them.
+
+    `age_s` is the time for which they have lain with the sender.
+    """
+
+    tokens: int
+    age_s: float
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class HandOverTokens:
+    """Gives tokens of programs to an instance that holds them for others.
+
+    The sender no longer has them. `lent_by_program` are tokens that it lent
+    in place of the receiver, which lends them from now on.
+    """
+
+    tokens_by_program: dict[str, int]
+    lent_by_program: dict[str, int]
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class TokensTaken:
+    """Confirms a HandOverTokens."""
