Find in an outage which instances served a program

Cause: a program's next call that comes in at another instance while the store is away finds the tokens of the first one only if that one was stopped as planned or is named in a row which was read before.

A call for which holders and writers have no tokens asks the instances that were named.

Ruled out: asking all instances, as many messages a call as instances; naming programs in calm.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -148,11 +148,7 @@
         self.seat_holder = SeatHolder(self.members, self.store)
         self.detector = FailureDetector(self.members, self.store, self.links)
         self.table_sharing = TableSharing()
-        self.shared_tables = SharedTables(
-            self.store,
-            self.members,
-            self.links,
-        )
+        self.shared_tables = SharedTables(self.store, self.members, self.links)
 
     def _build_calls(self) -> None:
         settings = self.settings
@@ -375,6 +371,7 @@
             await self.loop_watch.sleep(CHECK_INTERVAL_S)
             for server_id in self.servers.expire(time.monotonic()):
                 log_event(LOG, 'server_gone', server=server_id)
+            self.advances.note_store(is_away=not self.store_path.is_direct)
             if self.rate_owner.ownership.older_views_expired(boot_time_s()):
                 await self.seat_holder.write_established()
                 await self.seat_holder.clear_suspended()
--- a/jackdawfield/gateway/programs/accounts.py
+++ b/jackdawfield/gateway/programs/accounts.py
@@ -11,6 +11,7 @@
 import dataclasses
 from dataclasses import dataclass
 from enum import Enum
+from itertools import islice
 import logging
 import time
 
@@ -197,6 +198,11 @@
         marks = account.ledger.row.marks
         return [w for w in reversed(marks) if w != self._writer]
 
+    def recent_programs(self, most: int) -> tuple[str, ...]:
+        """Return programs with an account here, the last used first."""
+        programs = islice(reversed(self._accounts_by_program), most)
+        return tuple(program.text for program in programs)
+
     def give_away(self, program: ProgramKey, most: int) -> int:
         """Take tokens out of an account that no call and no write uses.
 
--- a/jackdawfield/gateway/programs/advances.py
+++ b/jackdawfield/gateway/programs/advances.py
@@ -10,11 +10,13 @@
 from jackdawfield.background import BackgroundTasks
 from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.drivers.peers import PeerServer
+from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.fleet.members import Members
 from jackdawfield.gateway.fleet.ownership import Ownership
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
 from jackdawfield.gateway.programs.overdraft import OverdraftLender
 from jackdawfield.gateway.programs.overdraft import Overdrafts
+from jackdawfield.gateway.programs.served_programs import ServedPrograms
 from jackdawfield.gateway.programs.token_pool import TokenPool
 from jackdawfield.gateway.programs.token_transfers import ASK_TIMEOUT_S
 from jackdawfield.gateway.programs.token_transfers import TokenTransfers
@@ -56,8 +58,9 @@
     ) -> None:
         self.lender = OverdraftLender(ownership)
         self._overdrafts = Overdrafts(members, links, ownership, self.lender)
+        self.served = ServedPrograms(members, links, accounts.recent_programs)
         self.transfers = TokenTransfers(
-            members, links, accounts, self.lender, pool
+            members, links, accounts, self.lender, pool, self.served
         )
         self._tasks = BackgroundTasks()
 
@@ -65,6 +68,11 @@
         """Handle the requests of the other instances."""
         self.lender.register(server)
         self.transfers.register(server)
+        self.served.register(server)
+
+    def note_store(self, is_away: bool) -> None:
+        """Tell others what lies here when the store is lost."""
+        self.served.note_store(is_away, boot_time_s())
 
     def begin_stop(self, is_store_away: bool) -> None:
         """Lend no more, and give away what others can't reserve now.
--- a/jackdawfield/gateway/programs/token_transfers.py
+++ b/jackdawfield/gateway/programs/token_transfers.py
@@ -23,6 +23,7 @@
 from jackdawfield.gateway.fleet.members import Members
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
 from jackdawfield.gateway.programs.overdraft import OverdraftLender
+from jackdawfield.gateway.programs.served_programs import ServedPrograms
 from jackdawfield.gateway.programs.token_holders import HOLDERS_ASKED
 from jackdawfield.gateway.programs.token_holders import is_first_holder
 from jackdawfield.gateway.programs.token_holders import other_holders
@@ -58,12 +59,14 @@
         accounts: ProgramAccounts,
         lender: OverdraftLender,
         pool: TokenPool,
+        served: ServedPrograms,
     ) -> None:
         self._members = members
         self._links = links
         self._accounts = accounts
         self._lender = lender
         self._pool = pool
+        self._served = served
         self._tasks = BackgroundTasks()
         self._is_stopping = False
         self.taken_tokens = 0
@@ -120,14 +123,25 @@
     async def _ask_all(
         self, program: ProgramKey, most: int
     ) -> list[tuple[str, TokensGiven]]:
-        """Ask the holders and the last writers; return who gave tokens."""
+        """Ask who may hold tokens of a program; return who gave some.
+
+        Those who served it are asked if its holders have none.
+        """
         writers = self._accounts.writers_of(program)[:WRITERS_ASKED]
-        addresses = dict.fromkeys(
-            (
-                *other_holders(self._members, program.text)[:HOLDERS_ASKED],
-                *(address_of_writer(writer) for writer in writers),
-            )
+        holders = other_holders(self._members, program.text)[:HOLDERS_ASKED]
+        asked = (*holders, *map(address_of_writer, writers))
+        given = await self._ask(program, most, asked)
+        if given:
+            return given
+        served = await self._served.find(program)
+        return await self._ask(
+            program, most, [a for a in served if a not in asked]
         )
+
+    async def _ask(
+        self, program: ProgramKey, most: int, asked: Iterable[str]
+    ) -> list[tuple[str, TokensGiven]]:
+        addresses = dict.fromkeys(asked)
         # An earlier incarnation of this instance may have written the row.
         addresses.pop(self._members.own_address, None)
         message = TakeTokens(program.text, most)
--- a/tests/gateway/programs/test_token_transfers.py
+++ b/tests/gateway/programs/test_token_transfers.py
@@ -30,6 +30,9 @@
 from jackdawfield.gateway.programs.ledger import Reserve
 from jackdawfield.gateway.programs.ledger import Settle
 from jackdawfield.gateway.programs.overdraft import MIN_UPTIME_S
+from jackdawfield.gateway.programs.served_programs import NAME_INTERVAL_S
+from jackdawfield.gateway.programs.served_programs import ProgramDirectory
+from jackdawfield.gateway.programs.served_programs import ServedPrograms
 from jackdawfield.gateway.programs.spending import Spending
 from jackdawfield.gateway.programs.token_holders import rank_holders
 from jackdawfield.gateway.programs.token_pool import TokenPool
@@ -47,6 +50,7 @@
 EVENT = 11
 USED = 7 * EVENT
 BORROW_AFTER = 'jackdawfield.gateway.programs.spending.BORROW_AFTER_S'
+SERVED = 'jackdawfield.gateway.programs.served_programs'
 SEATS = ('a', 'b', 'c')
 
 
@@ -100,7 +104,8 @@
         handlers = links.handlers_by_address[name] = {}
         server = mock.Mock()
         server.handle = handlers.__setitem__
-        members = mock.Mock(own_address=name, own_seat=SeatId(name))
+        own_seat = SeatId(name) if name in SEATS else None
+        members = mock.Mock(own_address=name, own_seat=own_seat)
         members.other_rows_by_seat = {
             SeatId(seat): mock.Mock(address=seat)
             for seat in SEATS
@@ -181,6 +186,29 @@
         self.assertEqual(used, Advance(30, 14))
         self.assertEqual(advance.without(used), Advance(0, 36))
 
+    def test_directory_names_the_latest_instances(self) -> None:
+        directory = ProgramDirectory()
+        for address in ('a', 'b', 'a', 'c', 'd'):
+            directory.note(address, ('p', 'q'))
+        self.assertEqual(directory.find('p'), ('d', 'c', 'a'))
+        self.assertEqual(directory.find('r'), ())
+
+    # Guards against a store that comes and goes, and with it a message to
+    # each holder.
+    def test_programs_are_named_once_while_the_store_flickers(self) -> None:
+        served = ServedPrograms(mock.Mock(), mock.Mock(), mock.Mock())
+        with (
+            mock.patch.object(served._tasks, 'spawn') as spawn,
+            mock.patch(
+                f'{SERVED}.ServedPrograms.name_programs', new=mock.Mock()
+            ),
+        ):
+            for number in range(20):
+                served.note_store(is_away=number % 2 == 0, now_s=number / 10)
+            spawn.assert_called_once()
+            served.note_store(is_away=True, now_s=NAME_INTERVAL_S + 1)
+            self.assertEqual(spawn.call_count, 2)
+
     def test_stopped_holder_leaves_the_order_of_the_others(self) -> None:
         first, *others = rank_holders('p', [SeatId(s) for s in 'abcd'])
         self.assertEqual(rank_holders('p', others), others)
@@ -239,6 +267,20 @@
         left = self.by_name[self.last].accounts.give_away(PROGRAM, 2 * MOST)
         self.assertEqual(left, MOST - USED)
 
+    # Guards against tokens that lie with an instance which lives, and that
+    # the next one has never heard of.
+    async def test_instance_that_served_the_program_gives_tokens(
+        self,
+    ) -> None:
+        budget = 1000 * MOST
+        unseated = self.start('d')
+        await unseated.reserve_and_keep(budget)
+        self.store.is_away = True
+        self.assertEqual(await self.by_name[self.last].serve(budget), 0)
+        unseated.advances.note_store(is_away=True)
+        await unseated.advances.served._tasks.wait(1.0)
+        self.assertEqual(await self.by_name[self.last].serve(budget), USED)
+
     # Guards against tokens that a write which is under way counts on.
     async def test_account_in_use_gives_nothing(self) -> None:
         accounts = self.by_name['a'].accounts
@@ -358,6 +400,8 @@
                 )
                 for _ in range(dice.choice((1, 1, 2)))
             ]
+            for instance in self.by_name.values():
+                instance.advances.note_store(self.store.is_away)
             used += sum(await asyncio.gather(*calls))
         return used
 
