Read turns from the memory of peers while the store is away

Cause: a turn that came in at another instance than the turn before got 503 'turn not readable now' as soon as the store was away, though the instance that served the chain had it in memory, and the store was back before the turn's time was over.

Change: after 0.3 s without the store's answer, the instances that named the program and its holders are asked for the whole chain. It is used with all ancestors and of the same organisation only. The peer's row of the ledger tells whether the turn is likely to fit; its events still wait for the reservation and its end for the write. An instance that stops while the store is away hands the turns that it used last to their holders, 4 MB at most, after the callers' answers.

Ruled out: handing turns over while the store answers (bytes for nothing), 404 without the store.

Result: a turn that moves to another instance, the first one alive or stopped as planned, ends with 200 once the store is back; 503 at once before.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -270,6 +270,7 @@
             self.accounts,
             self.unused_tokens.pool,
         )
+        self.advances.share_turns(chains)
         self.overdraft_lender = self.advances.lender
         self.stream_calls = StreamCalls(
             self.dispatcher,
--- a/jackdawfield/gateway/gauges.py
+++ b/jackdawfield/gateway/gauges.py
@@ -34,6 +34,7 @@
     'loop_longest_pause_s': lambda g: g.loop_watch.longest_pause_s,
     'slices_deferred': lambda g: g.work_slices.deferred_count,
     'tasks_restarted': lambda g: g.restarted_task_count,
+    'chains_from_peers': lambda g: g.advances.turn_copies.found_count,
     'budget_tokens_pooled': lambda g: g.unused_tokens.pool.tokens,
     'budget_tokens_taken': lambda g: g.advances.transfers.taken_tokens,
     'budget_tokens_handed_over': lambda g: (
--- a/jackdawfield/gateway/programs/accounts.py
+++ b/jackdawfield/gateway/programs/accounts.py
@@ -198,6 +198,27 @@
         marks = account.ledger.row.marks
         return [w for w in reversed(marks) if w != self._writer]
 
+    def known_row(self, program: ProgramKey) -> tuple[bytes | None, int]:
+        """Return a program's row as it was read last, and its version."""
+        account = self._accounts_by_program.get(program)
+        if account is None or not account.ledger.version:
+            return None, 0
+        return encode_row(account.ledger.row), account.ledger.version
+
+    def note_row(
+        self, program: ProgramKey, data: bytes | None, version: int
+    ) -> None:
+        """Take a row that another instance has read, unless it is older.
+
+        It tells whether a call is likely to fit. Whether it does is decided
+        by the store, under the row's version.
+        """
+        account = self._account_of(program)
+        if data is None or account.is_in_use:
+            return
+        if version > account.ledger.version:
+            account.ledger.load_row(data, version)
+
     def recent_programs(self, most: int) -> tuple[str, ...]:
         """Return programs with an account here, the last used first."""
         programs = islice(reversed(self._accounts_by_program), most)
--- a/jackdawfield/gateway/programs/advances.py
+++ b/jackdawfield/gateway/programs/advances.py
@@ -4,6 +4,7 @@
 them already. What is missing is lent beyond the budget.
 """
 
+import asyncio
 from dataclasses import dataclass
 import time
 
@@ -14,12 +15,14 @@
 from jackdawfield.gateway.fleet.members import Members
 from jackdawfield.gateway.fleet.ownership import Ownership
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
+from jackdawfield.gateway.programs.chains import ChainReader
 from jackdawfield.gateway.programs.overdraft import OverdraftLender
 from jackdawfield.gateway.programs.overdraft import Overdrafts
 from jackdawfield.gateway.programs.served_programs import ServedPrograms
 from jackdawfield.gateway.programs.token_pool import TokenPool
 from jackdawfield.gateway.programs.token_transfers import ASK_TIMEOUT_S
 from jackdawfield.gateway.programs.token_transfers import TokenTransfers
+from jackdawfield.gateway.programs.turn_copies import TurnCopies
 from jackdawfield.gateway.programs.turns import ProgramKey
 
 
@@ -63,12 +66,29 @@
             members, links, accounts, self.lender, pool, self.served
         )
         self._tasks = BackgroundTasks()
+        self._members = members
+        self._links = links
+        self._accounts = accounts
+        self.turn_copies: TurnCopies | None = None
+
+    def share_turns(self, chains: ChainReader) -> None:
+        """Pass copies of turns to others, and ask them for theirs."""
+        self.turn_copies = TurnCopies(
+            self._members,
+            self._links,
+            chains.cache,
+            self._accounts,
+            self.served,
+        )
+        chains.read_copies = self.turn_copies.read
 
     def register(self, server: PeerServer) -> None:
         """Handle the requests of the other instances."""
         self.lender.register(server)
         self.transfers.register(server)
         self.served.register(server)
+        if self.turn_copies is not None:
+            self.turn_copies.register(server)
 
     def note_store(self, is_away: bool) -> None:
         """Tell others what lies here when the store is lost."""
@@ -84,8 +104,15 @@
             self._tasks.spawn(self.transfers.hand_over_unused(ASK_TIMEOUT_S))
 
     async def end_stop(self, until_s: float) -> None:
-        """Give away what the last calls left, before a monotonic time."""
-        await self.transfers.hand_over_unused(until_s - time.monotonic())
+        """Give away what the last calls left, before a monotonic time.
+
+        Turns are sent only if others can't read them from the store.
+        """
+        limit_s = until_s - time.monotonic()
+        work = [self.transfers.hand_over_unused(limit_s)]
+        if self.turn_copies is not None and self.served.is_away:
+            work.append(self.turn_copies.hand_over(limit_s))
+        await asyncio.gather(*work)
 
     async def obtain(
         self, program: ProgramKey, most: int, may_borrow: bool, request_id: str
--- a/jackdawfield/gateway/programs/chains.py
+++ b/jackdawfield/gateway/programs/chains.py
@@ -1,11 +1,18 @@
 """Read chains of turns from memory or the store."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 import logging
 
 from result import Err
+from result import Ok
+from result import Result
 
+from jackdawfield.gateway.hedging import first_answer
+from jackdawfield.gateway.hedging import Source
 from jackdawfield.gateway.model import TurnId
 from jackdawfield.gateway.programs.turn_cache import TurnCache
 from jackdawfield.gateway.programs.turn_rows import read_program
@@ -20,6 +27,9 @@
 
 LOG = logging.getLogger(__name__)
 MAX_CHAIN_TURNS = 500
+# Other instances are asked for a chain that the store has not given by then,
+# which takes a tenth of it.
+COPIES_AFTER_S = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,17 +49,28 @@
     """Holds a turn and its ancestors, oldest first."""
 
     records: tuple[TurnRecord, ...]
+    # Another instance had them; the store gave no answer.
+    is_copy: bool = False
 
 
 ChainResult = Chain | TurnNotFound | TurnUnavailable
+# Returns a turn with its ancestors from other instances, or nothing.
+ReadCopies = Callable[
+    [OrganisationId | None, ProgramKey, TurnId],
+    Awaitable[tuple[TurnRecord, ...]],
+]
 
 
 class ChainReader:
-    """Reads turns with their ancestors, from memory or the store."""
+    """Reads turns with their ancestors, from memory or the store.
+
+    While the store gives none, other instances are asked for their copies.
+    """
 
     def __init__(self, store: RowStore, cache: TurnCache) -> None:
         self._store = store
         self.cache = cache
+        self.read_copies: ReadCopies | None = None
 
     def is_cached(
         self, organisation_id: OrganisationId | None, turn_id: TurnId
@@ -64,6 +85,46 @@
         turn_id: TurnId,
     ) -> ChainResult:
         """Return a turn's chain; TurnNotFound only if all parts were read."""
+        key = (organisation_id, program, turn_id)
+        sources = [Source(partial(self._try_stored, *key), COPIES_AFTER_S)]
+        if self.read_copies is not None:
+            copies = partial(self._try_copies, self.read_copies, *key)
+            sources.append(Source(copies, COPIES_AFTER_S))
+        match await first_answer(sources):
+            case Ok(found):
+                return found
+            case Err(errors):
+                return errors[0]
+
+    async def _try_stored(
+        self,
+        organisation_id: OrganisationId | None,
+        program: ProgramKey,
+        turn_id: TurnId,
+    ) -> Result[Chain | TurnNotFound, TurnUnavailable]:
+        found = await self._read_stored(organisation_id, program, turn_id)
+        if isinstance(found, TurnUnavailable):
+            return Err(found)
+        return Ok(found)
+
+    async def _try_copies(
+        self,
+        read_copies: ReadCopies,
+        organisation_id: OrganisationId | None,
+        program: ProgramKey,
+        turn_id: TurnId,
+    ) -> Result[Chain | TurnNotFound, TurnUnavailable]:
+        records = await read_copies(organisation_id, program, turn_id)
+        if not records:
+            return Err(TurnUnavailable('no instance has it'))
+        return Ok(Chain(records, is_copy=True))
+
+    async def _read_stored(
+        self,
+        organisation_id: OrganisationId | None,
+        program: ProgramKey,
+        turn_id: TurnId,
+    ) -> ChainResult:
         records: list[TurnRecord] = []
         next_program, next_id = program, turn_id
         while len(records) < MAX_CHAIN_TURNS:
--- a/jackdawfield/gateway/programs/served_programs.py
+++ b/jackdawfield/gateway/programs/served_programs.py
@@ -73,7 +73,7 @@
         self._directory = ProgramDirectory()
         self._tasks = BackgroundTasks()
         self._named_at_s = float('-inf')
-        self._is_away = False
+        self.is_away = False
 
     def register(self, server: PeerServer) -> None:
         """Handle the requests of the other instances."""
@@ -89,8 +89,8 @@
 
     def note_store(self, is_away: bool, now_s: float) -> None:
         """Name the programs when the store is lost, once an outage."""
-        is_lost = is_away and not self._is_away
-        self._is_away = is_away
+        is_lost = is_away and not self.is_away
+        self.is_away = is_away
         if is_lost and now_s - self._named_at_s >= NAME_INTERVAL_S:
             self._named_at_s = now_s
             self._tasks.spawn(self.name_programs())
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -172,7 +172,11 @@
             call.organisation_id, stream.program, previous
         )
         if refresh_task is not None:
-            await refresh_task
+            if isinstance(found, Chain) and found.is_copy:
+                # Whoever had the chain has told what it knew of the ledger.
+                refresh_task.cancel()
+            else:
+                await refresh_task
         match found:
             case Chain(records):
                 stream.chain = records
--- a/jackdawfield/gateway/programs/turn_cache.py
+++ b/jackdawfield/gateway/programs/turn_cache.py
@@ -27,6 +27,10 @@
             self._records_by_key.move_to_end(key)
         return record
 
+    def latest(self) -> list[TurnRecord]:
+        """Return the turns, the most recently used first."""
+        return list(reversed(self._records_by_key.values()))
+
     def add(self, record: TurnRecord) -> None:
         """Add a turn and evict the least recently used over the limit.
 
