Wait less for a store that was lost before tokens are taken

Cause: each call without granted tokens waited 0.3 s for the store also when its path was known to be lost, and asked holders, the directory and lenders one after the other.

Change: 0.1 s where the path is lost, in which a relay still answers; the directory is asked beside the holders. It keeps 20,000 programs, as the pool does.

--- a/jackdawfield/gateway/programs/advances.py
+++ b/jackdawfield/gateway/programs/advances.py
@@ -90,6 +90,11 @@
         if self.turn_copies is not None:
             self.turn_copies.register(server)
 
+    @property
+    def is_store_away(self) -> bool:
+        """Return whether the path to the store is known to be lost."""
+        return self.served.is_away
+
     def note_store(self, is_away: bool) -> None:
         """Tell others what lies here when the store is lost."""
         self.served.note_store(is_away, boot_time_s())
--- a/jackdawfield/gateway/programs/served_programs.py
+++ b/jackdawfield/gateway/programs/served_programs.py
@@ -31,7 +31,7 @@
 NAME_INTERVAL_S = 5.0
 # Programs beyond this many are forgotten, the oldest first, and instances of
 # one program.
-PROGRAMS_KEPT = 50_000
+PROGRAMS_KEPT = 20_000
 ADDRESSES_KEPT = 3
 
 
--- a/jackdawfield/gateway/programs/spending.py
+++ b/jackdawfield/gateway/programs/spending.py
@@ -31,6 +31,8 @@
 # call's tokens can be taken from others or borrowed. The store answers within
 # a tenth of it.
 BORROW_AFTER_S = 0.3
+# The same where the path to the store is lost; another instance may relay.
+BORROW_AFTER_LOSS_S = 0.1
 
 
 class Spending:
@@ -105,7 +107,7 @@
         """Return the reservation's verdict, FITS with an advance."""
         assert self._reservation is not None
         done, _ = await asyncio.wait(
-            {self._reservation}, timeout=BORROW_AFTER_S
+            {self._reservation}, timeout=self._patience_s
         )
         if done or self._call.route.keeps_turns:
             # A turn is written before its end, so the store is awaited.
@@ -116,6 +118,12 @@
             return Verdict.FITS
         return await asyncio.shield(self._reservation)
 
+    @property
+    def _patience_s(self) -> float:
+        """Return for how long the store alone is waited for."""
+        is_away = self._advances.is_store_away
+        return BORROW_AFTER_LOSS_S if is_away else BORROW_AFTER_S
+
     async def _obtain_advance(self) -> Advance:
         """Return tokens for this call from other instances."""
         headers = self._call.headers
--- a/jackdawfield/gateway/programs/token_transfers.py
+++ b/jackdawfield/gateway/programs/token_transfers.py
@@ -130,10 +130,11 @@
         writers = self._accounts.writers_of(program)[:WRITERS_ASKED]
         holders = other_holders(self._members, program.text)[:HOLDERS_ASKED]
         asked = (*holders, *map(address_of_writer, writers))
-        given = await self._ask(program, most, asked)
+        given, served = await asyncio.gather(
+            self._ask(program, most, asked), self._served.find(program)
+        )
         if given:
             return given
-        served = await self._served.find(program)
         return await self._ask(
             program, most, [a for a in served if a not in asked]
         )
--- a/tests/gateway/programs/test_token_transfers.py
+++ b/tests/gateway/programs/test_token_transfers.py
@@ -33,6 +33,7 @@
 from jackdawfield.gateway.programs.served_programs import NAME_INTERVAL_S
 from jackdawfield.gateway.programs.served_programs import ProgramDirectory
 from jackdawfield.gateway.programs.served_programs import ServedPrograms
+from jackdawfield.gateway.programs.spending import BORROW_AFTER_S
 from jackdawfield.gateway.programs.spending import Spending
 from jackdawfield.gateway.programs.token_holders import rank_holders
 from jackdawfield.gateway.programs.token_pool import TokenPool
@@ -281,6 +282,24 @@
         await unseated.advances.served._tasks.wait(1.0)
         self.assertEqual(await self.by_name[self.last].serve(budget), USED)
 
+    # Guards against a caller that waits for a store which is known to be
+    # away as long as for one that is slow.
+    async def test_call_waits_less_for_a_store_that_was_lost(self) -> None:
+        instance = self.by_name['a']
+        spending = Spending(
+            instance.accounts,
+            instance.advances,
+            instance.tasks,
+            PROGRAM,
+            mock.Mock(spec=Call),
+            EVENT,
+        )
+        before_s = BORROW_AFTER_S
+        with mock.patch(BORROW_AFTER, before_s):
+            self.assertEqual(spending._patience_s, before_s)
+            instance.advances.note_store(is_away=True)
+            self.assertLess(spending._patience_s, before_s)
+
     # Guards against tokens that a write which is under way counts on.
     async def test_account_in_use_gives_nothing(self) -> None:
         accounts = self.by_name['a'].accounts
