Pass on servers that are held after an outage to instances that start

Cause: the store forgets servers' entries while it is away, and has them back some 2 s after its return. Instances hold these servers meanwhile, but one that starts in that time knows of no outage and reads a table without them: 'no backend server'.

Change: after the first read of the servers, four other instances are asked which rows they hold and for how long still. They are used, and dropped when that time is over at the peer and they have not returned.

Result: an instance that starts beside one that holds the only server serves a call by it, and drops it with its grace; without the question it has no server.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -311,6 +311,7 @@
                 server_table.replace_all,
                 server_table.apply_changes,
                 MISSING_GRACE_S,
+                read_held=source.copies.read_held,
             ),
             TableFollower(
                 source,
--- a/jackdawfield/gateway/fleet/peer_copies.py
+++ b/jackdawfield/gateway/fleet/peer_copies.py
@@ -18,10 +18,15 @@
 from jackdawfield.gateway.fleet.members import Members
 from jackdawfield.gateway.fleet.table_sharing import decode_rows
 from jackdawfield.gateway.fleet.table_sharing import MAX_SHARED_AGE_S
+from jackdawfield.gateway.storage.held_rows import HeldStoredRow
+from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import RowsRead
+from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.gateway.storage.rows import StoreError
 from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_tables import FollowTable
+from jackdawfield.messages.fleet_tables import HeldRows
+from jackdawfield.messages.fleet_tables import ReadHeldRows
 from jackdawfield.messages.fleet_tables import TableRows
 from jackdawfield.messages.fleet_tables import WHOLE_TABLE
 
@@ -30,6 +35,7 @@
 # store, and the time in which another instance has to answer it.
 MAX_START_AGE_S = 60.0
 START_TIMEOUT_S = 0.5
+HELD_TIMEOUT_S = 0.2
 # Instances that are asked at the same time, and in all.
 ASKED_AT_ONCE = 4
 MAX_ASKED = 8
@@ -99,6 +105,29 @@
             )
         )
 
+    async def read_held(self, table: str) -> tuple[HeldStoredRow, ...]:
+        """Return the rows that others hold, as the store may forget them."""
+        asked_at_s = boot_time_s()
+        answers = await asyncio.gather(
+            *(
+                self._links.request(
+                    address, ReadHeldRows(table), HELD_TIMEOUT_S
+                )
+                for address in self._members.relay_addresses()[:ASKED_AT_ONCE]
+            )
+        )
+        held_by_key: dict[str, HeldStoredRow] = {}
+        for answer in answers:
+            match answer:
+                case Ok(HeldRows(rows)):
+                    for row in rows:
+                        key = RowKey(table, '', row.key)
+                        held_by_key[row.key] = HeldStoredRow(
+                            StoredRow(key, row.value, row.version),
+                            asked_at_s + row.left_s,
+                        )
+        return tuple(held_by_key.values())
+
     async def _ask_all(
         self, addresses: list[str], table: str
     ) -> list[PeerCopy]:
--- a/jackdawfield/gateway/fleet/shared_tables.py
+++ b/jackdawfield/gateway/fleet/shared_tables.py
@@ -75,7 +75,7 @@
         self._avoided_until_s_by_seat: dict[SeatId, float] = {}
         # The tables that were read from the store or a holder.
         self._read_tables: set[str] = set()
-        self._copies = PeerCopies(members, links)
+        self.copies = PeerCopies(members, links)
         # Reads of the store that are not waited for any more.
         self._reads: set[asyncio.Task[Result[RowsRead, StoreError]]] = set()
 
@@ -117,7 +117,7 @@
         reading.add_done_callback(self._reads.discard)
         sources = (
             Source(lambda: asyncio.shield(reading), STORE_OVERDUE_S),
-            Source(partial(self._copies.read, table), START_TIMEOUT_S),
+            Source(partial(self.copies.read, table), START_TIMEOUT_S),
         )
         found = await first_answer(sources)
         return found.map_err(lambda errors: errors[0])
--- a/jackdawfield/gateway/fleet/table_sharing.py
+++ b/jackdawfield/gateway/fleet/table_sharing.py
@@ -6,6 +6,9 @@
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.messages.fleet_tables import FollowTable
+from jackdawfield.messages.fleet_tables import HeldRow
+from jackdawfield.messages.fleet_tables import HeldRows
+from jackdawfield.messages.fleet_tables import ReadHeldRows
 from jackdawfield.messages.fleet_tables import SharedRow
 from jackdawfield.messages.fleet_tables import TableNotFollowed
 from jackdawfield.messages.fleet_tables import TableRows
@@ -31,6 +34,7 @@
     def register(self, server: PeerServer) -> None:
         """Handle the requests of the other instances."""
         server.handle(FollowTable, self._answer)
+        server.handle(ReadHeldRows, self._answer_held)
 
     def follower_addresses(self) -> list[str]:
         """Return the addresses that follow tables through this instance."""
@@ -42,6 +46,23 @@
         }
         return list(self._asked_at_s_by_address)
 
+    async def _answer_held(self, message: ReadHeldRows) -> HeldRows:
+        follower = self._followers_by_table.get(message.table)
+        if follower is None:
+            return HeldRows(())
+        now_s = boot_time_s()
+        return HeldRows(
+            tuple(
+                HeldRow(
+                    held.row.key.key,
+                    held.row.value or b'',
+                    held.row.version,
+                    held.until_s - now_s,
+                )
+                for held in follower.held.present(now_s)
+            )
+        )
+
     async def _answer(
         self, message: FollowTable
     ) -> TableRows | TableNotFollowed:
--- a/jackdawfield/gateway/storage/follower.py
+++ b/jackdawfield/gateway/storage/follower.py
@@ -1,7 +1,10 @@
 """Follow a table of the store: read all rows, then each change."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterable
+from dataclasses import replace
 import logging
 from typing import Protocol
 
@@ -9,6 +12,8 @@
 from result import Result
 
 from jackdawfield.gateway.clock import boot_time_s
+from jackdawfield.gateway.storage.held_rows import HeldRowLog
+from jackdawfield.gateway.storage.held_rows import HeldStoredRow
 from jackdawfield.gateway.storage.rows import RowsChanged
 from jackdawfield.gateway.storage.rows import RowsRead
 from jackdawfield.gateway.storage.rows import StoredRow
@@ -22,6 +27,8 @@
 
 SnapshotCallback = Callable[[tuple[StoredRow, ...], bool], None]
 ChangesCallback = Callable[[tuple[StoredRow, ...], bool], None]
+# Returns the rows of a table that other instances hold after an outage.
+ReadHeld = Callable[[str], Awaitable[tuple[HeldStoredRow, ...]]]
 
 
 class TableSource(Protocol):
@@ -47,7 +54,8 @@
     The second argument of apply_snapshot and apply_changes is true for
     recovery_s after a read failed: a row may then be missing only because the
     store was unavailable. on_confirmed gets the time at which each successful
-    read of the store was sent.
+    read of the store was sent. read_held is asked after the first read, since
+    an instance that has just started knows of no outage.
     """
 
     def __init__(
@@ -58,6 +66,7 @@
         apply_changes: ChangesCallback,
         recovery_s: float = 0.0,
         on_confirmed: Callable[[float], None] | None = None,
+        read_held: ReadHeld | None = None,
     ) -> None:
         self._source = source
         self.table = table
@@ -65,6 +74,8 @@
         self._apply_changes = apply_changes
         self._recovery_s = recovery_s
         self._on_confirmed = on_confirmed
+        self._read_held = read_held
+        self.held = HeldRowLog(recovery_s)
         self._failed_at_s = float('-inf')
         self._backoff_s = MIN_BACKOFF_S
         self._confirmed_at_s = boot_time_s()
@@ -135,13 +146,44 @@
             self._failed_at_s = asked_at_s
         self._record_source(read.source)
         self.version = read.version
+        is_first = not self.log.is_loaded
+        after_outage = self.is_recovering or read.after_outage
+        listed = {row.key.key for row in read.rows}
+        if after_outage:
+            self._hold(self.log.rows_by_key.keys() - listed)
+        self.held.note_present(listed)
         self.log.replace(read.rows, read.version)
-        self._apply_snapshot(
-            read.rows, self.is_recovering or read.after_outage
-        )
+        self._apply_snapshot(read.rows, after_outage)
         self._record_confirmation(read.read_at_s or asked_at_s)
+        if is_first and self._read_held is not None:
+            self._take_held(await self._read_held(self.table))
         return True
 
+    def _hold(self, removed: Iterable[str]) -> None:
+        """Keep rows that are missing since an outage, for other instances."""
+        self.held.note_removed(self.log.rows_by_key, removed, boot_time_s())
+
+    def _take_held(self, held_rows: tuple[HeldStoredRow, ...]) -> None:
+        """Use rows that others hold until they return or count as gone."""
+        taken = tuple(
+            held
+            for held in held_rows
+            if held.row.key.key not in self.log.rows_by_key
+        )
+        if not taken:
+            return
+        log_event(LOG, 'rows_held_by_peers', table=self.table, rows=len(taken))
+        self._apply_changes(tuple(held.row for held in taken), True)
+        loop = asyncio.get_running_loop()
+        for held in taken:
+            self.held.hold(held)
+            left_s = held.until_s - boot_time_s()
+            loop.call_later(max(0.0, left_s), self._drop_if_missing, held.row)
+
+    def _drop_if_missing(self, row: StoredRow) -> None:
+        if row.key.key not in self.log.rows_by_key:
+            self._apply_changes((replace(row, value=None),), False)
+
     async def _read_changes(self, after_version: int) -> bool:
         asked_at_s = boot_time_s()
         found = await self._source.await_changes(
@@ -156,11 +198,13 @@
         changed = found.ok_value
         self._record_source(changed.source)
         self.version = max(after_version, changed.version)
+        after_outage = self.is_recovering or changed.after_outage
+        if after_outage:
+            self._hold(row.key.key for row in changed.rows if not row.value)
+        self.held.note_present(r.key.key for r in changed.rows if r.value)
         self.log.extend(changed.rows, self.version)
         if changed.rows:
-            self._apply_changes(
-                changed.rows, self.is_recovering or changed.after_outage
-            )
+            self._apply_changes(changed.rows, after_outage)
         self._record_confirmation(changed.read_at_s or asked_at_s)
         return True
 
--- a/jackdawfield/messages/fleet_tables.py
+++ b/jackdawfield/messages/fleet_tables.py
@@ -52,6 +52,36 @@
     held_s: float = 0.0
 
 
+@message
+@dataclass(frozen=True, slots=True)
+class ReadHeldRows:
+    """Asks for the rows of a table that the store may have forgotten."""
+
+    table: str
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class HeldRow:
+    """Holds a row that is missing since an outage of the store.
+
+    It counts as gone if it has not returned after `left_s`.
+    """
+
+    key: str
+    value: bytes
+    version: int
+    left_s: float
+
+
+@message
+@dataclass(frozen=True, slots=True)
+class HeldRows:
+    """Answers a ReadHeldRows."""
+
+    rows: tuple[HeldRow, ...]
+
+
 @message
 @dataclass(frozen=True, slots=True)
 class MembersWritten:
--- a/tests/gateway/fleet/test_starts_in_outages.py
+++ b/tests/gateway/fleet/test_starts_in_outages.py
@@ -16,6 +16,8 @@
 from jackdawfield.background import BackgroundTasks
 from jackdawfield.drivers.peers import PeerError
 from jackdawfield.drivers.peers import PeerFault
+from jackdawfield.gateway.clock import boot_time_s
+from jackdawfield.gateway.daemon import Gateway
 from jackdawfield.gateway.fleet.members import Members
 from jackdawfield.gateway.fleet.peer_copies import freshest_copy
 from jackdawfield.gateway.fleet.peer_copies import MAX_START_AGE_S
@@ -23,15 +25,24 @@
 from jackdawfield.gateway.fleet.seat_holder import SeatHolder
 from jackdawfield.gateway.fleet.shared_tables import SharedTables
 from jackdawfield.gateway.storage.follower import TableFollower
+from jackdawfield.gateway.storage.held_rows import HeldRowLog
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import RowsChanged
 from jackdawfield.gateway.storage.rows import RowsRead
+from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.gateway.storage.rows import StoreError
 from jackdawfield.messages.fleet_tables import FollowTable
+from jackdawfield.messages.fleet_tables import HeldRow
+from jackdawfield.messages.fleet_tables import HeldRows
+from jackdawfield.messages.fleet_tables import ReadHeldRows
 from jackdawfield.messages.fleet_tables import SharedRow
 from jackdawfield.messages.fleet_tables import TableNotFollowed
 from jackdawfield.messages.fleet_tables import TableRows
+from jackdawfield.platform.__main__ import ADAPTER
 from jackdawfield.standins.row_store import MemoryRowStore
+from tests.gateway.harness import Fleet
+from tests.gateway.harness import free_port
+from tests.gateway.harness import HOST
 from tests.gateway.harness import settings_of
 
 TABLE = 'table'
@@ -63,13 +74,19 @@
     def __init__(self) -> None:
         self.copies_by_address: dict[str, TableRows | TableNotFollowed] = {}
         self.silent: list[str] = []
+        self.held_by_address: dict[str, HeldRows] = {}
 
     async def request(
-        self, address: str, message: FollowTable, timeout_s: float
+        self,
+        address: str,
+        message: FollowTable | ReadHeldRows,
+        timeout_s: float,
     ) -> Result[Any, PeerError]:
         if address in self.silent:
             await asyncio.sleep(timeout_s)
             return Err(PeerError(PeerFault.LOST, 'timeout'))
+        if isinstance(message, ReadHeldRows):
+            return Ok(self.held_by_address.get(address, HeldRows(())))
         return Ok(self.copies_by_address[address])
 
 
@@ -95,6 +112,7 @@
         self.store = SilentStore()
         self.peers = Peers()
         self.held: list[bool] = []
+        self.listed: set[str] = set()
 
     def start(self, *addresses: str) -> TableFollower:
         members = mock.Mock(own_seat=None, own_address='own:1')
@@ -108,14 +126,31 @@
         follower = TableFollower(
             source,
             TABLE,
-            lambda *_: None,
-            lambda _, after_outage: self.held.append(after_outage),
+            lambda rows, _: self.listed.update(r.key.key for r in rows),
+            self.apply_changes,
             5.0,
+            read_held=source.copies.read_held,
         )
         task = asyncio.create_task(follower.run())
         self.addCleanup(task.cancel)
         return follower
 
+    def apply_changes(
+        self, rows: tuple[StoredRow, ...], after_outage: bool
+    ) -> None:
+        for row in rows:
+            if row.value is not None:
+                self.listed.add(row.key.key)
+                continue
+            self.held.append(after_outage)
+            if not after_outage:
+                self.listed.discard(row.key.key)
+
+    async def until_listed(self, *names: str) -> None:
+        async with asyncio.timeout(4.0):
+            while self.listed != set(names):
+                await asyncio.sleep(0.01)
+
     async def until(self, follower: TableFollower, *names: str) -> None:
         async with asyncio.timeout(4.0):
             while set(follower.log.rows_by_key) != set(names):
@@ -170,6 +205,83 @@
         await self.until(follower)
         self.assertEqual(self.held, [True])
 
+    # Guards against an instance that starts just after the outage and knows
+    # only the servers whose entries are back.
+    async def test_rows_that_others_hold_are_used_until_they_are_gone(
+        self,
+    ) -> None:
+        self.store.put(RowKey(TABLE, '', 'y'), b'y')
+        self.store.is_back.set()
+        self.peers.silent = ['a']
+        self.peers.held_by_address = {
+            'b': HeldRows((HeldRow('x', b'x', 1, 1.5),))
+        }
+        self.start('a', 'b')
+        await self.until_listed('x', 'y')
+        # They are treated as gone when their grace is over at the peer.
+        await self.until_listed('y')
+
+    async def test_held_row_that_is_back_is_not_dropped(self) -> None:
+        self.store.is_back.set()
+        self.peers.held_by_address = {
+            'a': HeldRows((HeldRow('x', b'x', 1, 1.0),))
+        }
+        follower = self.start('a')
+        await self.until_listed('x')
+        self.store.put(RowKey(TABLE, '', 'x'), b'x')
+        await self.until(follower, 'x')
+        await asyncio.sleep(1.1)
+        self.assertEqual(self.listed, {'x'})
+        self.assertEqual(self.held, [])
+
+
+class ForgottenServerTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against `no backend server` at an instance that starts while the
+    # others hold a server whose entry the store forgot.
+    async def test_started_instance_uses_a_forgotten_server(self) -> None:
+        grace = mock.patch('jackdawfield.gateway.daemon.MISSING_GRACE_S', 4.0)
+        grace.start()
+        self.addCleanup(grace.stop)
+        fleet = Fleet()
+        self.addAsyncCleanup(fleet.stop)
+        await fleet.start(1)
+        (known,) = fleet.gateways
+        table = known.followers[1]
+        fleet.store.is_refusing = True
+        await fleet.wait_until(lambda: table.is_recovering)
+        fleet.rows.remove(RowKey('servers', '', 'i-1'))
+        fleet.store.is_refusing = False
+        await fleet.wait_until(lambda: table.held.present(boot_time_s()))
+        seed = f'{HOST}:{known.settings.peer_port}'
+        settings = settings_of('new', free_port(), fleet.store.port, seed)
+        started = Gateway(settings, ADAPTER, metrics_port=free_port())
+        fleet.gateways.append(started)
+        await started.start()
+        await fleet.wait_until(lambda: started.servers.by_id)
+        answer = await fleet.call(started, 'r1', '/tool/x')
+        self.assertEqual(answer.status, 200)
+        # It is gone where it has not returned in its grace.
+        await fleet.wait_until(lambda: not started.servers.by_id)
+
+
+class HeldRowsTest(unittest.TestCase):
+    def row(self, name: str) -> StoredRow:
+        return StoredRow(RowKey(TABLE, '', name), name.encode(), 1)
+
+    # Guards against rows that are passed on for longer than their grace.
+    def test_rows_are_held_until_they_are_back_or_gone(self) -> None:
+        held = HeldRowLog(grace_s=2.0)
+        rows = {name: self.row(name) for name in 'xyz'}
+        held.note_removed(rows, ['x', 'y', 'unknown'], 10.0)
+        held.note_present(['y'])
+        self.assertEqual([h.row for h in held.present(11.9)], [rows['x']])
+        self.assertEqual(held.present(12.0), ())
+
+    def test_table_without_grace_holds_nothing(self) -> None:
+        held = HeldRowLog(grace_s=0.0)
+        held.note_removed({'x': self.row('x')}, ['x'], 10.0)
+        self.assertEqual(held.present(10.0), ())
+
 
 class ReclaimTest(unittest.IsolatedAsyncioTestCase):
     # Guards against members that are followed only after the store has let
