--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -30,10 +30,9 @@
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
+from jackdawfield.gateway.programs.advances import Advances
 from jackdawfield.gateway.programs.chains import ChainReader
 from jackdawfield.gateway.programs.expiry import RowExpiry
-from jackdawfield.gateway.programs.overdraft import OverdraftLender
-from jackdawfield.gateway.programs.overdraft import Overdrafts
 from jackdawfield.gateway.programs.stream_calls import StreamCalls
 from jackdawfield.gateway.programs.turn_cache import TurnCache
 from jackdawfield.gateway.programs.turn_store import TurnStore
@@ -129,11 +128,7 @@
         self.seat_holder = SeatHolder(self.members, self.store)
         self.detector = FailureDetector(self.members, self.store, self.links)
         self.table_sharing = TableSharing()
-        self.shared_tables = SharedTables(
-            self.store,
-            self.members,
-            self.links,
-        )
+        self.shared_tables = SharedTables(self.store, self.members, self.links)
 
     def _build_calls(self) -> None:
         settings = self.settings
@@ -246,7 +241,7 @@
         settings = self.settings
         cache = TurnCache(int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE))
         self.expiry = RowExpiry(self.store)
-        self.unused_tokens = UnusedTokens(self.links)
+        self.unused_tokens = UnusedTokens(self.links, self.members)
         self.accounts = ProgramAccounts(
             self.store,
             writer_name(self.members.own_address, self._incarnation),
@@ -256,18 +251,21 @@
             self.store, self.accounts, self.expiry, settings.row_bytes, cache
         )
         chains = ChainReader(self.store, cache)
-        self.overdraft_lender = OverdraftLender(self.rate_owner.ownership)
+        self.advances = Advances(
+            self.members,
+            self.links,
+            self.rate_owner.ownership,
+            self.accounts,
+            self.unused_tokens.pool,
+        )
+        self.advances.share_turns(chains)
+        self.overdraft_lender = self.advances.lender
         self.stream_calls = StreamCalls(
             self.dispatcher,
             chains,
             turns,
             self.accounts,
-            Overdrafts(
-                self.members,
-                self.links,
-                self.rate_owner.ownership,
-                self.overdraft_lender,
-            ),
+            self.advances,
             self.expiry,
             self.admission,
             self.metrics,
@@ -301,6 +299,7 @@
                 server_table.replace_all,
                 server_table.apply_changes,
                 MISSING_GRACE_S,
+                read_held=source.copies.read_held,
             ),
             TableFollower(
                 source,
@@ -326,7 +325,7 @@
         self.table_sharing.register(self.peers)
         self.relay_server.register(self.peers)
         self.server_limits.register(self.peers)
-        self.overdraft_lender.register(self.peers)
+        self.advances.register(self.peers)
         self.unused_tokens.register(self.peers, self.accounts)
         if self.slot_pooling is not None:
             self.slot_pooling.start(self.peers, self._tasks)
@@ -351,8 +350,7 @@
 
     async def _follow_members(self) -> None:
         # An own seat is taken first, since its rates may be granted at once.
-        if not await self.seat_holder.try_reclaim():
-            self._tasks.spawn(self.seat_holder.reclaim())
+        await self.seat_holder.begin_reclaim(self._tasks)
         await self.followers[-1].run()
 
     async def _remove_expired(self) -> None:
@@ -365,6 +363,7 @@
             await self.loop_watch.sleep(CHECK_INTERVAL_S)
             for server_id in self.servers.expire(time.monotonic()):
                 log_event(LOG, 'server_gone', server=server_id)
+            self.advances.note_store(is_away=not self.store_path.is_direct)
             if self.rate_owner.ownership.older_views_expired(boot_time_s()):
                 await self.seat_holder.write_established()
                 await self.seat_holder.clear_suspended()
@@ -446,6 +445,7 @@
         self.rate_owner.hand_over_all()
         if self.slot_pooling is not None:
             self._tasks.spawn(self.slot_pooling.stop())
+        self.advances.begin_stop(is_store_away=not self.store_path.is_direct)
         # A store that is slow or away must not delay what callers wait for.
         leaving = asyncio.create_task(self.seat_holder.leave())
         await drain(
@@ -455,6 +455,7 @@
             self.stop_rule.refuse_calls_due_after,
         )
         await self.relay_server.drain(drain_until_s)
+        await self.advances.end_stop(drain_until_s)
         await self._wait_until_left(leaving, drain_until_s)
         log_event(LOG, 'stopped', in_flight=self.caller_listener.in_flight)
         await self.close()
