Bound what all callers of an instance hold together

Change: a memory budget from the settings, shared by the listeners for callers, health checks and metrics, charged for connections, received bytes, header fields, copies of whole bodies and unread responses. Over it the stalled and newest unfinished bodies are refused with 503 (not run), then those that stand still are closed; the decisions are pure code. Bounded too: connections by maxFds with a reserve for servers, fields of a head, pauses of senders and readers, tiny chunks by turns of the loop. A large body for a path without a route is dropped as it arrives; health checks and metrics take none. Ruled out: refusing 404 before the body has come, as a newer configuration may know the route.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -26,10 +26,11 @@
 from jackdawfield.gateway.fleet.table_sharing import TableSharing
 from jackdawfield.gateway.gauges import add_gauges
 from jackdawfield.gateway.http.caller_exchange import IncomingRequest
+from jackdawfield.gateway.http.caller_exchange import RawHeaders
 from jackdawfield.gateway.http.drain import drain
-from jackdawfield.gateway.http.listener import HttpListener
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.http.reply import Reply
+from jackdawfield.gateway.listeners import Listeners
 from jackdawfield.gateway.loop_watch import LoopWatch
 from jackdawfield.gateway.measurement import GatewayMetrics
 from jackdawfield.gateway.model import FleetConfiguration
@@ -122,13 +123,24 @@
         self.stop_rule = StopRule()
         self.is_stopping = False
         self.metrics = GatewayMetrics(settings.instance_id)
+        self._cache_bytes = int(
+            settings.memory_mb * BYTES_PER_MB * CACHE_SHARE
+        )
+        self.listeners = Listeners(settings, self._cache_bytes, self.metrics)
         self._build_store()
         self._build_calls()
         self.followers = self._build_followers()
         add_gauges(self)
-        self.caller_listener = HttpListener(self._serve)
-        self._health_listener = HttpListener(self._answer_health)
-        self._metrics_listener = HttpListener(self._answer_operators)
+        self._build_listeners()
+
+    def _build_listeners(self) -> None:
+        self.listeners.build(
+            self._serve,
+            self._has_route,
+            lambda: self.is_ready,
+            self.quarantine_page,
+        )
+        self.caller_listener = self.listeners.callers
 
     def _build_store(self) -> None:
         settings = self.settings
@@ -256,7 +268,7 @@
 
     def _build_programs(self) -> None:
         settings = self.settings
-        cache = TurnCache(int(settings.memory_mb * BYTES_PER_MB * CACHE_SHARE))
+        cache = TurnCache(self._cache_bytes)
         self.expiry = RowExpiry(self.store)
         self.unused_tokens = UnusedTokens(self.links)
         self.accounts = ProgramAccounts(
@@ -341,9 +353,7 @@
         self.overdraft_lender.register(self.peers)
         self.unused_tokens.register(self.peers, self.accounts)
         await self.peers.start(f'{settings.host}:{settings.peer_port}', None)
-        self.caller_listener.listen(settings.host, settings.caller_port)
-        self._health_listener.listen(settings.host, settings.health_port)
-        self._metrics_listener.listen(settings.host, self._metrics_port)
+        self.listeners.listen(settings, self._metrics_port)
         for follower in self.followers[:-1]:
             self._tasks.supervise(follower.table, follower.run)
         self._tasks.supervise(MEMBERS_TABLE, self._follow_members)
@@ -405,9 +415,7 @@
         self.stream_calls.configuration = configuration
         self.slot_queue.configuration = configuration
         self.rate_owner.configure(configuration)
-        self.caller_listener.state.max_body_bytes = (
-            configuration.body_limit_bytes
-        )
+        self.listeners.apply_body_limit(configuration.body_limit_bytes)
         table = self.configuration_table
         log_event(
             LOG,
@@ -418,6 +426,10 @@
             unconfirmed_s=round(table.age_s(), 2),
         )
 
+    def _has_route(self, raw_headers: RawHeaders, target: str) -> bool:
+        host = self._adapter.decode_headers(raw_headers).host
+        return self.call_handler.has_route(host, target)
+
     async def _serve(self, request: IncomingRequest, reply: Reply) -> None:
         headers = self._adapter.decode_headers(request.raw_headers)
         await self.call_handler.serve(request, headers, reply)
@@ -429,21 +441,6 @@
             return False
         return bool(self.servers.by_id)
 
-    async def _answer_health(self, _: IncomingRequest, reply: Reply) -> None:
-        reply.send(
-            200 if self.is_ready else 503, 'ready' if self.is_ready else ''
-        )
-
-    async def _answer_operators(
-        self, request: IncomingRequest, reply: Reply
-    ) -> None:
-        """Answer with the quarantine's page, or else with the metrics."""
-        answer = self.quarantine_page.answer(request.method, request.target)
-        if answer is not None:
-            reply.send(answer.status, answer.text)
-            return
-        reply.send(200, self.metrics.render_prometheus().rstrip('\n'))
-
     async def stop(self) -> None:
         """Drain the instance and close it within the grace period."""
         self.is_stopping = True
@@ -484,13 +481,7 @@
         self.server_paths.close()
         self.broadcast.close()
         self.quarantine_sharing.close()
-        for listener in (
-            self.caller_listener,
-            self._health_listener,
-            self._metrics_listener,
-        ):
-            listener.stop_listening()
-            await listener.close()
+        await self.listeners.close()
         await self.peers.stop(PEER_GRACE_S)
         await self.links.close()
         self.store_pool.close()
--- a/jackdawfield/gateway/entry.py
+++ b/jackdawfield/gateway/entry.py
@@ -97,6 +97,13 @@
             ms=round((time.monotonic() - checked.arrived_at_s) * 1000),
         )
 
+    def has_route(self, host: str, target: str) -> bool:
+        """Return whether a request for a host and target has a route."""
+        configuration = self.configuration
+        if configuration is None:
+            return False
+        return find_route(configuration, host, target) is not None
+
     async def _confirm(
         self, denial: Refusal, request: IncomingRequest, headers: CallHeaders
     ) -> Call | Refusal:
@@ -139,6 +146,9 @@
         route = find_route(configuration, headers.host, request.target)
         if route is None:
             return Refusal(404, 'no such route')
+        if request.is_body_dropped:
+            reason = 'route unknown when the request arrived'
+            return Refusal(503, reason, RETRY_UNCONFIGURED_S)
         organisation_id: OrganisationId | None = None
         if headers.key is not None:
             organisation_id = configuration.organisation_ids_by_key.get(
--- a/jackdawfield/gateway/gauges.py
+++ b/jackdawfield/gateway/gauges.py
@@ -9,6 +9,11 @@
 GAUGES_BY_NAME: dict[str, Callable[[Any], float]] = {
     'requests_in_flight': lambda g: g.caller_listener.in_flight,
     'caller_connections': lambda g: g.caller_listener.open_connections,
+    'caller_bytes_held': lambda g: g.listeners.limits.held_bytes,
+    'caller_bytes_limit': lambda g: g.listeners.limits.budget_bytes,
+    'caller_slices_deferred': lambda g: (
+        g.listeners.limits.slices.deferred_count
+    ),
     'servers_listed': lambda g: len(g.servers.by_id),
     'servers_leaving': lambda g: g.servers.leaving_count,
     'unframed_responses': lambda g: g.dispatcher.unframed_count,
--- a/jackdawfield/gateway/http/listener.py
+++ b/jackdawfield/gateway/http/listener.py
@@ -18,10 +18,12 @@
 from jackdawfield.gateway.http.caller_exchange import Exchange
 from jackdawfield.gateway.http.caller_exchange import Handler
 from jackdawfield.gateway.http.caller_exchange import ListenerState
+from jackdawfield.gateway.http.caller_limits import CallerLimits
 from jackdawfield.gateway.http.caller_stream import CallerStream
 from jackdawfield.gateway.http.caller_stream import CloseReason
 from jackdawfield.logs import log_event
 from jackdawfield.sockets import accept_waiting
+from jackdawfield.sockets import bound_buffers
 
 LOG = logging.getLogger(__name__)
 # Tornado closes a connection whose body is larger; exchanges accept less.
@@ -30,13 +32,18 @@
 # 256 KiB for the request line and all headers.
 MAX_HEADER_BYTES = 262144
 EXPIRY_INTERVAL_S = 5.0
+# What the kernel holds of a connection counts as memory of the process.
+SOCKET_BUFFER_BYTES = 64 * 1024
 
 
 class HttpListener(HTTPServerConnectionDelegate):
     """Represents an HTTP server that passes each request to a handler."""
 
-    def __init__(self, handler: Handler) -> None:
+    def __init__(
+        self, handler: Handler, limits: CallerLimits | None = None
+    ) -> None:
         self.state = ListenerState(handler)
+        self._limits = limits or CallerLimits()
         self._sockets: list[socket.socket] = []
         self._stop_accepting: list[Callable[[], None]] = []
         self._connections: set[HTTP1ServerConnection] = set()
@@ -70,6 +77,7 @@
         """Listen on an address."""
         self._schedule_expiry()
         for sock in bind_sockets(port, host, backlog=ACCEPT_BACKLOG):
+            bound_buffers(sock, SOCKET_BUFFER_BYTES)
             self._sockets.append(sock)
             self._stop_accepting.append(
                 add_accept_handler(sock, self._serve_connection)
@@ -78,7 +86,10 @@
     def _serve_connection(
         self, connection: socket.socket, address: tuple[str, int]
     ) -> None:
-        stream = CallerStream(connection)
+        stream = CallerStream(connection, address[0], self._limits)
+        if not self._limits.add(stream):
+            stream.close()
+            return
         served = HTTP1ServerConnection(stream, self._params, address)
         # Its first exchange begins in the next turn of the event loop.
         self._connections.add(served)
--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -14,6 +14,8 @@
 from jackdawfield.model import ServiceName
 from jackdawfield.model import Version
 
+# Of the smallest instances.
+DEFAULT_MAX_DESCRIPTORS = 4100
 TurnId = NewType('TurnId', str)
 
 
@@ -159,3 +161,5 @@
     bounds: PromisedLimits
     # Whether the instances decide together which servers' slots they use.
     pools_servers: bool = False
+    # Descriptors that the process may have open.
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -8,6 +8,7 @@
 from result import Ok
 from result import Result
 
+from jackdawfield.gateway.model import DEFAULT_MAX_DESCRIPTORS
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.model import PromisedLimits
 from jackdawfield.model import DomainId
@@ -34,6 +35,7 @@
 
 class _Limits(msgspec.Struct, rename='camel'):
     memory_mb: int
+    max_fds: int = DEFAULT_MAX_DESCRIPTORS
 
 
 class _Bounds(msgspec.Struct, rename='camel'):
@@ -110,6 +112,7 @@
         seed_addresses=tuple(wire.seeds),
         metrics_port=METRICS_PORT,
         memory_mb=wire.limits.memory_mb,
+        max_descriptors=wire.limits.max_fds,
         first_start=wire.bootstrap,
         store_host=store_host,
         store_port=store_port,
--- a/jackdawfield/sockets.py
+++ b/jackdawfield/sockets.py
@@ -29,6 +29,15 @@
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
+def bound_buffers(sock: socket.socket, size_bytes: int) -> None:
+    """Bound what the kernel holds for a socket and those accepted from it."""
+    for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, option, size_bytes)
+        except OSError as error:
+            log_event(LOG, 'buffer_not_bounded', reason=error)
+
+
 def accept_waiting(sock: socket.socket) -> Iterator[tuple[socket.socket, Any]]:
     """Yield the connections that wait in a listening socket, and addresses.
 
