--- a/tests/gateway/test_hostile_crowds.py
+++ b/tests/gateway/test_hostile_crowds.py
@@ -225,6 +225,18 @@
 class RouteTest(HostileCrowds, unittest.IsolatedAsyncioTestCase):
     """Crowds at a path with a route."""
 
+    async def test_largest_body_in_calm(self) -> None:
+        reader, writer = await asyncio.open_connection(
+            self.instance.host, self.instance.caller_port
+        )
+        self.addCleanup(writer.close)
+        writer.write(self.head(f'Content-Length: {BODY_BYTES}'))
+        writer.write(b'x' * BODY_BYTES)
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            line = await reader.readline()
+        self.assertIn(b' 200 ', line)
+        self.assertLess(self.instance.peak_bytes(), MEMORY_BYTES)
+
 
 class NoRouteTest(HostileCrowds, unittest.IsolatedAsyncioTestCase):
     """Crowds at a path without a route."""
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -31,6 +31,7 @@
         self.assertEqual(settings.store_port, 8362)
         self.assertEqual(settings.regions_by_domain['b'], 's')
         self.assertEqual(settings.bounds.grace_s, 8)
+        self.assertEqual(settings.max_descriptors, 8200)
         self.assertEqual(settings.row_bytes, 65536)
 
     def test_servers_are_pooled_only_under_the_contract_for_it(self) -> None:
