Bound what callers that come and go cost the loop

Change: at most 200 turns wait, more such bodies are refused; the large bodies are looked at alone as long as they free enough; connections are not looked through again for 0.1 s after none could be closed. Unread responses are charged only when the socket doesn't take them at once.

--- a/jackdawfield/gateway/http/caller_limits.py
+++ b/jackdawfield/gateway/http/caller_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 import time
 from typing import Protocol
@@ -25,6 +26,8 @@
 SPARE_SHARE = 0.05
 # Connections that are closed at once when new ones find no room.
 CLOSED_SHARE = 0.05
+# Pause before connections are looked through again after none could be closed.
+CLOSE_INTERVAL_S = 0.1
 LOG_INTERVAL_S = 1.0
 # Retry-After of refusals for lack of memory.
 RETRY_S = 0.5
@@ -101,6 +104,7 @@
         self._handled_bytes = 0
         self._holdings: set[Holding] = set()
         self._is_freeing = False
+        self._close_again_at_s = 0.0
 
     @property
     def open_connections(self) -> int:
@@ -109,16 +113,29 @@
 
     def add(self, holding: Holding) -> bool:
         """Add a connection; return False if there is no room for it."""
-        if len(self._holdings) >= self.max_connections:
-            count = max(1, int(self.max_connections * CLOSED_SHARE))
-            self._give_way('connections', choose_closed, count)
-        if len(self._holdings) >= self.max_connections:
+        if self._is_short_of_connections:
+            self._close_waiting()
+        if self._is_short_of_connections:
             self.refusals.add('connections', NO_STATUS)
             return False
         self._holdings.add(holding)
         self.charge(holding, CONNECTION_BYTES)
         return True
 
+    @property
+    def _is_short_of_connections(self) -> bool:
+        return len(self._holdings) >= self.max_connections
+
+    def _close_waiting(self) -> None:
+        """Close some connections, unless none could be just before."""
+        now_s = time.monotonic()
+        if now_s < self._close_again_at_s:
+            return
+        count = max(1, int(self.max_connections * CLOSED_SHARE))
+        self._give_way('connections', choose_closed, count, self._holdings)
+        if self._is_short_of_connections:
+            self._close_again_at_s = now_s + CLOSE_INTERVAL_S
+
     def discard(self, holding: Holding) -> None:
         """Forget a connection and what was held for it."""
         if holding in self._holdings:
@@ -149,13 +166,30 @@
     def _free_excess(self) -> None:
         self._is_freeing = False
         excess = self.held_bytes - self.budget_bytes
-        if excess > 0:
-            excess += int(self.budget_bytes * SPARE_SHARE)
-            self._give_way('memory', choose_refused, excess)
+        if excess <= 0:
+            return
+        excess += int(self.budget_bytes * SPARE_SHARE)
+        self._refuse_bodies(excess)
+        if self.is_full:
+            self._give_way('memory', choose_refused, excess, self._holdings)
+
+    def _refuse_bodies(self, excess: int) -> None:
+        """Refuse unfinished bodies, if that frees enough.
+
+        Only large ones are looked at: there are few of them.
+        """
+        large = [h for h in self._holdings if h.held_bytes > SMALL_BYTES]
+        self._give_way('memory', choose_for_body, excess, large)
 
-    def _give_way(self, reason: str, choose: Choice, amount: int) -> None:
-        """Let the chosen connections give way."""
-        holdings = list(self._holdings)
+    def _give_way(
+        self,
+        reason: str,
+        choose: Choice,
+        amount: int,
+        candidates: Iterable[Holding],
+    ) -> None:
+        """Let the chosen ones of some connections give way."""
+        holdings = list(candidates)
         holders = [
             holding.describe(number) for number, holding in enumerate(holdings)
         ]
@@ -183,7 +217,7 @@
         copies = body_bytes * HANDLED_COPIES
         excess = self.held_bytes + copies - self.budget_bytes
         if excess > 0 and self._handled_bytes:
-            self._give_way('memory', choose_for_body, excess)
+            self._refuse_bodies(excess)
             if self.held_bytes + copies > self.budget_bytes:
                 return None
         self._handled_bytes += copies
--- a/jackdawfield/gateway/http/caller_stream.py
+++ b/jackdawfield/gateway/http/caller_stream.py
@@ -21,6 +21,8 @@
 # A body in smaller chunks is read in slices, so that others get their turn.
 SMALL_CHUNK_BYTES = 256
 SLICE_CHUNKS = 32
+# With more slices waiting, a turn comes after more than a second.
+MAX_WAITING_SLICES = 200
 STATUS_TOO_MANY_FIELDS = 431
 TOO_MANY_FIELDS = (
     b'HTTP/1.1 431 Request Header Fields Too Large\r\n'
@@ -59,8 +61,8 @@
     `received_bytes` counts what was read since the last request, also what
     belongs to later ones; `first_read_at_s` is when its first byte was
     counted, and `idle_since_s` when the wait for it began, both by the
-    monotonic clock. `progress_at_s` is when the caller last sent or read
-    anything, and `unread_bytes` wait for it to read on.
+    monotonic clock. `progress_at_s` is when the caller last sent or, after a
+    pause, read anything, and `unread_bytes` wait for it to read on.
     """
 
     received_bytes = 0
@@ -72,7 +74,7 @@
     close_reason = CloseReason.CALLER
     receiver: Receiver | None = None
     _chunk_count = 0
-    _is_read_slowly = False
+    _unread_charge = 0
 
     def __init__(
         self, sock: socket.socket, address: str, limits: CallerLimits
@@ -92,11 +94,9 @@
         self.first_read_at_s = (
             self.idle_since_s if self.received_bytes else None
         )
-        held = CONNECTION_BYTES + self.received_bytes + self.unread_bytes
+        held = CONNECTION_BYTES + self.received_bytes + self._unread_charge
         # The handler of the request before ends a little later.
         held += self.copy_bytes
-        if self._is_read_slowly:
-            held += RESPONSE_AHEAD_BYTES
         self.charge(held - self.held_bytes)
 
     def charge(self, count: int) -> None:
@@ -140,7 +140,12 @@
             self._chunk_count % SLICE_CHUNKS == 0
             and self.received_bytes < self._chunk_count * SMALL_CHUNK_BYTES
         ):
-            return self._read_after_pause(delimiter, max_bytes)
+            if self.limits.slices.waiting_count < MAX_WAITING_SLICES:
+                return self._read_after_pause(delimiter, max_bytes)
+            status = self.give_way('tiny chunks')
+            self.limits.refusals.add(
+                'tiny chunks', status, address=self.address
+            )
         return super().read_until(delimiter, max_bytes)
 
     async def _read_after_pause(
@@ -150,28 +155,30 @@
         return await super().read_until(delimiter, max_bytes)
 
     def write(self, data: bytes | memoryview) -> 'asyncio.Future[None]':
-        """Write to the caller, and count what waits to be read."""
-        if not self.unread_bytes:
-            self.progress_at_s = time.monotonic()
+        """Write to the caller, and charge what waits to be read."""
         self.unread_bytes += len(data)
-        self.charge(len(data))
         written = super().write(data)
-        if self.unread_bytes and not self._is_read_slowly:
-            self._is_read_slowly = True
-            self.charge(RESPONSE_AHEAD_BYTES)
+        if self.unread_bytes:
+            self._charge_unread()
         return written
 
     def write_to_fd(self, data: memoryview) -> int:
         """Write to the socket, and count what it took."""
         count = super().write_to_fd(data)
         self.unread_bytes -= count
-        self.progress_at_s = time.monotonic()
-        self.charge(-count)
-        if self._is_read_slowly and not self.unread_bytes:
-            self._is_read_slowly = False
-            self.charge(-RESPONSE_AHEAD_BYTES)
+        if self._unread_charge:
+            self.progress_at_s = time.monotonic()
+            self._charge_unread()
         return count
 
+    def _charge_unread(self) -> None:
+        """Charge what waits to be read, and what is read ahead for it."""
+        if not self._unread_charge:
+            self.progress_at_s = time.monotonic()
+        charge = self.unread_bytes and self.unread_bytes + RESPONSE_AHEAD_BYTES
+        self.charge(charge - self._unread_charge)
+        self._unread_charge = charge
+
     def close_fd(self) -> None:
         """Close the socket, and forget what was held for the connection."""
         self.limits.discard(self)
@@ -186,7 +193,7 @@
             self.held_bytes,
             self.unread_bytes,
             self.first_read_at_s or self.idle_since_s,
-            self.progress_at_s,
+            max(self.progress_at_s, self.idle_since_s),
         )
 
     @property
--- a/jackdawfield/gateway/work_slices.py
+++ b/jackdawfield/gateway/work_slices.py
@@ -26,6 +26,11 @@
         # How many slices had to wait.
         self.deferred_count = 0
 
+    @property
+    def waiting_count(self) -> int:
+        """Return how many slices wait for their turn."""
+        return len(self._waiting)
+
     def resume_later(self, work: Callable[[], None]) -> None:
         """Run the next slice of some work after those that wait already."""
         self.deferred_count += 1
--- a/tests/gateway/http/test_caller_limits.py
+++ b/tests/gateway/http/test_caller_limits.py
@@ -9,6 +9,7 @@
 from jackdawfield.gateway.http.caller_exchange import IncomingRequest
 from jackdawfield.gateway.http.caller_limits import CallerLimits
 from jackdawfield.gateway.http.caller_limits import MAX_HEADER_FIELDS
+from jackdawfield.gateway.http.caller_stream import CallerStream
 from jackdawfield.gateway.http.listener import HttpListener
 from jackdawfield.gateway.http.memory_budget import CONNECTION_BYTES
 from jackdawfield.gateway.http.reply import Reply
@@ -198,3 +199,13 @@
         self.assertEqual(await self.status(reader), 200)
         self.assertEqual(self.bodies, [b'x' * 200])
         self.assertGreater(self.limits.slices.deferred_count, 0)
+
+    # Guards against callers that leave while they wait, again and again.
+    async def test_tiny_chunks_are_refused_while_many_wait(self) -> None:
+        chunks = b'1\r\nx\r\n' * 200
+        head = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+        with patch(f'{CallerStream.__module__}.MAX_WAITING_SLICES', 0):
+            reader = await self.send(head + chunks)
+            self.assertEqual(await self.status(reader), 503)
+        self.assertEqual(self.bodies, [])
+        self.assertIn((503, 'tiny chunks'), self.reasons)
