--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -16,6 +16,8 @@
 from jackdawfield.model import ServiceName
 from jackdawfield.model import Version
 
+# Of the smallest instances.
+DEFAULT_MAX_DESCRIPTORS = 4100
 TurnId = NewType('TurnId', str)
 
 
@@ -163,3 +165,5 @@
     pools_servers: bool = False
     # When calls leave the failure domain, if they do.
     spill: SpillSettings = GATEWAY_SPILL
+    # Descriptors that the process may have open.
+    max_descriptors: int = DEFAULT_MAX_DESCRIPTORS
