Learn how long servers keep idle connections that state no time

Change: a pool may keep them for longer, until its server closes one. Pools keep 3 s unless they are given more.

--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -16,16 +16,15 @@
 from result import Result
 
 from jackdawfield.gateway.http.messages import BodyEnd
-from jackdawfield.gateway.http.messages import DEFAULT_IDLE_S
 from jackdawfield.gateway.http.messages import encode_request
 from jackdawfield.gateway.http.messages import ExchangeError
 from jackdawfield.gateway.http.messages import Fault
 from jackdawfield.gateway.http.messages import Framing
 from jackdawfield.gateway.http.messages import framing_of
-from jackdawfield.gateway.http.messages import idle_limit_s
 from jackdawfield.gateway.http.messages import OutgoingRequest
 from jackdawfield.gateway.http.messages import Part
 from jackdawfield.gateway.http.messages import ResponseHead
+from jackdawfield.gateway.http.messages import stated_idle_limit_s
 from jackdawfield.gateway.http.part_queue import PartQueue
 from jackdawfield.gateway.work_slices import SLICE_PIECES
 from jackdawfield.gateway.work_slices import WorkSlices
@@ -73,11 +72,13 @@
         self._is_reused = False
         self._has_ended = False
         self._is_lost = False
-        self._idle_limit_s = DEFAULT_IDLE_S
+        # How long the server keeps it idle, None if it did not say.
+        self.stated_idle_s: float | None = None
         self.lost_reason = ''
         # Whether the server closed the connection, and not this instance.
         self.is_closed_by_server = False
-        self.idle_until_s = 0.0
+        self._idle_since_s = 0.0
+        self._closed_at_s: float | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take the transport over and set the socket's timeouts."""
@@ -98,6 +99,7 @@
     def eof_received(self) -> bool:
         """Handle the end of data, which ends a response without a length."""
         self.is_closed_by_server = not self._is_lost
+        self._closed_at_s = time.monotonic()
         if self._request is not None and not self._has_ended:
             self._parser.receive_data(b'')
             self._parse()
@@ -194,7 +196,7 @@
                 self._skip_response()
                 return
         self._framing = head.framing
-        self._idle_limit_s = idle_limit_s(head)
+        self.stated_idle_s = stated_idle_limit_s(head)
         self._parts.put(head)
 
     def _skip_response(self) -> None:
@@ -323,8 +325,12 @@
         return True
 
     def wait_for_use(self) -> None:
-        """Set how long the connection may stay idle."""
-        self.idle_until_s = time.monotonic() + self._idle_limit_s
+        """Begin the time for which the connection is idle."""
+        self._idle_since_s = time.monotonic()
+
+    def idle_s(self, now_s: float) -> float:
+        """Return how long it has been idle, at most until it was closed."""
+        return (self._closed_at_s or now_s) - self._idle_since_s
 
     def abort(self, reason: str) -> None:
         """Close the connection at once, which cancels its request."""
--- a/jackdawfield/gateway/http/messages.py
+++ b/jackdawfield/gateway/http/messages.py
@@ -121,10 +121,16 @@
 
 def idle_limit_s(head: ResponseHead) -> float:
     """Return how long a connection may stay idle after a response."""
+    stated_s = stated_idle_limit_s(head)
+    return DEFAULT_IDLE_S if stated_s is None else stated_s
+
+
+def stated_idle_limit_s(head: ResponseHead) -> float | None:
+    """Return how long it may stay idle by the response, None if unsaid."""
     text = head.get('keep-alive') or ''
     for item in text.split(','):
         name, _, value = item.strip().partition('=')
         seconds = parse_count(value)
         if name.lower() == 'timeout' and seconds is not None:
             return max(0.0, seconds - IDLE_MARGIN_S)
-    return DEFAULT_IDLE_S
+    return None
--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -9,6 +9,8 @@
 from result import Result
 
 from jackdawfield.gateway.http.connection import Connection
+from jackdawfield.gateway.http.idle_limits import IdleLimits
+from jackdawfield.gateway.http.messages import DEFAULT_IDLE_S
 from jackdawfield.gateway.http.messages import ExchangeError
 from jackdawfield.gateway.http.messages import Fault
 from jackdawfield.gateway.work_slices import WorkSlices
@@ -27,8 +29,13 @@
 class ConnectionPool:
     """Holds idle connections by address, the last used first."""
 
-    def __init__(self, slices: WorkSlices | None = None) -> None:
+    def __init__(
+        self,
+        slices: WorkSlices | None = None,
+        longest_idle_s: float = DEFAULT_IDLE_S,
+    ) -> None:
         self._slices = slices or WorkSlices()
+        self._idle_limits = IdleLimits(longest_idle_s)
         self._idle_by_address: dict[tuple[str, int], list[Connection]] = {}
         self.opened_count = 0
         self._sweep_timer: asyncio.TimerHandle | None = None
@@ -50,11 +57,12 @@
         One that has carried the request with this echo value is closed.
         """
         now_s = time.monotonic()
-        idle = self._idle_by_address.get((host, port), [])
+        address = (host, port)
+        idle = self._idle_by_address.get(address, [])
         while idle:
             connection = idle.pop()
-            if not can_be_reused(connection, now_s):
-                connection.abort('idle for too long')
+            if not self._can_be_reused(address, connection, now_s):
+                self._end_idle(address, connection, now_s)
             elif connection.has_carried(echo_value):
                 connection.abort('has carried this request before')
             elif connection.has_unread_input:
@@ -63,6 +71,15 @@
                 return connection
         return None
 
+    def has_idle(self, host: str, port: int) -> bool:
+        """Return whether an idle connection to an address can be used."""
+        address = (host, port)
+        now_s = time.monotonic()
+        return any(
+            self._can_be_reused(address, connection, now_s)
+            for connection in self._idle_by_address.get(address, ())
+        )
+
     async def open(
         self, host: str, port: int, timeout_s: float
     ) -> Result[Connection, ExchangeError]:
@@ -120,10 +137,10 @@
         for address, idle in list(self._idle_by_address.items()):
             usable = []
             for connection in idle:
-                if can_be_reused(connection, now_s):
+                if self._can_be_reused(address, connection, now_s):
                     usable.append(connection)
                 else:
-                    connection.abort('idle for too long')
+                    self._end_idle(address, connection, now_s)
             if usable:
                 self._idle_by_address[address] = usable
             else:
@@ -133,6 +150,25 @@
             loop = asyncio.get_running_loop()
             self._sweep_timer = loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
+    def _end_idle(
+        self, address: tuple[str, int], connection: Connection, now_s: float
+    ) -> None:
+        if connection.is_closed_by_server and connection.stated_idle_s is None:
+            idle_s = connection.idle_s(now_s)
+            self._idle_limits.record_closed(address, idle_s)
+        connection.abort('idle for too long')
+
+    def _can_be_reused(
+        self, address: tuple[str, int], connection: Connection, now_s: float
+    ) -> bool:
+        """Return whether it is open and has not been idle for too long."""
+        if not connection.is_usable:
+            return False
+        limit_s = connection.stated_idle_s
+        if limit_s is None:
+            limit_s = self._idle_limits.limit_s(address)
+        return connection.idle_s(now_s) < limit_s
+
     def close(self) -> None:
         """Close every idle connection."""
         for idle in self._idle_by_address.values():
@@ -141,8 +177,3 @@
         self._idle_by_address.clear()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
-
-
-def can_be_reused(connection: Connection, now_s: float) -> bool:
-    """Return whether an idle connection is open and not idle for too long."""
-    return connection.is_usable and connection.idle_until_s > now_s
