Keep to the servers that an instance is connected to

Cause: sessions were spread over all servers, so that with 76 instances before 45 servers a connection was opened for every fourth call. Change: where servers are pooled, a server with an idle connection goes before a new connection, and each instance has its own order of the others.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -48,7 +48,7 @@
 from jackdawfield.gateway.rates.admission import Admission
 from jackdawfield.gateway.rates.owner import RateOwner
 from jackdawfield.gateway.servers.choice import MISSING_GRACE_S
-from jackdawfield.gateway.servers.choice import Servers
+from jackdawfield.gateway.servers.connected import build_servers
 from jackdawfield.gateway.servers.dispatch import Dispatcher
 from jackdawfield.gateway.servers.endings import EndedServers
 from jackdawfield.gateway.servers.exchange import HeaderFormat
@@ -157,10 +157,9 @@
 
     def _build_calls(self) -> None:
         settings = self.settings
-        self.servers = Servers(
-            settings.domain_id, dict(settings.regions_by_domain)
+        self.servers, self.server_pool = build_servers(
+            settings, self.work_slices
         )
-        self.server_pool = ConnectionPool(self.work_slices)
         self.slot_queue = SlotQueue(self.servers, self.metrics)
         self._build_broadcasts()
         self._build_server_paths()
--- a/jackdawfield/gateway/servers/choice.py
+++ b/jackdawfield/gateway/servers/choice.py
@@ -4,6 +4,7 @@
 and ejected after failures that the instances report to each other.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field
@@ -16,6 +17,7 @@
 from jackdawfield.gateway.servers.ejection import EjectionState
 from jackdawfield.gateway.servers.rate_limit import RateLimit
 from jackdawfield.model import DomainId
+from jackdawfield.model import InstanceId
 from jackdawfield.model import RegionId
 from jackdawfield.model import ServerId
 from jackdawfield.model import ServiceName
@@ -38,6 +40,10 @@
 OTHER_REGION_COST_S = 0.04
 CACHE_MISS_COST_S = 0.05
 FULL_LOAD_COST_S = 0.1
+# Expected delays where instances keep to a few servers each: to open a
+# connection, and to a server in another failure domain.
+CONNECTION_COST_S = 0.01
+KEPT_DOMAIN_COST_S = 0.012
 # A first body piece within this time did not wait for a slot.
 IDLE_FIRST_PIECE_S = 0.04
 # Weight of the newest wait in the mean, and the half-life of that mean, by
@@ -138,12 +144,28 @@
     excluded_ids: frozenset[ServerId] = field(default_factory=frozenset)
 
 
+@dataclass(frozen=True, slots=True)
+class KeptConnections:
+    """Tells to which servers this instance has a connection that is idle.
+
+    Where it is given, an instance keeps to the servers that it is connected
+    to, and beyond them to its own order of the others.
+    """
+
+    instance_id: InstanceId
+    has_idle: Callable[[str, int], bool]
+
+
 class Servers:
     """Holds the backend servers by id and chooses among them."""
 
     def __init__(
-        self, domain_id: DomainId, regions_by_domain: dict[DomainId, RegionId]
+        self,
+        domain_id: DomainId,
+        regions_by_domain: dict[DomainId, RegionId],
+        kept_connections: KeptConnections | None = None,
     ) -> None:
+        self._kept_connections = kept_connections
         self._domain_id = domain_id
         self._regions_by_domain = regions_by_domain
         self._region_id = regions_by_domain.get(domain_id)
@@ -268,15 +290,23 @@
         """Return a server's sort key, lowest for the server to choose."""
         entry = state.entry
         cost = state.wait_s(now_s) + FULL_LOAD_COST_S * state.load
+        kept = self._kept_connections
+        key = criteria.key
+        domain_cost_s = OTHER_DOMAIN_COST_S
+        if kept is not None:
+            key = kept.instance_id
+            domain_cost_s = KEPT_DOMAIN_COST_S
+            if not kept.has_idle(entry.host, entry.port):
+                cost += CONNECTION_COST_S
         if entry.domain_id != self._domain_id:
-            cost += OTHER_DOMAIN_COST_S
+            cost += domain_cost_s
         if self._regions_by_domain.get(entry.domain_id) != self._region_id:
             cost += OTHER_REGION_COST_S
         if criteria.preferred_id not in (None, entry.server_id):
             cost += CACHE_MISS_COST_S
         limit_wait_s = state.rate_limit.wait_s(now_s)
         cost += limit_wait_s
-        rank = -rendezvous_score(criteria.key, entry.server_id)
+        rank = -rendezvous_score(key, entry.server_id)
         has_no_room = criteria.needs_slot and not state.has_room
         is_full = has_no_room or limit_wait_s > 0
         is_paused = state.full_until_s > now_s
--- a/tests/gateway/servers/test_choice.py
+++ b/tests/gateway/servers/test_choice.py
@@ -7,6 +7,7 @@
 
 from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.servers.choice import AVOID_S
+from jackdawfield.gateway.servers.choice import KeptConnections
 from jackdawfield.gateway.servers.choice import MISSING_GRACE_S
 from jackdawfield.gateway.servers.choice import record_failure
 from jackdawfield.gateway.servers.choice import record_full
@@ -14,6 +15,7 @@
 from jackdawfield.gateway.servers.choice import ServerCriteria
 from jackdawfield.gateway.servers.choice import Servers
 from jackdawfield.model import DomainId
+from jackdawfield.model import InstanceId
 from jackdawfield.model import RegionId
 from jackdawfield.model import ServerId
 from jackdawfield.model import ServiceName
@@ -119,3 +121,67 @@
         self.servers.by_id[ServerId('s1')].failures = 5
         self.servers.put(entry('s1', 'here', started_ms=7))
         self.assertEqual(self.servers.by_id[ServerId('s1')].failures, 0)
+
+
+class KeptConnectionsTest(unittest.TestCase):
+    """Test a fleet whose instances each send a few calls to many servers.
+
+    A choice that spreads sessions over all servers opens a connection for
+    almost every call.
+    """
+
+    SERVER_COUNT = 8
+    CALL_COUNT = 40
+
+    def servers(self, instance: str | None) -> Servers:
+        self.connected: set[int] = set()
+        kept = None
+        if instance is not None:
+            kept = KeptConnections(
+                InstanceId(instance), lambda _, port: port in self.connected
+            )
+        servers = Servers(DomainId('here'), REGIONS, kept)
+        for n in range(self.SERVER_COUNT):
+            servers.put(entry(f's{n}', 'here', port=n))
+            servers.put(entry(f'b{n}', 'beside', port=100 + n))
+        return servers
+
+    def ports_of_calls(self, servers: Servers) -> set[int]:
+        """Return the servers of calls of which each ends before the next."""
+        for n in range(self.CALL_COUNT):
+            criteria = ServerCriteria(SERVICE, f'session-{n}')
+            state = servers.choose(criteria, 0.0)
+            assert state is not None
+            self.connected.add(state.entry.port)
+        return self.connected
+
+    def test_calls_one_after_another_use_one_connection(self) -> None:
+        spread = self.ports_of_calls(self.servers(None))
+        self.assertEqual(len(spread), self.SERVER_COUNT)
+        self.assertEqual(len(self.ports_of_calls(self.servers('i-1'))), 1)
+
+    def test_instances_keep_to_different_servers(self) -> None:
+        firsts = [
+            self.ports_of_calls(self.servers(f'i-{n}')).pop()
+            for n in range(64)
+        ]
+        share = len(firsts) / self.SERVER_COUNT
+        most = max(firsts.count(port) for port in set(firsts))
+        self.assertEqual(len(set(firsts)), self.SERVER_COUNT)
+        self.assertLess(most, 3 * share)
+
+    def test_connected_server_that_is_busy_is_not_waited_for(self) -> None:
+        servers = self.servers('i-1')
+        (port,) = self.ports_of_calls(servers)
+        state = servers.by_id[ServerId(f's{port}')]
+        state.in_flight = state.entry.slots
+        other = servers.choose(ServerCriteria(SERVICE, 'key'), 0.0)
+        assert other is not None
+        self.assertNotEqual(other.entry.port, port)
+
+    def test_connection_to_another_domain_does_not_draw_calls(self) -> None:
+        servers = self.servers('i-1')
+        self.connected.add(100)
+        state = servers.choose(ServerCriteria(SERVICE, 'key'), 0.0)
+        assert state is not None
+        self.assertEqual(state.entry.domain_id, 'here')
