Count the prefix of queued calls, and place rescues beside the other rules

Cause: a queued call that left for its wait paid for its prefix without this being counted, as owners of gateways' slots have no cache estimates. Change: a queued call's finish is that of a submitted one; one that gains nothing no longer ends the look at the others.

--- a/jackdawfield/decisions/pool.py
+++ b/jackdawfield/decisions/pool.py
@@ -5,7 +5,6 @@
 """
 
 from collections.abc import Iterator
-from math import ceil
 
 from jackdawfield.decisions.early_refusal import late_reason
 from jackdawfield.decisions.early_refusal import latest_start_s
@@ -45,6 +44,8 @@
 from jackdawfield.decisions.queueing import QueuedRequest
 from jackdawfield.decisions.queueing import QueueSettings
 from jackdawfield.decisions.queueing import SlotSupply
+from jackdawfield.decisions.slot_offers import slots_for_others
+from jackdawfield.decisions.slot_offers import slots_to_offer
 from jackdawfield.decisions.slot_shares import SlotShares
 from jackdawfield.decisions.spilling import OwnFinish
 from jackdawfield.decisions.spilling import PeerDomains
@@ -112,7 +113,13 @@
             region_id=region_id,
             usable=bool(usable),
             wait_s=self._queue_wait_s(now_s),
-            open_slots=self._offered_slots(now_s),
+            open_slots=slots_to_offer(
+                self._slots_for_others(now_s),
+                self._in_flight.count_of_others(),
+                self._in_flight.mean_call_s,
+                len(self._queue),
+                self._settings.spill,
+            ),
             call_s=self._in_flight.mean_slot_wait_s(now_s),
             token_s=best_token_s(usable),
             queued=len(self._queue),
@@ -125,26 +132,14 @@
         """Return why no request is sent to another domain now."""
         return self._peers.find_obstacle(domain_id, now_s)
 
-    def _offered_slots(self, now_s: float) -> int:
-        """Return how many requests of other domains may be sent here."""
-        open_slots = self._slots_for_others(now_s)
-        period_s = self._settings.spill.offer_period_s
-        if not period_s or len(self._queue):
-            return open_slots
-        call_s = self._in_flight.mean_call_s
-        ending_share = min(1.0, period_s / call_s) if call_s else 1.0
-        ending = self._in_flight.count_of_others() * ending_share
-        return open_slots + round(ending)
-
     def _slots_for_others(self, now_s: float) -> int:
-        """Return the open slots that requests of other domains may take."""
-        spill = self._settings.spill
-        if spill.needs_open_slot and len(self._queue):
-            return 0
         usable = self._in_flight.usable_windows(now_s)
-        open_slots = sum(window.open_slots(now_s) for window in usable)
-        reserve = spill.reserve_share * self._in_flight.usable_limit(now_s)
-        return max(0, open_slots - ceil(reserve))
+        return slots_for_others(
+            sum(window.open_slots(now_s) for window in usable),
+            self._in_flight.usable_limit(now_s),
+            len(self._queue),
+            self._settings.spill,
+        )
 
     def _handle_capacity_event(
         self,
@@ -230,27 +225,15 @@
     ) -> Spill | None:
         if not demand.may_spill:
             return None
-        choice = self._in_flight.choose_server(demand, now_s)
-        if choice is None:
+        own = self._own_finish(demand, wait_s, now_s)
+        if own is None:
             return self._peers.choose_fallback(demand, now_s)
-        window = self._in_flight.window(choice.server_id)
-        own = self._peers.expected_finish(
-            demand, wait_s, choice.prefill_tokens, window
-        )
         spill = self._peers.choose_faster(demand, own, now_s)
         if spill is not None or not wait_s:
             return spill
         if now_s + wait_s <= self._latest_start_s(demand, now_s):
             return None
-        return self._choose_rescue(demand, now_s)
-
-    def _choose_rescue(self, demand: SlotDemand, now_s: float) -> Spill | None:
-        """Return a spill of a request that would be refused here."""
-        if not self._settings.spill.needs_open_slot or not demand.may_spill:
-            return None
-        left_s = demand.deadline_s - now_s
-        own = OwnFinish(left_s, left_s)
-        return self._peers.choose_faster(demand, own, now_s)
+        return self._peers.choose_rescue(demand, now_s)
 
     def _enforce_queue_limit(
         self, now_s: float, wait_s: float
@@ -417,7 +400,7 @@
                 if now_s < queued.latest_start_s:
                     spill = self._peers.choose_fallback(demand, now_s)
             elif is_late:
-                spill = self._choose_rescue(demand, now_s)
+                spill = self._peers.choose_rescue(demand, now_s)
             if spill is not None:
                 self._peers.record_spill(demand, spill, now_s)
                 self._queue.remove(demand.request_id)
@@ -429,27 +412,48 @@
 
     def _spill_queued(self, now_s: float) -> Iterator[Action]:
         spills_left = self._settings.spills_per_tick
+        misses_left = self._settings.scan_limit
         for queued in self._queue:
             demand = queued.demand
-            if not spills_left:
+            if not spills_left or not misses_left:
                 return
-            if (
-                not demand.may_spill
-                or self._in_flight.caches.max_cached_tokens(demand.context_id)
-            ):
+            own = self._queued_finish(queued, now_s)
+            if own is None or not demand.may_spill:
                 continue
-            wait_s = self._queue_wait_s(now_s)
-            if self._settings.spill.expects_past_wait:
-                wait_s = max(wait_s, now_s - queued.enqueued_at_s)
-            own = OwnFinish(wait_s, wait_s)
             spill = self._peers.choose_faster(demand, own, now_s)
             if spill is None:
-                return
+                misses_left -= 1
+                continue
             spills_left -= 1
             self._peers.record_spill(demand, spill, now_s)
             self._queue.remove(demand.request_id)
             yield spill
 
+    def _queued_finish(
+        self, queued: QueuedRequest, now_s: float
+    ) -> OwnFinish | None:
+        """Return what a request would take here, None if it must stay."""
+        demand = queued.demand
+        wait_s = self._queue_wait_s(now_s)
+        if not self._settings.spill.expects_past_wait:
+            caches = self._in_flight.caches
+            is_cached = caches.max_cached_tokens(demand.context_id) > 0
+            return None if is_cached else OwnFinish(wait_s, wait_s)
+        wait_s = max(wait_s, now_s - queued.enqueued_at_s)
+        own = self._own_finish(demand, wait_s, now_s)
+        return own or OwnFinish(wait_s, wait_s)
+
+    def _own_finish(
+        self, demand: SlotDemand, wait_s: float, now_s: float
+    ) -> OwnFinish | None:
+        choice = self._in_flight.choose_server(demand, now_s)
+        if choice is None:
+            return None
+        window = self._in_flight.window(choice.server_id)
+        return self._peers.expected_finish(
+            demand, wait_s, choice.prefill_tokens, window
+        )
+
     def _expected_wait_s(self, demand: SlotDemand, now_s: float) -> float:
         if not len(self._queue) and self._in_flight.has_open_slot(now_s):
             return 0.0
--- a/jackdawfield/decisions/slot_offers.py
+++ b/jackdawfield/decisions/slot_offers.py
@@ -2,8 +2,10 @@
 
 from collections.abc import Mapping
 from collections.abc import Set
+from math import ceil
 
 from jackdawfield.decisions.placement import rendezvous_score
+from jackdawfield.decisions.spill_settings import SpillSettings
 from jackdawfield.model import DomainId
 
 
@@ -52,3 +54,34 @@
         domain_id: queued + (domain_id in near_ids)
         for domain_id, queued in queued_by_domain.items()
     }
+
+
+def slots_for_others(
+    open_slots: int, limit: int, queued: int, settings: SpillSettings
+) -> int:
+    """Return the open slots that requests of other domains may take.
+
+    `limit` is how many requests the usable servers may have in flight.
+    """
+    if settings.needs_open_slot and queued:
+        return 0
+    return max(0, open_slots - ceil(settings.reserve_share * limit))
+
+
+def slots_to_offer(
+    slots: int,
+    in_flight_of_others: int,
+    mean_call_s: float,
+    queued: int,
+    settings: SpillSettings,
+) -> int:
+    """Return how many requests of other domains may be sent here.
+
+    `slots` are those open for them; some of theirs end before the next offer.
+    """
+    if not settings.offer_period_s or queued:
+        return slots
+    ending_share = 1.0
+    if mean_call_s:
+        ending_share = min(1.0, settings.offer_period_s / mean_call_s)
+    return slots + round(in_flight_of_others * ending_share)
--- a/jackdawfield/decisions/spilling.py
+++ b/jackdawfield/decisions/spilling.py
@@ -152,6 +152,13 @@
                 best = spill
         return best
 
+    def choose_rescue(self, demand: SlotDemand, now_s: float) -> Spill | None:
+        """Return a spill of a request that would be refused here, if any."""
+        if not self._settings.needs_open_slot or not demand.may_spill:
+            return None
+        left_s = demand.deadline_s - now_s
+        return self.choose_faster(demand, OwnFinish(left_s, left_s), now_s)
+
     def choose_fallback(
         self, demand: SlotDemand, now_s: float
     ) -> Spill | None:
--- a/tests/test_pool_spilling.py
+++ b/tests/test_pool_spilling.py
@@ -117,6 +117,21 @@
         (action,) = pool.on(TimePassed(0.3))
         self.assertIsInstance(action, Spill)
 
+    def test_queued_call_stays_for_its_prefix(self) -> None:
+        pool = Pool(RegionId('r'), gateway_pool_settings())
+        pool.on(ServersChanged(0.0, (server('s', 1),)))
+        submit(pool, demand('long'))
+        cached = replace(
+            demand('b'),
+            preferred_server_id=ServerId('s'),
+            prompt_tokens=4_000_000,
+        )
+        pool.on(RequestSubmitted(0.0, cached))
+        pool.on(RequestSubmitted(0.0, demand('c')))
+        pool.on(replace(FREE_ELSEWHERE, now_s=0.3))
+        spilled = [action.request_id for action in pool.on(TimePassed(0.3))]
+        self.assertEqual(['c'], spilled)
+
     def test_program_that_left_stays_where_its_prefix_is(self) -> None:
         pool = pool_of(slots=1)
         pool.on(FREE_ELSEWHERE)
