Test that a call that need not wait stays at a slow server

Cause: two broken variants passed since the gateway's rule leaves speeds out. Change: cases for both.

--- a/tests/test_spilling.py
+++ b/tests/test_spilling.py
@@ -16,6 +16,7 @@
 from jackdawfield.decisions.spill_settings import SpillSettings
 from jackdawfield.decisions.spilling import OwnFinish
 from jackdawfield.decisions.spilling import PeerDomains
+from jackdawfield.decisions.windows import ServerWindow
 from jackdawfield.model import DomainId
 from jackdawfield.model import InstanceId
 from jackdawfield.model import OrganisationId
@@ -172,6 +173,21 @@
         self.assertIsNone(send(peers, demand('a'), waiting(0.2, 0.3), 0.0))
         self.assertIsNotNone(send(peers, demand('a'), waiting(0.2), 0.0))
 
+    def test_call_that_need_not_wait_stays_at_a_slow_server(self) -> None:
+        peers = domains(report(0.0, 9))
+        slow = OwnFinish(0.0, 9.0)
+        self.assertIsNone(send(peers, demand('a'), slow, 0.0))
+
+    def test_speed_counts_only_where_it_is_compared(self) -> None:
+        window = ServerWindow.of(1)
+        totals_s = [
+            domains(settings=settings)
+            .expected_finish(demand('a'), 0.5, 1000, window)
+            .total_s
+            for settings in (SpillSettings(), GATEWAY_SPILL)
+        ]
+        self.assertEqual([0.5 + 20 * window.token_s, 0.5], totals_s)
+
     def test_distance_and_price_keep_a_call(self) -> None:
         call = demand('a', body_bytes=500_000)
         own = waiting(0.2)
