Play loans beside moved tokens in the random runs of budgets

Cause: the random runs of moved tokens lent nothing, so that they did not show the bound of a budget and one call that loans may use.

Change: 12 seeds with loans, in which a stopped instance has released its ownerships, as the product has it.

--- a/tests/gateway/programs/test_token_transfers.py
+++ b/tests/gateway/programs/test_token_transfers.py
@@ -216,7 +216,9 @@
         self.assertNotEqual(first, others[0])
 
 
-class TransferTest(unittest.IsolatedAsyncioTestCase):
+class TransferCase(unittest.IsolatedAsyncioTestCase):
+    """Starts three instances that hold seats, and no network."""
+
     async def asyncSetUp(self) -> None:
         borrow_after = mock.patch(BORROW_AFTER, 0.005)
         borrow_after.start()
@@ -240,6 +242,27 @@
         await advances._tasks.wait(1.0)
         self.by_name[name] = self.start(name)
 
+    async def play(self, dice: random.Random, budget: int) -> int:
+        used = 0
+        for _ in range(40):
+            self.store.is_away = dice.random() < 0.6
+            self.links.unheard = {n for n in SEATS if dice.random() < 0.1}
+            name = dice.choice(SEATS)
+            if dice.random() < 0.25:
+                await self.stop(name)
+            calls = [
+                self.by_name[dice.choice(SEATS)].serve(
+                    budget, dice.randrange(EVENT, MOST, EVENT), 0.08
+                )
+                for _ in range(dice.choice((1, 1, 2)))
+            ]
+            for instance in self.by_name.values():
+                instance.advances.note_store(self.store.is_away)
+            used += sum(await asyncio.gather(*calls))
+        return used
+
+
+class TransferTest(TransferCase):
     # Guards against a program that is refused after a planned stop, although
     # the tokens of its next call were granted to the stopped instance.
     async def test_next_call_uses_the_tokens_of_a_stopped_instance(
@@ -405,24 +428,45 @@
                 self.assertLessEqual(used, budget)
                 self.assertGreater(used, 0)
 
-    async def play(self, dice: random.Random, budget: int) -> int:
-        used = 0
-        for _ in range(40):
-            self.store.is_away = dice.random() < 0.6
-            self.links.unheard = {n for n in SEATS if dice.random() < 0.1}
-            name = dice.choice(SEATS)
-            if dice.random() < 0.25:
-                await self.stop(name)
-            calls = [
-                self.by_name[dice.choice(SEATS)].serve(
-                    budget, dice.randrange(EVENT, MOST, EVENT), 0.08
-                )
-                for _ in range(dice.choice((1, 1, 2)))
-            ]
-            for instance in self.by_name.values():
-                instance.advances.note_store(self.store.is_away)
-            used += sum(await asyncio.gather(*calls))
-        return used
+
+class LoanTest(TransferCase):
+    """Plays the same while the tokens of one call are lent beside.
+
+    An instance that was stopped has released its ownerships, and lends no
+    more in its next incarnation.
+    """
+
+    async def asyncSetUp(self) -> None:
+        self.released: set[str] = set()
+        await super().asyncSetUp()
+
+    def lender_of(self, program: str) -> SeatId | None:
+        seats = [SeatId(s) for s in SEATS if s not in self.released]
+        ranked = rank_holders(program, seats)
+        return ranked[0] if ranked else None
+
+    def start(self, name: str) -> Instance:
+        instance = super().start(name)
+        lends = name not in self.released
+        instance.advances.lender._started_at_s -= MIN_UPTIME_S + 1
+        instance.ownership.owner_of.side_effect = self.lender_of
+        instance.ownership.is_sole_owner.side_effect = lambda program, _: (
+            lends and self.lender_of(program) == name
+        )
+        return instance
+
+    async def stop(self, name: str) -> None:
+        self.released.add(name)
+        await super().stop(name)
+
+    # Guards against loans that go beyond the tokens of one call.
+    async def test_budget_is_exceeded_by_one_call_at_most(self) -> None:
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                await self.asyncSetUp()
+                budget = 6 * MOST
+                used = await self.play(random.Random(seed), budget)
+                self.assertLessEqual(used, budget + MOST)
 
 
 class OutageTest(unittest.IsolatedAsyncioTestCase):
