Take the ports of the gateway's tests from below the ephemeral range

Cause: free_port() of the harness closed an ephemeral port and gave its number out, so that an outgoing connection could take it before the instance bound it: 'Address already in use' at the set-up of test_relays (once) and test_gateway (once, beside four busy processes). Change: the ports of tests.fleet, which no connection takes by itself; one function less. Measured: test_relays and test_hedging pass.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -4,7 +4,6 @@
 from dataclasses import dataclass
 from dataclasses import field
 import json
-import socket
 from typing import Any
 
 from jackdawfield.gateway.daemon import Gateway
@@ -18,6 +17,7 @@
 from jackdawfield.platform.settings import decode_settings
 from jackdawfield.standins.platform_store import PlatformStoreStandIn
 from jackdawfield.standins.row_store import MemoryRowStore
+from tests.fleet import free_port
 from tests.gateway.scripted_server import ReceivedRequest
 from tests.gateway.scripted_server import ScriptedServer
 
@@ -29,14 +29,6 @@
 MAX_TOKENS = 22
 
 
-def free_port() -> int:
-    """Return a loopback port that is free now."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        port: int = sock.getsockname()[1]
-        return port
-
-
 def settings_of(
     name: str, peer_port: int, store_port: int, *seeds: str
 ) -> GatewaySettings:
