Let owners grant slots only where an operator asks for it

Change: the setting grantSlots, off by default, in place of the contract for pooled servers, which still selects kept connections. Measured: tests of the settings and of slots.

--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -161,8 +161,10 @@
     store_port: int
     row_bytes: int
     bounds: PromisedLimits
-    # Whether the instances decide together which servers' slots they use.
+    # Whether each instance keeps to a few servers and its connections to them.
     pools_servers: bool = False
+    # Whether owners grant the slots of servers to the calls of all instances.
+    grants_slots: bool = False
     # When calls leave the failure domain, if they do.
     spill: SpillSettings = GATEWAY_SPILL
     # Descriptors that the process may have open.
--- a/jackdawfield/gateway/slots/pooling.py
+++ b/jackdawfield/gateway/slots/pooling.py
@@ -57,7 +57,7 @@
 ) -> SlotPooling | None:
     """Return this instance's part, None if each instance decides alone."""
     settings = members.settings
-    if not settings.pools_servers:
+    if not settings.grants_slots:
         return None
     # A later start of the same instance uses none of its slots.
     home_id = InstanceId(f'{settings.instance_id}.{members.incarnation}')
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -26,7 +26,7 @@
 BYTES_PER_S_PER_MBPS = 125_000
 # The deployment file names the same port to the scrapers of metrics.
 METRICS_PORT = 9464
-# The part of the platform's terms under which instances pool their servers.
+# The part of the platform's terms for fleets that share many servers.
 POOL_CONTRACT = 'pool'
 
 
@@ -86,6 +86,8 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     crossing: _Crossing = msgspec.field(default_factory=_Crossing)
     bootstrap: bool = False
+    # An operator's choice: the platform does not name it.
+    grant_slots: bool = False
     # The parts of the platform's terms that are in force.
     contracts: list[str] = msgspec.field(default_factory=list)
     # Addresses of a few instances, some of which may be down.
@@ -141,6 +143,7 @@
         store_port=store_port,
         row_bytes=wire.platform.row_bytes,
         pools_servers=POOL_CONTRACT in wire.contracts,
+        grants_slots=wire.grant_slots,
         spill=_build_spill(wire.crossing),
         bounds=PromisedLimits(
             grace_s=bounds.grace_s,
--- a/tests/gateway/slots/fleet.py
+++ b/tests/gateway/slots/fleet.py
@@ -22,7 +22,7 @@
     async def start_instance(self, name: str) -> Gateway:
         """Start one instance on free ports."""
         settings = settings_of(name, free_port(), self.store.port)
-        settings = replace(settings, pools_servers=True)
+        settings = replace(settings, grants_slots=True)
         gateway = Gateway(settings, ADAPTER, metrics_port=free_port())
         await gateway.start()
         self.gateways.append(gateway)
--- a/tests/gateway/slots/test_crossing_fleet.py
+++ b/tests/gateway/slots/test_crossing_fleet.py
@@ -79,7 +79,7 @@
             settings_of(f'g-{domain_id}', free_port(), self.store.port),
             domain_id=domain_id,
             regions_by_domain=REGIONS,
-            pools_servers=True,
+            grants_slots=True,
         )
         gateway = Gateway(settings, ADAPTER, metrics_port=free_port())
         await gateway.start()
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -41,6 +41,12 @@
         self.assertFalse(alone.pools_servers)
         self.assertTrue(together.pools_servers)
 
+    def test_slots_are_granted_only_where_operators_ask_for_it(self) -> None:
+        pooling = {**SETTINGS, 'contracts': ['base', 'pool']}
+        asked = decode_settings(json.dumps({**pooling, 'grantSlots': True}))
+        self.assertFalse(decode_settings(json.dumps(pooling)).grants_slots)
+        self.assertTrue(asked.grants_slots)
+
     def test_error_of_invalid_settings_names_the_file(self) -> None:
         for change in ({'node': 1}, {'platform': {'address': 'none'}}):
             with tempfile.TemporaryDirectory() as folder:
