--- a/jackdawfield/decisions/gateway_spill.py
+++ b/jackdawfield/decisions/gateway_spill.py
@@ -3,7 +3,6 @@
 from dataclasses import replace
 
 from jackdawfield.decisions.link_load import LinkSettings
-from jackdawfield.decisions.slot_placement import PREFILL_WEIGHT
 from jackdawfield.decisions.spill_settings import CrossingPrice
 from jackdawfield.decisions.spill_settings import SpillSettings
 
@@ -21,7 +20,6 @@
     return_pause_s=0.25,
     expects_past_wait=True,
     follows_contexts=True,
-    prefill_weight=PREFILL_WEIGHT,
     compares_speed=False,
     domain_price=DOMAIN_PRICE,
     region_price=REGION_PRICE,
--- a/jackdawfield/decisions/slot_placement.py
+++ b/jackdawfield/decisions/slot_placement.py
@@ -12,9 +12,6 @@
 from jackdawfield.decisions.windows import ServerWindow
 from jackdawfield.model import ServerId
 
-# Reading a prompt's token delays the calls beside it in the batch as well.
-PREFILL_WEIGHT = 3.0
-
 
 @dataclass(frozen=True, slots=True)
 class PlacementSettings:
@@ -28,8 +25,8 @@
     """
 
     connection_s: float = 0.03
-    full_load_fraction: float = 0.25
-    prefill_weight: float = PREFILL_WEIGHT
+    full_load_fraction: float = 0.5
+    prefill_weight: float = 2.0
     lag_weight: float = 1.0
     equal_s: float = 0.005
 
--- a/jackdawfield/decisions/spill_settings.py
+++ b/jackdawfield/decisions/spill_settings.py
@@ -38,8 +38,7 @@
     `expects_past_wait`, a queued request is expected to wait at least as long
     again as it has waited. With `follows_contexts`, later requests of a
     program go to the domain to which its context has moved, as long as that
-    pays; a token that has to be read again counts `prefill_weight` times.
-    Without `compares_speed`, the servers of all domains are taken as
+    pays. Without `compares_speed`, the servers of all domains are taken as
     equally fast.
     """
 
@@ -54,7 +53,6 @@
     return_pause_s: float = 0.0
     expects_past_wait: bool = False
     follows_contexts: bool = False
-    prefill_weight: float = 1.0
     compares_speed: bool = True
     domain_price: CrossingPrice = field(default_factory=CrossingPrice)
     region_price: CrossingPrice = field(
--- a/jackdawfield/decisions/spilling.py
+++ b/jackdawfield/decisions/spilling.py
@@ -114,12 +114,14 @@
         cached_tokens = demand.prompt_tokens - prefill_tokens
         moved = self.moved_contexts.find(demand)
         moved_tokens = 0 if moved is None else moved.tokens
-        token_s = self._settings.prefill_weight * window.prefill_token_s
         own = OwnFinish(
             wait_s,
             wait_s,
-            reread_s=cached_tokens * token_s,
-            moved_prefill_s=min(moved_tokens, demand.prompt_tokens) * token_s,
+            reread_s=cached_tokens * window.prefill_token_s,
+            moved_prefill_s=(
+                min(moved_tokens, demand.prompt_tokens)
+                * window.prefill_token_s
+            ),
         )
         if not self._settings.compares_speed:
             return own
