Inherit nothing by a seat that is reclaimed late (QUOTA)

Cause: an instance that starts beside a slow store adopts its earlier seat after 0.3 s; a reclaim that the store confirmed later let it own new rates at once, though the earlier incarnation may have handed them over. Found by review. Change: only a reclaim before the seat is adopted inherits. Measured: the new test fails before and passes; 31 tests of seats, restarts and ownership pass.

--- a/jackdawfield/gateway/fleet/seat_holder.py
+++ b/jackdawfield/gateway/fleet/seat_holder.py
@@ -126,8 +126,10 @@
             if row.incarnation == self._members.incarnation:
                 # An earlier write succeeded, and only its answer was lost.
                 return True
+            # Members that told of the seat also know what it has handed over.
             inherited = (
-                row.is_serving
+                self._members.own_seat is None
+                and row.is_serving
                 and row.established
                 and no_takeover_pending(r for r, _ in rows_by_seat.values())
             )
@@ -135,7 +137,7 @@
             outcome = await self._write(seat_id, own_row, version)
             if not isinstance(outcome, Committed):
                 return False
-            self.inherited = inherited
+            self.inherited = inherited and self._members.own_seat is None
             log_event(LOG, 'seat_reclaimed', seat=seat_id, inherited=inherited)
             return True
         return True
--- a/tests/gateway/fleet/test_starts_in_outages.py
+++ b/tests/gateway/fleet/test_starts_in_outages.py
@@ -16,8 +16,10 @@
 from jackdawfield.background import BackgroundTasks
 from jackdawfield.drivers.peers import PeerError
 from jackdawfield.drivers.peers import PeerFault
+from jackdawfield.drivers.peers import PeerLinks
 from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.daemon import Gateway
+from jackdawfield.gateway.fleet.member_rows import MEMBERS_TABLE
 from jackdawfield.gateway.fleet.members import Members
 from jackdawfield.gateway.fleet.peer_copies import freshest_copy
 from jackdawfield.gateway.fleet.peer_copies import MAX_START_AGE_S
@@ -40,6 +42,7 @@
 from jackdawfield.messages.fleet_tables import TableRows
 from jackdawfield.platform.__main__ import ADAPTER
 from jackdawfield.standins.row_store import MemoryRowStore
+from tests.gateway.fleet.test_seat_holder import Instance
 from tests.gateway.harness import Fleet
 from tests.gateway.harness import free_port
 from tests.gateway.harness import HOST
@@ -307,3 +310,28 @@
         await SeatHolder(members, store).begin_reclaim(tasks)
         self.assertFalse(members.adopts_earlier)
         self.assertFalse(tasks)
+
+    # Guards against rates that an instance inherits by a late reclaim, after
+    # it has adopted a seat whose ownerships may have been handed over.
+    async def test_late_reclaim_inherits_nothing(self) -> None:
+        store = SilentStore()
+        store.is_back.set()
+        links = PeerLinks()
+        self.addAsyncCleanup(links.close)
+        earlier = Instance(store, links, 'a', '1')
+        await earlier.join()
+        await earlier.establish()
+        known = (await store.read(MEMBERS_TABLE, '')).unwrap().rows
+        store.is_back.clear()
+        restarted = Instance(store, links, 'a', '2')
+        tasks = BackgroundTasks()
+        self.addCleanup(tasks.cancel)
+        await restarted.holder.begin_reclaim(tasks)
+        restarted.members.apply_snapshot(known, True)
+        self.assertIsNotNone(restarted.members.own_seat)
+        store.is_back.set()
+        async with asyncio.timeout(4.0):
+            while tasks:
+                await asyncio.sleep(0.01)
+        await restarted.read()
+        self.assertFalse(restarted.holder.inherited)
