--- a/jackdawfield/drivers/peer_frames.py
+++ b/jackdawfield/drivers/peer_frames.py
@@ -8,8 +8,6 @@
 # Exchange number of the frame by which a peer announces its stop; exchanges
 # count from 1. Its body is the number of the last exchange that it has taken.
 STOPPING_EXCHANGE = 0
-# Exchange number of the messages that have no answer.
-NO_EXCHANGE = 0
 # Name of a failed frame for an exchange that the peer has not taken.
 NOT_TAKEN = 'not taken'
 
@@ -18,8 +16,8 @@
     """Lists the kinds of frames.
 
     OPEN carries the request, ITEM one answer, LAST the one that ends the
-    exchange. END and FAILED end it without one, as does CANCEL from the
-    requester. NOTICE carries a message that has no answer.
+    exchange. END and FAILED end it without one, as does CANCEL from the side
+    that has opened it.
     """
 
     OPEN = 0
@@ -27,7 +25,6 @@
     END = 2
     FAILED = 3
     CANCEL = 4
-    NOTICE = 5
     LAST = 6
 
 
--- a/jackdawfield/drivers/peers.py
+++ b/jackdawfield/drivers/peers.py
@@ -28,7 +28,6 @@
 from jackdawfield.drivers.peer_frames import encode_frame
 from jackdawfield.drivers.peer_frames import Frame
 from jackdawfield.drivers.peer_frames import FrameKind
-from jackdawfield.drivers.peer_frames import NO_EXCHANGE
 from jackdawfield.drivers.peer_frames import NOT_TAKEN
 from jackdawfield.drivers.peer_frames import not_taken_frame
 from jackdawfield.drivers.peer_frames import STOPPING_EXCHANGE
@@ -197,7 +196,10 @@
         if reason is not None:
             return Err(PeerError(PeerFault.NOT_SENT, reason))
         name, body = encode(message)
-        notice = Frame(NO_EXCHANGE, FrameKind.NOTICE, name, body)
+        # Older builds can't read another kind of frame; they answer this one
+        # with a failure, which nobody waits for.
+        number = next(self._exchange_numbers)
+        notice = Frame(number, FrameKind.OPEN, name, body)
         self._outgoing.put_nowait(encode_frame(notice))
         return Ok(None)
 
@@ -323,7 +325,7 @@
             frame = decode_frame(data)
             if frame.kind is FrameKind.CANCEL:
                 link.cancel(frame.exchange)
-            elif frame.kind is FrameKind.NOTICE:
+            elif frame.name in self._notice_handlers_by_name:
                 self._take_notice(frame)
             elif self._is_stopping:
                 link.send(not_taken_frame(frame.exchange))
