Follow listed slots, keep no context of calls without tokens, mark none slow

Change: slots follow the entry, nothing is kept for no tokens, and an owner judges servers by their lag alone.

--- a/jackdawfield/decisions/caches.py
+++ b/jackdawfield/decisions/caches.py
@@ -69,7 +69,7 @@
     ) -> None:
         """Record that a server has just processed a context's prefix."""
         tokens_by_context = self._tokens_by_server.get(server_id)
-        if tokens_by_context is None:
+        if tokens_by_context is None or not tokens:
             return
         self._total_tokens_by_server[server_id] += (
             tokens - tokens_by_context.get(context_id, 0)
--- a/jackdawfield/decisions/gateway_pool.py
+++ b/jackdawfield/decisions/gateway_pool.py
@@ -1,5 +1,7 @@
 """Set a pool up for the calls of gateways, which last up to a second."""
 
+from math import inf
+
 from jackdawfield.decisions.early_refusal import RefusalSettings
 from jackdawfield.decisions.finish_queue import FinishOrder
 from jackdawfield.decisions.gateway_spill import GATEWAY_SPILL
@@ -30,6 +32,6 @@
         home_ttl_s=3.0,
         initial_call_s=0.2,
         initial_prefill_token_s=0.00001,
-        slow_ratio=5.0,
+        slow_ratio=inf,
         recalls_stalled=False,
     )
--- a/jackdawfield/decisions/inflight.py
+++ b/jackdawfield/decisions/inflight.py
@@ -253,6 +253,7 @@
                 )
                 self._windows_by_id[server_id] = window
                 self._count_calls(server_id, event.now_s)
+            window.change_slots(server.slots)
             window.token_capacity = server.token_capacity
             window.accepts_work = server.state == ServerState.LIVE
             self.caches.set_server(server_id, server.cache_tokens)
--- a/jackdawfield/decisions/windows.py
+++ b/jackdawfield/decisions/windows.py
@@ -58,6 +58,11 @@
         """Return a window whose limit starts at the server's slots."""
         return cls(slots, slots, prefill_token_s=prefill_token_s)
 
+    def change_slots(self, slots: int) -> None:
+        """Move the limit with the server's slots, as listed now."""
+        self.limit = max(1, self.limit + slots - self.slots)
+        self.slots = slots
+
     def load(self) -> int:
         """Return the calls in flight, foreign ones as of the last report."""
         return self.in_flight + self.foreign_in_flight
--- a/tests/test_gateway_pool.py
+++ b/tests/test_gateway_pool.py
@@ -76,6 +76,35 @@
     return [a.request_id for a in actions if isinstance(a, Grant)]
 
 
+class ChangingServersTest(PoolCase):
+    """Guards against what an owner keeps of servers and calls before."""
+
+    def test_slots_follow_what_a_server_lists(self) -> None:
+        self.slots = 4
+        self.list_servers('s', now_s=0.1)
+        granted = self.granted(*(demand(f'c{n}') for n in range(5)))
+        self.assertEqual(len(granted), 4)
+
+    def test_fewer_slots_are_granted_from_now_on(self) -> None:
+        self.slots = 1
+        self.list_servers('s', now_s=0.1)
+        granted = self.granted(*(demand(f'c{n}') for n in range(3)))
+        self.assertEqual(granted, ['c0'])
+
+    def test_calls_of_unlike_lengths_make_no_server_slow(self) -> None:
+        for n in range(40):
+            name = f'c{n}'
+            self.submit(demand(name, limit_s=99.0))
+            started = FirstToken(float(n), RequestId(name))
+            self.pool.on(started)
+            length_s = 0.8 if n % 5 == 0 else 0.05
+            self.finish(name, n + length_s)
+            self.pool.on(TimePassed(n + 0.9))
+        granted = self.granted(demand('x', limit_s=99.0))
+        granted += self.granted(demand('y', limit_s=99.0))
+        self.assertEqual(granted, ['x', 'y'])
+
+
 class PlainCallsTest(PoolCase):
     def test_calls_beyond_the_slots_wait_for_one(self) -> None:
         granted = self.granted(*[demand(f'c{n}') for n in range(4)])
