Free the slots whose ends were lost, and renew queued requests

Cause, found by review: an end that was lost with its link kept its slot until the call's deadline, or counted it twice after an owner was avoided; a queued call of an instance without a slot expired after 3 s. Change: a renewal names the grants in use, the owner releases others of that instance after 1 s; owners that are asked are renewed. Open: an instance that holds no slot at an owner names none to it.

--- a/jackdawfield/gateway/slots/changes.py
+++ b/jackdawfield/gateway/slots/changes.py
@@ -30,6 +30,7 @@
     used: list[UsedSlot] = field(default_factory=list)
     begun: list[BegunSlot] = field(default_factory=list)
     ended: list[EndedSlot] = field(default_factory=list)
+    grant_ids: tuple[str, ...] | None = None
     is_scheduled: bool = False
 
     @property
@@ -67,9 +68,13 @@
         """Tell an owner that a slot is free again, or a request withdrawn."""
         self._outbox(owner).ended.append(ended)
 
-    def renew(self, owner: Owner) -> None:
-        """Tell an owner that this instance goes on, and what was kept."""
-        self._outbox(owner)
+    def renew(
+        self, owner: Owner, grant_ids: tuple[str, ...] | None = None
+    ) -> None:
+        """Tell an owner that this instance goes on, and what it uses."""
+        outbox = self._outbox(owner)
+        if grant_ids is not None:
+            outbox.grant_ids = grant_ids
 
     def retry(self) -> None:
         """Send what was kept for another try; forget owners that are gone."""
@@ -110,7 +115,9 @@
             tuple(outbox.used),
             tuple(outbox.begun),
             tuple(outbox.ended),
+            outbox.grant_ids,
         )
+        outbox.grant_ids = None
         outbox.used, outbox.begun, outbox.ended = [], [], []
         if owner.is_own:
             self._owner.apply_changes(changes)
--- a/jackdawfield/gateway/slots/client.py
+++ b/jackdawfield/gateway/slots/client.py
@@ -123,6 +123,7 @@
         ] = {}
         # Members of the own failure domain to which there is a link.
         self.linked: frozenset[Owner] = frozenset()
+        self._asks_by_owner: dict[Owner, int] = {}
         self.asked_count = 0
         self.granted_count = 0
         self.queued_count = 0
@@ -280,6 +281,7 @@
         self, owner: Owner, ask: AskSlot, domain_id: DomainId
     ) -> Result[SlotAnswer, Fallback]:
         self.asked_count += 1
+        self._count_ask(owner, 1)
         is_near = domain_id == self._home.domain_id
         wait = _AnswerWait(
             ANSWER_TIMEOUT_S if is_near else OTHER_DOMAIN_TIMEOUT_S,
@@ -298,6 +300,7 @@
             )
         finally:
             self.queued_count += wait.is_queued
+            self._count_ask(owner, -1)
             # The owner may have granted a slot.
             if not is_answered:
                 self._withdraw(owner, ask)
@@ -373,10 +376,22 @@
         while True:
             await asyncio.sleep(RENEW_INTERVAL_S)
             self.held.update_owners(self._choose_owner, time.monotonic())
+            self._renew_queued()
             self.held.renew()
             self._open_links()
             self.changes.retry()
 
+    def _renew_queued(self) -> None:
+        """Tell the owners that are asked now that this instance goes on."""
+        for owner in self._asks_by_owner:
+            self.changes.renew(owner)
+
+    def _count_ask(self, owner: Owner, change: int) -> None:
+        """Count the requests that wait for an owner's answer."""
+        count = self._asks_by_owner.pop(owner, 0) + change
+        if count:
+            self._asks_by_owner[owner] = count
+
     def _open_links(self) -> None:
         """Have a link to each member that may become an owner here."""
         domain_id = self._home.domain_id
--- a/jackdawfield/gateway/slots/held.py
+++ b/jackdawfield/gateway/slots/held.py
@@ -117,6 +117,10 @@
 
     def renew(self) -> None:
         """Tell the owners of slots in use that this instance goes on."""
-        for owner in {held.owner for held in self}:
-            if owner is not None:
-                self._changes.renew(owner)
+        ids_by_owner: dict[Owner, list[str]] = {}
+        for held in self:
+            if held.owner is not None:
+                ids = ids_by_owner.setdefault(held.owner, [])
+                ids.append(held.demand.grant_id)
+        for owner, ids in ids_by_owner.items():
+            self._changes.renew(owner, tuple(ids))
--- a/jackdawfield/gateway/slots/owner.py
+++ b/jackdawfield/gateway/slots/owner.py
@@ -106,6 +106,10 @@
                 pool.begin(begun.grant_id, now_s)
         for ended in changes.ended:
             self._apply_end(changes.home_id, ended, now_s)
+        if changes.grant_ids is not None:
+            used_ids = frozenset(changes.grant_ids)
+            for pool in self.pools_by_service.values():
+                pool.end_unused(changes.home_id, used_ids, now_s)
         for pool in self.pools_by_service.values():
             pool.renew(changes.home_id, now_s)
 
--- a/jackdawfield/gateway/slots/service_pool.py
+++ b/jackdawfield/gateway/slots/service_pool.py
@@ -1,6 +1,7 @@
 """Run the pool of one service's slots in this failure domain."""
 
 import asyncio
+from collections.abc import Set
 from dataclasses import dataclass
 import logging
 
@@ -53,6 +54,8 @@
 LOG = logging.getLogger(__name__)
 # Time after a call's deadline for which its slot stays granted.
 GRANT_MARGIN_S = 0.5
+# A grant may be unknown to its instance for this long.
+UNTOLD_S = 1.0
 WITHDRAWN = SlotNotOwned('request expired', is_stopping=False)
 NO_SERVER = SlotNotOwned('no server', is_stopping=False)
 
@@ -67,6 +70,7 @@
     # When its call has certainly ended, by the monotonic clock.
     expires_at_s: float
     server_id: ServerId | None = None
+    granted_at_s: float = 0.0
     # Sent to another domain if the request is spilled.
     body_bytes: int = 0
 
@@ -175,6 +179,7 @@
             asyncio.get_running_loop().create_future(),
             now_s + demand.ends_in_s + GRANT_MARGIN_S,
             used.server_id,
+            now_s,
         )
         has_begun = used.has_begun or not demand.reports_start
         self.apply(
@@ -221,6 +226,19 @@
             case SlotEnd.FAILED:
                 record_failure(state, now_s)
 
+    def end_unused(
+        self, home_id: InstanceId, used_ids: Set[str], now_s: float
+    ) -> None:
+        """Release the slots of an instance whose ends were lost."""
+        for grant_id, request in tuple(self._requests_by_id.items()):
+            if (
+                request.demand.home_id == home_id
+                and request.server_id is not None
+                and grant_id not in used_ids
+                and now_s - request.granted_at_s > UNTOLD_S
+            ):
+                self.withdraw(grant_id, now_s)
+
     def renew(self, home_id: InstanceId, now_s: float) -> None:
         """Keep the requests and slots of an instance."""
         self.apply(HomeRenewed(now_s, home_id))
@@ -309,6 +327,7 @@
             _put_answer(request, NO_SERVER)
             return
         request.server_id = server_id
+        request.granted_at_s = now_s
         self._crossings.record_granted()
         if not request.demand.reports_start:
             self.pool.on(FirstToken(now_s, request.request_id))
--- a/jackdawfield/messages/fleet_slots.py
+++ b/jackdawfield/messages/fleet_slots.py
@@ -176,6 +176,8 @@
     used: tuple[UsedSlot, ...] = ()
     begun: tuple[BegunSlot, ...] = ()
     ended: tuple[EndedSlot, ...] = ()
+    # In a renewal, all grants of the receiver that are in use.
+    grant_ids: tuple[str, ...] | None = None
 
 
 @message
--- a/tests/gateway/slots/test_owner.py
+++ b/tests/gateway/slots/test_owner.py
@@ -40,6 +40,8 @@
 from tests.gateway.slots.builders import REGION
 from tests.gateway.slots.builders import SERVICE
 
+SERVICE_POOL = 'jackdawfield.gateway.slots.service_pool'
+
 OTHER_HOME = InstanceId('other.1')
 OWN_HOME = InstanceId('owner.1')
 # Instances and grants that end do so within this time.
@@ -71,6 +73,22 @@
     def tell(self, home_id: InstanceId = HOME, **changes: object) -> None:
         self.owner.apply_changes(SlotChanges(home_id, **changes))
 
+    # Guards against slots that stay taken when the message of their end is
+    # lost with its link.
+    async def test_grants_that_an_instance_does_not_use_are_free(self) -> None:
+        self.tell(used=(self.used('a'),))
+        self.assertEqual(self.pool.used_count, 1)
+        with mock.patch(f'{SERVICE_POOL}.UNTOLD_S', 0.0):
+            self.tell(grant_ids=('a',))
+            self.assertEqual(self.pool.used_count, 1)
+            self.tell(OTHER_HOME, grant_ids=())
+            self.assertEqual(self.pool.used_count, 1)
+            self.tell(grant_ids=())
+        self.assertEqual(self.pool.used_count, 0)
+
+    def used(self, grant_id: str) -> UsedSlot:
+        return UsedSlot(make_demand(grant_id), ServerId('s1'), True)
+
     async def test_grants_as_many_slots_as_the_servers_have(self) -> None:
         self.servers.put(make_entry('s2', slots=2))
         granted = [await self.first(make_ask(f'g{n}')) for n in range(3)]
