Let unfinished bodies give way to a whole one, not that one to itself

Cause, found by review: a whole body was looked at as the newest unfinished one. Change: it is left out. Measured: the new test fails before and passes.

--- a/jackdawfield/gateway/http/caller_limits.py
+++ b/jackdawfield/gateway/http/caller_limits.py
@@ -169,16 +169,18 @@
         if excess <= 0:
             return
         excess += int(self.budget_bytes * SPARE_SHARE)
-        self._refuse_bodies(excess)
+        self._refuse_bodies(excess, self._holdings)
         if self.is_full:
             self._give_way('memory', choose_refused, excess, self._holdings)
 
-    def _refuse_bodies(self, excess: int) -> None:
+    def _refuse_bodies(
+        self, excess: int, candidates: Iterable[Holding]
+    ) -> None:
         """Refuse unfinished bodies, if that frees enough.
 
         Only large ones are looked at: there are few of them.
         """
-        large = [h for h in self._holdings if h.held_bytes > SMALL_BYTES]
+        large = [h for h in candidates if h.held_bytes > SMALL_BYTES]
         self._give_way('memory', choose_for_body, excess, large)
 
     def _give_way(
@@ -217,7 +219,7 @@
         copies = body_bytes * HANDLED_COPIES
         excess = self.held_bytes + copies - self.budget_bytes
         if excess > 0 and self._handled_bytes:
-            self._refuse_bodies(excess)
+            self._refuse_bodies(excess, self._holdings - {holding})
             if self.held_bytes + copies > self.budget_bytes:
                 return None
         self._handled_bytes += copies
--- a/tests/gateway/http/test_caller_limits.py
+++ b/tests/gateway/http/test_caller_limits.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import time
 import unittest
 from unittest.mock import patch
 
@@ -12,6 +13,8 @@
 from jackdawfield.gateway.http.caller_stream import CallerStream
 from jackdawfield.gateway.http.listener import HttpListener
 from jackdawfield.gateway.http.memory_budget import CONNECTION_BYTES
+from jackdawfield.gateway.http.memory_budget import Holder
+from jackdawfield.gateway.http.memory_budget import Phase
 from jackdawfield.gateway.http.reply import Reply
 from tests.gateway.harness import free_port
 from tests.gateway.harness import HOST
@@ -23,6 +26,52 @@
 SMALL = HEAD + b'Content-Length: 2\r\n\r\nok'
 
 
+class FakeHolding:
+    """Stands for a connection of which some bytes are held."""
+
+    held_bytes = 0
+    copy_bytes = 0
+
+    def __init__(self, limits: CallerLimits, age_s: float) -> None:
+        self.phase = Phase.ARRIVING
+        self.has_given_way = False
+        self._limits = limits
+        self._began_at_s = time.monotonic() - age_s
+
+    def describe(self, number: int) -> Holder:
+        return Holder(
+            number,
+            'address',
+            self.phase,
+            self.held_bytes,
+            0,
+            self._began_at_s,
+            time.monotonic(),
+        )
+
+    def give_way(self, reason: str) -> int:
+        self.has_given_way = True
+        self._limits.discard(self)
+        return 503
+
+
+class WholeBodyTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against a whole body that gives way to itself, as the newest.
+    async def test_unfinished_body_gives_way_to_a_whole_one(self) -> None:
+        limits = CallerLimits(20 * BODY_BYTES)
+        handled, unfinished, whole = (
+            FakeHolding(limits, age_s) for age_s in (3.0, 2.0, 1.0)
+        )
+        for holding, count in ((handled, 1), (unfinished, 6), (whole, 4)):
+            limits.add(holding)
+            limits.charge(holding, count * BODY_BYTES)
+        limits.admit_body(handled, BODY_BYTES)
+        handled.phase = Phase.HANDLED
+        self.assertIsNotNone(limits.admit_body(whole, 4 * BODY_BYTES))
+        self.assertTrue(unfinished.has_given_way)
+        self.assertFalse(whole.has_given_way)
+
+
 class CallerLimitsTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.bodies: list[bytes] = []
