Take the idle time of a connection until its reset, too

Cause, found by review: only an orderly close was timed, so that a reset seemed to come up to a second later and the learned limit could pass the server's own. Change: any loss is timed once. Measured: tests of pool and connection pass.

--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -124,6 +124,7 @@
             return
         self._is_lost = True
         self.lost_reason = reason
+        self._closed_at_s = self._closed_at_s or time.monotonic()
         if self._request is not None and not self._has_ended:
             self._parts.put(BodyEnd.CUT)
 
