--- a/jackdawfield/gateway/fleet/ownership.py
+++ b/jackdawfield/gateway/fleet/ownership.py
@@ -232,10 +232,7 @@
         ]
 
     def successors_of(self, key: OrganisationId) -> list[SeatId]:
-        """Return who owns a key once this instance stops, the next first.
-
-        Members that have released their ownerships are left out.
-        """
+        """Return who owns a key once this instance stops, the next first."""
         others = (i for i in self._serving_ids() if i != self._own_id)
         return sorted(others, key=lambda i: -rendezvous_score(str(key), i))
 
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -28,6 +28,8 @@
 METRICS_PORT = 9464
 # The part of the platform's terms for fleets that share many servers.
 POOL_CONTRACT = 'pool'
+# That for fleets whose callers may press beyond what the servers can do.
+PRESSURE_CONTRACT = 'pressure'
 
 
 _Price = Annotated[float, msgspec.Meta(ge=0)]
@@ -86,8 +88,8 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     crossing: _Crossing = msgspec.field(default_factory=_Crossing)
     bootstrap: bool = False
-    # An operator's choice: the platform does not name it.
-    grant_slots: bool = False
+    # The operators' choice, by the contracts if they make none.
+    grant_slots: bool | None = None
     # The parts of the platform's terms that are in force.
     contracts: list[str] = msgspec.field(default_factory=list)
     # Addresses of a few instances, some of which may be down.
@@ -116,6 +118,12 @@
     return _build_settings(wire)
 
 
+def _grants_slots(wire: _Settings) -> bool:
+    if wire.grant_slots is not None:
+        return wire.grant_slots
+    return PRESSURE_CONTRACT in wire.contracts
+
+
 def _build_settings(wire: Any) -> GatewaySettings:
     store_host, store_port = split_address(wire.platform.address)
     bounds = wire.bounds
@@ -143,7 +151,7 @@
         store_port=store_port,
         row_bytes=wire.platform.row_bytes,
         pools_servers=POOL_CONTRACT in wire.contracts,
-        grants_slots=wire.grant_slots,
+        grants_slots=_grants_slots(wire),
         spill=_build_spill(wire.crossing),
         bounds=PromisedLimits(
             grace_s=bounds.grace_s,
--- a/tests/platform_adapter/test_settings.py
+++ b/tests/platform_adapter/test_settings.py
@@ -41,11 +41,21 @@
         self.assertFalse(alone.pools_servers)
         self.assertTrue(together.pools_servers)
 
-    def test_slots_are_granted_only_where_operators_ask_for_it(self) -> None:
-        pooling = {**SETTINGS, 'contracts': ['base', 'pool']}
-        asked = decode_settings(json.dumps({**pooling, 'grantSlots': True}))
-        self.assertFalse(decode_settings(json.dumps(pooling)).grants_slots)
-        self.assertTrue(asked.grants_slots)
+    def test_slots_are_granted_under_pressure_or_as_operators_say(
+        self,
+    ) -> None:
+        for contracts, choice, expected in (
+            (['pool'], None, False),
+            (['pool'], True, True),
+            (['pool', 'pressure'], None, True),
+            (['pool', 'pressure'], False, False),
+        ):
+            with self.subTest(contracts=contracts, choice=choice):
+                wire = {**SETTINGS, 'contracts': contracts}
+                if choice is not None:
+                    wire['grantSlots'] = choice
+                settings = decode_settings(json.dumps(wire))
+                self.assertIs(settings.grants_slots, expected)
 
     def test_error_of_invalid_settings_names_the_file(self) -> None:
         for change in ({'node': 1}, {'platform': {'address': 'none'}}):
