Word the new decisions and slots for a newcomer

Cause: some comments and doc lines of the new pool decisions and of gateway/slots didn't say what the thing does, some constants had neither unit nor meaning, and a class was named Requester. No behaviour, outer name or test is changed. Measured: ruff format, ruff check, flake8 and mypy pass; test_layout, test_pool, test_spilling and test_gateway_pool: 83 tests pass; tests/gateway/slots: 67 tests pass.

--- a/jackdawfield/decisions/distances.py
+++ b/jackdawfield/decisions/distances.py
@@ -6,7 +6,9 @@
 from jackdawfield.model import DomainId
 
 RECENT_SAMPLES = 16
+# Part of the way that an estimate moves to the smallest recent sample.
 SMOOTHING_FACTOR = 0.25
+# Senders whose messages are compared at most.
 MAX_SENDERS = 256
 
 
--- a/jackdawfield/decisions/early_refusal.py
+++ b/jackdawfield/decisions/early_refusal.py
@@ -64,7 +64,7 @@
 
 
 class ReturnSchedule:
-    """Spaces the returns of refused callers by the calls of a program."""
+    """Spaces the returns of refused callers by the slots they will need."""
 
     def __init__(self, settings: RefusalSettings) -> None:
         self._settings = settings
--- a/jackdawfield/decisions/finish_queue.py
+++ b/jackdawfield/decisions/finish_queue.py
@@ -16,6 +16,7 @@
 from jackdawfield.decisions.slot_shares import SlotShares
 from jackdawfield.model import OrganisationId
 
+# A program with less time than this is grouped as if it had this.
 MIN_PROGRAM_S = 0.01
 
 
--- a/jackdawfield/decisions/moved_contexts.py
+++ b/jackdawfield/decisions/moved_contexts.py
@@ -7,6 +7,7 @@
 from jackdawfield.model import DomainId
 from jackdawfield.model import ProgramId
 
+# Contexts held at most; the one recorded longest ago is dropped.
 MAX_CONTEXTS = 4096
 
 
--- a/jackdawfield/decisions/peer_domain.py
+++ b/jackdawfield/decisions/peer_domain.py
@@ -6,6 +6,7 @@
 
 from jackdawfield.decisions.pool_events import PeerReport
 
+# How many times the length of a pause is doubled at most.
 MAX_DOUBLINGS = 8
 # What is left of the counts of sent and returned requests at each report.
 REPORT_DECAY = 0.75
--- a/jackdawfield/decisions/served_fractions.py
+++ b/jackdawfield/decisions/served_fractions.py
@@ -7,6 +7,7 @@
 DECAY_INTERVAL_S = 1.0
 # What is left of a count after an interval.
 DECAY_FACTOR = 0.8
+# A count that has decayed below this is dropped.
 MIN_COUNT = 0.1
 # A group is neglected if the part begun is smaller than this, relative to
 # the group that is served best.
@@ -38,7 +39,7 @@
         self._update_best()
 
     def is_neglected(self, group: Group) -> bool:
-        """Return whether others are served several times as often."""
+        """Return whether a group's part begun is far below the best one's."""
         least = NEGLECTED_FRACTION * self._best_fraction
         return self._fraction(group) < least
 
--- a/jackdawfield/decisions/slot_shares.py
+++ b/jackdawfield/decisions/slot_shares.py
@@ -79,9 +79,9 @@
         now_s: float,
         further: int = 0,
     ) -> float:
-        """Return how many of its shares one holds with further slots.
+        """Return an organisation's slots as a multiple of its share.
 
-        A share is at least a slot.
+        `further` slots count as held; a share is at least one slot.
         """
         self._drop_inactive(now_s)
         usage = self._usage_by_organisation.get(organisation_id)
--- a/jackdawfield/decisions/start_times.py
+++ b/jackdawfield/decisions/start_times.py
@@ -6,6 +6,7 @@
 from jackdawfield.decisions.pool_events import RequestId
 from jackdawfield.model import ServerId
 
+# Weight of the latest start in the mean.
 START_WEIGHT = 0.1
 # A server lags if a call waits this many times longer than the mean.
 LAG_RATIO = 1.5
--- a/jackdawfield/drivers/served_link.py
+++ b/jackdawfield/drivers/served_link.py
@@ -1,4 +1,7 @@
-"""Hold a peer's stream to this instance."""
+"""Track the exchanges on a peer's stream to this instance.
+
+An exchange is one request and its answers.
+"""
 
 import asyncio
 from functools import partial
@@ -36,7 +39,7 @@
         task.add_done_callback(remove)
 
     def cancel(self, exchange: int) -> None:
-        """Cancel an exchange that its requester has given up."""
+        """Cancel an exchange that the asking instance has given up."""
         task = self.tasks_by_exchange.pop(exchange, None)
         if task is not None:
             task.cancel()
--- a/jackdawfield/gateway/slots/changes.py
+++ b/jackdawfield/gateway/slots/changes.py
@@ -19,7 +19,7 @@
 
 # Time for which changes are gathered before they are sent together.
 GATHER_S = 0.005
-# Changes that are kept for one owner at most, for another try.
+# Changes of each kind that are kept for one owner at most, to send again.
 MAX_KEPT = 1_000
 
 
--- a/jackdawfield/gateway/slots/client.py
+++ b/jackdawfield/gateway/slots/client.py
@@ -57,11 +57,13 @@
 from jackdawfield.model import ServiceName
 
 LOG = logging.getLogger(__name__)
-# Longest round trip to an owner, and delay of an answer that it announced.
+# How long an owner's answer is waited for, and further ones beyond the time
+# that SlotQueued tells; then the same for an owner of another domain.
 ANSWER_TIMEOUT_S = 0.05
 OTHER_DOMAIN_TIMEOUT_S = 0.1
-# Owners that are asked for one call: those that stop count too.
+# Times that owners are asked for one call at most; stopping ones count too.
 MAX_ASKS = 7
+# Time between two renewals of queued requests and of slots in use.
 RENEW_INTERVAL_S = 0.5
 
 
--- a/jackdawfield/gateway/slots/crossings.py
+++ b/jackdawfield/gateway/slots/crossings.py
@@ -15,7 +15,7 @@
 
 LOG = logging.getLogger(__name__)
 MS_PER_S = 1000
-# A gain over a wait without a known end is logged as this one.
+# The largest gain logged, also for a wait without a known end.
 MAX_GAIN_S = 60.0
 # Calls of a service to a domain have ended after this long without one.
 ENDED_AFTER_S = 2.0
--- a/jackdawfield/gateway/slots/demands.py
+++ b/jackdawfield/gateway/slots/demands.py
@@ -19,7 +19,7 @@
 
 # Organisation of the calls that need no key.
 NO_ORGANISATION = OrganisationId('')
-# Bytes of a request's head, and of a token of its prompt on the average.
+# Assumed size of a request's head, and of one token of its prompt.
 HEAD_BYTES = 500
 BYTES_PER_TOKEN = 4
 
--- a/jackdawfield/gateway/slots/domain_reports.py
+++ b/jackdawfield/gateway/slots/domain_reports.py
@@ -67,7 +67,7 @@
         """Return the address of an owner in another domain, if known."""
 
 
-class Requester(Protocol):
+class InstanceLinks(Protocol):
     """Represents the links to other instances."""
 
     async def request(
@@ -93,7 +93,7 @@
         incarnation: str,
         source: LoadSource,
         owners: OwnerFinder,
-        links: Requester,
+        links: InstanceLinks,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         self._settings = settings
--- a/jackdawfield/gateway/slots/owner.py
+++ b/jackdawfield/gateway/slots/owner.py
@@ -28,6 +28,7 @@
 from jackdawfield.model import InstanceId
 from jackdawfield.model import ServiceName
 
+# Time between two rounds of the periodic work.
 TICK_S = 0.05
 # Time between two messages to the instance of a queued request.
 QUEUED_INTERVAL_S = 0.2
--- a/jackdawfield/gateway/slots/owner_choice.py
+++ b/jackdawfield/gateway/slots/owner_choice.py
@@ -115,7 +115,7 @@
     def avoid(
         self, owner: Owner, reason: str, now_s: float, avoid_s: float = AVOID_S
     ) -> None:
-        """Ask other members for a while."""
+        """Ask other members instead of an owner for `avoid_s` seconds."""
         if self.is_avoided(owner.incarnation, now_s):
             return
         known = {
--- a/jackdawfield/gateway/slots/service_pool.py
+++ b/jackdawfield/gateway/slots/service_pool.py
@@ -54,7 +54,7 @@
 LOG = logging.getLogger(__name__)
 # Time after a call's deadline for which its slot stays granted.
 GRANT_MARGIN_S = 0.5
-# A grant may be unknown to its instance for this long.
+# A grant younger than this may not have reached its instance yet.
 UNTOLD_S = 1.0
 WITHDRAWN = SlotNotOwned('request expired', is_stopping=False)
 NO_SERVER = SlotNotOwned('no server', is_stopping=False)
@@ -71,7 +71,7 @@
     expires_at_s: float
     server_id: ServerId | None = None
     granted_at_s: float = 0.0
-    # Sent to another domain if the request is spilled.
+    # Size of what is sent to another domain if the request is spilled.
     body_bytes: int = 0
 
     @property
@@ -229,7 +229,7 @@
     def end_unused(
         self, home_id: InstanceId, used_ids: Set[str], now_s: float
     ) -> None:
-        """Release the slots of an instance whose ends were lost."""
+        """Release slots of an instance that it no longer lists as used."""
         for grant_id, request in tuple(self._requests_by_id.items()):
             if (
                 request.demand.home_id == home_id
@@ -240,7 +240,7 @@
                 self.withdraw(grant_id, now_s)
 
     def renew(self, home_id: InstanceId, now_s: float) -> None:
-        """Keep the requests and slots of an instance."""
+        """Renew the leases of an instance's requests and slots."""
         self.apply(HomeRenewed(now_s, home_id))
 
     def tick(self, now_s: float) -> None:
