Word what is new in the gateway for a newcomer

Cause: comments of new constants told how a value was chosen or lacked what the value is a share of; some used figures of speech.

No code, name, message or setting changes.

--- a/jackdawfield/gateway/fleet/peer_copies.py
+++ b/jackdawfield/gateway/fleet/peer_copies.py
@@ -32,8 +32,9 @@
 
 LOG = logging.getLogger(__name__)
 # Rows up to this age serve an instance that starts during an outage of the
-# store, and the time in which another instance has to answer it.
+# store.
 MAX_START_AGE_S = 60.0
+# Limits for another instance to answer with a table, and with held rows.
 START_TIMEOUT_S = 0.5
 HELD_TIMEOUT_S = 0.2
 # Instances that are asked at the same time, and in all.
--- a/jackdawfield/gateway/fleet/seat_holder.py
+++ b/jackdawfield/gateway/fleet/seat_holder.py
@@ -35,7 +35,8 @@
 LOG = logging.getLogger(__name__)
 WRITE_TIMEOUT_S = 1.0
 RECLAIM_RETRY_S = 0.3
-# Time for the store to answer a start, which takes a tenth of it.
+# Time for which a start waits for its seat; then the attempt goes on in the
+# background.
 RECLAIM_WAIT_S = 0.3
 # Minimum time between two writes to the table by one instance. The last write
 # is read back in it, or arrives late.
--- a/jackdawfield/gateway/fleet/shared_tables.py
+++ b/jackdawfield/gateway/fleet/shared_tables.py
@@ -55,8 +55,8 @@
 AVOID_S = 2.0
 # Time left to act on a holder that is silent until a table is overdue.
 ANSWER_MARGIN_S = 0.05
-# An instance that starts asks others if the store has not answered by then,
-# which takes a tenth of it.
+# An instance that starts asks others if the store has not answered within
+# this time.
 STORE_OVERDUE_S = 0.3
 
 
@@ -110,7 +110,7 @@
         """Return a table as the store has it, or another instance's copy.
 
         An instance that starts has no rows of its own. A store that does not
-        answer at once is read on, since its path has to learn of that.
+        answer at once is read on, since the loss of it is detected by that.
         """
         reading = asyncio.create_task(self._store.read(table, ''))
         self._reads.add(reading)
--- a/jackdawfield/gateway/http/caller_limits.py
+++ b/jackdawfield/gateway/http/caller_limits.py
@@ -22,9 +22,10 @@
 DEFAULT_CONNECTIONS = 2340
 # More header fields are refused.
 MAX_HEADER_FIELDS = 1000
-# What is freed at once beyond what is needed, so that the next bytes fit.
+# Share of the budget that is freed beyond what is needed, so that the next
+# bytes fit.
 SPARE_SHARE = 0.05
-# Connections that are closed at once when new ones find no room.
+# Share of the connections that are closed when new ones find no room.
 CLOSED_SHARE = 0.05
 # Pause before connections are looked through again after none could be closed.
 CLOSE_INTERVAL_S = 0.1
--- a/jackdawfield/gateway/http/caller_stream.py
+++ b/jackdawfield/gateway/http/caller_stream.py
@@ -21,7 +21,7 @@
 # A body in smaller chunks is read in slices, so that others get their turn.
 SMALL_CHUNK_BYTES = 256
 SLICE_CHUNKS = 32
-# With more slices waiting, a turn comes after more than a second.
+# Bodies whose slices would wait beyond this many are refused.
 MAX_WAITING_SLICES = 200
 STATUS_TOO_MANY_FIELDS = 431
 TOO_MANY_FIELDS = (
--- a/jackdawfield/gateway/programs/advances.py
+++ b/jackdawfield/gateway/programs/advances.py
@@ -96,13 +96,13 @@
         return self.served.is_away
 
     def note_store(self, is_away: bool) -> None:
-        """Tell others what lies here when the store is lost."""
+        """Name own programs to token holders when the store is lost."""
         self.served.note_store(is_away, boot_time_s())
 
     def begin_stop(self, is_store_away: bool) -> None:
         """Lend no more, and give away what others can't reserve now.
 
-        While the store answers, calls that still come use what is here.
+        While the store answers, calls that still come use the unused tokens.
         """
         self._tasks.spawn(self.transfers.hand_over_lent(ASK_TIMEOUT_S))
         if is_store_away:
--- a/jackdawfield/gateway/programs/chains.py
+++ b/jackdawfield/gateway/programs/chains.py
@@ -27,8 +27,8 @@
 
 LOG = logging.getLogger(__name__)
 MAX_CHAIN_TURNS = 500
-# Other instances are asked for a chain that the store has not given by then,
-# which takes a tenth of it.
+# Other instances are asked for a chain that the store has not given within
+# this time.
 COPIES_AFTER_S = 0.3
 
 
--- a/jackdawfield/gateway/programs/served_programs.py
+++ b/jackdawfield/gateway/programs/served_programs.py
@@ -25,8 +25,8 @@
 
 LOG = logging.getLogger(__name__)
 ASK_TIMEOUT_S = 0.2
-# Programs that are named in one outage, and the time until it may be done
-# again if the store comes and goes.
+# Programs that are named in one outage, and the least time between two times
+# of naming them if the store is lost repeatedly.
 PROGRAMS_NAMED = 2000
 NAME_INTERVAL_S = 5.0
 # Programs beyond this many are forgotten, the oldest first, and instances of
@@ -59,7 +59,7 @@
 
 
 class ServedPrograms:
-    """Names this instance's programs to their holders, and asks these."""
+    """Names own programs to their token holders, and asks these."""
 
     def __init__(
         self,
--- a/jackdawfield/gateway/programs/spending.py
+++ b/jackdawfield/gateway/programs/spending.py
@@ -28,8 +28,7 @@
 # still refused as not run.
 REFUSAL_MARGIN_S = 0.05
 # A reservation that is not written within this time is not waited for if the
-# call's tokens can be taken from others or borrowed. The store answers within
-# a tenth of it.
+# call's tokens can be taken from others or borrowed.
 BORROW_AFTER_S = 0.3
 # The same where the path to the store is lost; another instance may relay.
 BORROW_AFTER_LOSS_S = 0.1
--- a/jackdawfield/gateway/programs/stream_calls.py
+++ b/jackdawfield/gateway/programs/stream_calls.py
@@ -173,7 +173,7 @@
         )
         if refresh_task is not None:
             if isinstance(found, Chain) and found.is_copy:
-                # Whoever had the chain has told what it knew of the ledger.
+                # The instance that had the chain has sent its ledger row too.
                 refresh_task.cancel()
             else:
                 await refresh_task
--- a/jackdawfield/gateway/programs/turn_copies.py
+++ b/jackdawfield/gateway/programs/turn_copies.py
@@ -42,9 +42,9 @@
 
 LOG = logging.getLogger(__name__)
 READ_TIMEOUT_S = 0.5
-# An instance that has not answered by then is overdue: the next is asked.
+# The next instance is asked if one has not answered within this time.
 READ_OVERDUE_S = 0.1
-# Below the limit of a message between instances.
+# Limit of the turns in one answer; it fits into a message between instances.
 MAX_CHAIN_BYTES = 2 * 1024 * 1024
 # What an instance hands over at a stop, in all and in one message.
 MAX_HANDED_OVER_BYTES = 4 * 1024 * 1024
