--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -16,7 +16,7 @@
 from jackdawfield.model import ServiceName
 from jackdawfield.model import Version
 
-# Of the smallest instances.
+# Descriptors of an instance whose settings do not tell them.
 DEFAULT_MAX_DESCRIPTORS = 4100
 TurnId = NewType('TurnId', str)
 
--- a/jackdawfield/gateway/programs/spending.py
+++ b/jackdawfield/gateway/programs/spending.py
@@ -106,7 +106,7 @@
         """Return the reservation's verdict, FITS with an advance."""
         assert self._reservation is not None
         done, _ = await asyncio.wait(
-            {self._reservation}, timeout=self._patience_s
+            {self._reservation}, timeout=self._store_wait_s
         )
         if done or self._call.route.keeps_turns:
             # A turn is written before its end, so the store is awaited.
@@ -118,7 +118,7 @@
         return await asyncio.shield(self._reservation)
 
     @property
-    def _patience_s(self) -> float:
+    def _store_wait_s(self) -> float:
         """Return for how long the store alone is waited for."""
         is_away = self._advances.is_store_away
         return BORROW_AFTER_LOSS_S if is_away else BORROW_AFTER_S
--- a/jackdawfield/platform/settings.py
+++ b/jackdawfield/platform/settings.py
@@ -28,7 +28,7 @@
 METRICS_PORT = 9464
 # The part of the platform's terms for fleets that share many servers.
 POOL_CONTRACT = 'pool'
-# That for fleets whose callers may press beyond what the servers can do.
+# The part for fleets whose callers may send more than their servers can serve.
 PRESSURE_CONTRACT = 'pressure'
 
 
--- a/tests/gateway/programs/test_token_transfers.py
+++ b/tests/gateway/programs/test_token_transfers.py
@@ -322,9 +322,9 @@
         )
         before_s = BORROW_AFTER_S
         with mock.patch(BORROW_AFTER, before_s):
-            self.assertEqual(spending._patience_s, before_s)
+            self.assertEqual(spending._store_wait_s, before_s)
             instance.advances.note_store(is_away=True)
-            self.assertLess(spending._patience_s, before_s)
+            self.assertLess(spending._store_wait_s, before_s)
 
     # Guards against tokens that a write which is under way counts on.
     async def test_account_in_use_gives_nothing(self) -> None:
