--- a/review/7/case.py
+++ b/review/7/case.py
@@ -148,11 +148,6 @@
     await asyncio.sleep(CALM_S)
     await asyncio.gather(*(p.turn(first) for p in programs))
     await go_on_in_outage(deployment, programs, [fourth, fifth])
-    for worker_run in deployment.runs:
-        deployment.note(
-            f'run of {worker_run.request_id} at {worker_run.worker_id}:'
-            f' {worker_run.events} events'
-        )
     most = BUDGET_TOKENS + MOST_TOKENS
     tokens = [program.tokens for program in programs]
     held = max(tokens) <= most
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -35,6 +35,8 @@
     'retryAfterS': 0, 'deadlineS': 10, 'settleMs': 1000,
 }
 LIMIT_S = 110.0
+# Runs that a record lists; of more it gives the number.
+RUNS_NOTED = 200
 
 
 class Deployment:
@@ -65,6 +67,16 @@
         """Add a line to the record only."""
         self.lines.append(f'{self.now_s:7.2f} s  {text}')
 
+    def note_runs(self) -> None:
+        """Add what the workers ran to the record, the first runs one by one."""
+        for run in self.runs[:RUNS_NOTED]:
+            self.lines.append(
+                f'run of {run.request_id} at {run.worker_id},'
+                f' {run.events} events'
+            )
+        if len(self.runs) > RUNS_NOTED:
+            self.lines.append(f'and {len(self.runs) - RUNS_NOTED} more runs')
+
     async def start(
         self,
         workers: list[Worker],
@@ -211,6 +223,7 @@
             shutil.copytree(
                 directory, os.environ['KEEP_LOGS'], dirs_exist_ok=True
             )
+    deployment.note_runs()
     record = '\n'.join(deployment.lines) + '\n'
     (folder / 'record.txt').write_text(record)
     return status
