--- a/review/7/case.py
+++ b/review/7/case.py
@@ -138,7 +138,7 @@
     )
     await asyncio.sleep(CALM_S)
     programs = [Program(deployment) for _ in range(PROGRAMS)]
-    first, second, third, fourth, fifth, _ = deployment.machines
+    first, second, third, fourth, *_ = deployment.machines
     await asyncio.gather(*(p.spend(first) for p in programs))
     await go_on_in_outage(deployment, programs, [second, third])
     await asyncio.sleep(CALM_S)
@@ -147,7 +147,7 @@
         await roll(deployment)
     await asyncio.sleep(CALM_S)
     await asyncio.gather(*(p.turn(first) for p in programs))
-    await go_on_in_outage(deployment, programs, [fourth, fifth])
+    await go_on_in_outage(deployment, programs, [fourth])
     most = BUDGET_TOKENS + MOST_TOKENS
     tokens = [program.tokens for program in programs]
     held = max(tokens) <= most
