--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -14,6 +14,8 @@
 from review.harness.http import Server
 
 TRANSACTION_S = 0.005
+# linkMbps of the machines is 1,000.
+LINK_BYTES_PER_S = 125_000_000
 MAX_ROWS = 500
 MAX_ENTRIES = 100
 MAX_CALL_BYTES = 1_000_000
@@ -40,6 +42,8 @@
         self._log: list[dict[str, object]] = []
         self._changed = asyncio.Event()
         self._started_s = time.monotonic()
+        # When the link of each machine has carried what was sent there.
+        self._free_s_by_host: dict[str, float] = {}
 
     def put(self, table: str, key: str, value: object) -> int:
         """Write a row as the operator or a worker does; return its version."""
@@ -111,6 +115,9 @@
         match message.first[0], url.path:
             case 'GET', '/-/rows-get':
                 status, answer = self._get(query)
+                rows = answer['rows']
+                size = sum(len(str(row['value'])) for row in rows)
+                await self._pace(writer, size)
             case 'GET', '/-/rows-feed':
                 status, answer = await self._feed(query)
             case 'POST', '/-/rows-tx':
@@ -135,6 +142,16 @@
         writer.write(encode(f'HTTP/1.1 {status} Status', headers, body))
         return True
 
+    async def _pace(self, writer: asyncio.StreamWriter, size: int) -> None:
+        """Wait as long as a machine's link takes for so many bytes."""
+        host = writer.get_extra_info('sockname')[0]
+        peer = writer.get_extra_info('peername') or (host,)
+        now_s = time.monotonic()
+        free_s = max(now_s, self._free_s_by_host.get(peer[0], now_s))
+        free_s += size / LINK_BYTES_PER_S
+        self._free_s_by_host[peer[0]] = free_s
+        await asyncio.sleep(free_s - now_s)
+
     def _get(self, query: dict[str, str]) -> tuple[int, dict]:
         limit = min(MAX_ROWS, int(query.get('limit', MAX_ROWS)))
         start, end = query.get('from', ''), query.get('to', '')
