Read chains that the cache of turns has no room for

Callers saw 503 for good, "the turn is listed but its rows are gone", for a turn that was kept: what was read of its chain went through the cache alone and dropped out of it before it was used.

Cause: ChainReader looked up each turn in the cache after it had loaded a program into it; a chain larger than the cache evicts itself.

What is read for a chain is held until the chain is complete, beside the cache. ChainReader is the only reader of whole chains; copies from other instances are returned directly.

--- a/jackdawfield/gateway/programs/chains.py
+++ b/jackdawfield/gateway/programs/chains.py
@@ -126,10 +126,13 @@
         turn_id: TurnId,
     ) -> ChainResult:
         records: list[TurnRecord] = []
+        # The turns that are read for this chain, also those that the cache
+        # has no room for.
+        loaded = TurnCache()
         next_program, next_id = program, turn_id
         while len(records) < MAX_CHAIN_TURNS:
             found = await self._find_turn(
-                organisation_id, next_program, next_id
+                organisation_id, next_program, next_id, loaded
             )
             if not isinstance(found, TurnRecord):
                 # The turn itself exists, so that the caller gets no 404 for
@@ -149,26 +152,30 @@
         organisation_id: OrganisationId | None,
         program: ProgramKey,
         turn_id: TurnId,
+        loaded: TurnCache,
     ) -> TurnRecord | TurnNotFound | TurnUnavailable:
-        record = self.cache.get(organisation_id, turn_id)
+        record = loaded.get(organisation_id, turn_id)
+        record = record or self.cache.get(organisation_id, turn_id)
         if record is not None:
             return record
-        found = await self._load_program(program)
+        found = await self._load_program(program, loaded)
         if isinstance(found, TurnUnavailable):
             return found
-        record = self.cache.get(organisation_id, turn_id)
+        record = loaded.get(organisation_id, turn_id)
         if record is not None:
             return record
-        return await self._search_index(organisation_id, turn_id)
+        return await self._search_index(organisation_id, turn_id, loaded)
 
     async def _load_program(
-        self, program: ProgramKey
+        self, program: ProgramKey, loaded: TurnCache
     ) -> TurnUnavailable | None:
+        """Read the turns of a program into the cache and those loaded."""
         read = await read_program(self._store, program)
         if isinstance(read, Err):
             return TurnUnavailable(read.err_value)
         records = read.ok_value
         for record in records.values():
+            loaded.add(record)
             self.cache.add(record)
         log_event(
             LOG, 'turns_loaded', program=program.text, turns=len(records)
@@ -176,7 +183,10 @@
         return None
 
     async def _search_index(
-        self, organisation_id: OrganisationId | None, turn_id: TurnId
+        self,
+        organisation_id: OrganisationId | None,
+        turn_id: TurnId,
+        loaded: TurnCache,
     ) -> TurnRecord | TurnNotFound | TurnUnavailable:
         """Find a turn of another program by the index rows of all parts."""
         results = await asyncio.gather(
@@ -187,15 +197,15 @@
         )
         programs = [found for found in results if isinstance(found, str)]
         for text in programs:
-            loaded = await self._load_program(ProgramKey(text))
-            if loaded is not None:
-                return loaded
-            record = self.cache.get(organisation_id, turn_id)
+            unavailable = await self._load_program(ProgramKey(text), loaded)
+            if unavailable is not None:
+                return unavailable
+            record = loaded.get(organisation_id, turn_id)
             if record is not None:
                 return record
-        unavailable = [r for r in results if isinstance(r, TurnUnavailable)]
-        if unavailable:
-            return unavailable[0]
+        for found in results:
+            if isinstance(found, TurnUnavailable):
+                return found
         if programs:
             return TurnUnavailable('the turn is listed but its rows are gone')
         return TurnNotFound()
--- a/jackdawfield/gateway/programs/turn_cache.py
+++ b/jackdawfield/gateway/programs/turn_cache.py
@@ -1,6 +1,7 @@
-"""Keep recent turns in memory, within a limit of bytes."""
+"""Keep turns in memory, within a limit of bytes if there is one."""
 
 from collections import OrderedDict
+from math import inf
 
 from jackdawfield.gateway.model import TurnId
 from jackdawfield.gateway.programs.turns import TurnRecord
@@ -10,7 +11,7 @@
 class TurnCache:
     """Holds the most recently used turns, within a limit of bytes."""
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: float = inf) -> None:
         self._limit_bytes = limit_bytes
         self._used_bytes = 0
         self._records_by_key: OrderedDict[
