Write turns larger than a transaction of the store in several

Cause: all rows of a turn went in one transaction, and the store takes 100 entries and 1 MB a call. Nothing counted bytes. Its 413 was taken for "not applied yet", and the same write was repeated until the deadline: the log repeated ledger_unwritten reason="store answered 413".

TransactionLimits belongs to the store's adapter, which sends nothing that exceeds them. RowsRejected, for 400, 403, 404, 413 and what is too large, ends a write at once; 429, 503 and 507 are still tried again. A long turn takes several transactions; its first piece, its index row and its settlement go last and together, and readers ignore a turn without its first piece. The other pieces bear a digest of the whole, so that those of two copies are not joined.

Related paths: updates of a program that wait together and copies of ancestors are cut to the limits, too. Members' rows are single and small.

--- a/jackdawfield/gateway/programs/accounts.py
+++ b/jackdawfield/gateway/programs/accounts.py
@@ -26,6 +26,7 @@
 from jackdawfield.gateway.programs.ledger import ledger_key
 from jackdawfield.gateway.programs.ledger import LedgerEvent
 from jackdawfield.gateway.programs.ledger import LedgerPlan
+from jackdawfield.gateway.programs.ledger import limits_beside_ledger
 from jackdawfield.gateway.programs.ledger import Reserve
 from jackdawfield.gateway.programs.ledger import Return
 from jackdawfield.gateway.programs.ledger import Settle
@@ -35,9 +36,12 @@
 from jackdawfield.gateway.storage.rows import RowConflict
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import RowOutcome
+from jackdawfield.gateway.storage.rows import RowsRejected
 from jackdawfield.gateway.storage.rows import RowStore
 from jackdawfield.gateway.storage.rows import RowTransaction
 from jackdawfield.gateway.storage.rows import StoredRow
+from jackdawfield.gateway.storage.transactions import put_bytes
+from jackdawfield.gateway.storage.transactions import Puts
 from jackdawfield.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -48,7 +52,6 @@
 # Ledgers beyond this many are evicted from memory, least recently used first.
 LEDGERS_KEPT = 4000
 
-Puts = tuple[tuple[RowKey, bytes], ...]
 # Asks the writers of a program's row to return the tokens they do not use;
 # returns whether any of them did.
 CollectUnused = Callable[[ProgramKey, Iterable[str]], Awaitable[bool]]
@@ -58,7 +61,7 @@
     """Names the result of a reservation or of a write.
 
     FITS also stands for a write that was applied, and UNKNOWN for an update
-    whose deadline passed first.
+    whose deadline passed first, or that the store never applies.
     """
 
     FITS = 'fits'
@@ -322,7 +325,7 @@
         """Try to write the pending updates; False if the store failed."""
         self._resolve_unknown_writes(account)
         self._expire_updates(account)
-        updates = list(account.pending)
+        updates = self._first_updates(account)
         if not updates:
             return True
         ledger = account.ledger
@@ -348,6 +351,22 @@
             program, account, updates, plan, outcome
         )
 
+    def _first_updates(self, account: _Account) -> list[_PendingUpdate]:
+        """Return the first pending updates that fit into a transaction.
+
+        One that does not fit by itself is returned alone.
+        """
+        limits = limits_beside_ledger(self._store.limits)
+        left_entries, left_bytes = limits.entries, limits.body_bytes
+        updates: list[_PendingUpdate] = []
+        for update in account.pending:
+            left_entries -= len(update.puts)
+            left_bytes -= sum(map(put_bytes, update.puts))
+            if updates and min(left_entries, left_bytes) < 0:
+                break
+            updates.append(update)
+        return updates
+
     async def _collect(
         self,
         program: ProgramKey,
@@ -399,6 +418,10 @@
                 account.unknown_writes.append(write)
                 key = ledger_key(program)
                 load_row(ledger, next((r for r in rows if r.key == key), None))
+            case RowsRejected(reason):
+                log_event(LOG, 'ledger_rejected', logging.ERROR, reason=reason)
+                for update in updates:
+                    _resolve(update, Verdict.UNKNOWN)
             case NotApplied(reason):
                 log_event(LOG, 'ledger_unwritten', reason=reason)
                 return False
--- a/jackdawfield/gateway/programs/ledger.py
+++ b/jackdawfield/gateway/programs/ledger.py
@@ -13,8 +13,12 @@
 
 from jackdawfield.gateway.programs.turns import ProgramKey
 from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.storage.rows import TransactionLimits
 
 PROGRAMS_TABLE = 'programs'
+# What a ledger's row takes of a transaction that expects and writes it.
+LEDGER_ENTRIES = 2
+LEDGER_BYTES = 4096
 # An instance holds tokens for a program's next call, and so saves a write,
 # only if the budget has room for this many calls more.
 CALLS_LEFT_TO_PREPAY = 3
@@ -213,6 +217,13 @@
     return tokens if granted + needed <= budget else 0
 
 
+def limits_beside_ledger(limits: TransactionLimits) -> TransactionLimits:
+    """Return the limits of the rows that are written with a ledger's row."""
+    return TransactionLimits(
+        limits.entries - LEDGER_ENTRIES, limits.body_bytes - LEDGER_BYTES
+    )
+
+
 def decode_row(data: bytes | None) -> LedgerRow:
     """Decode a ledger's row, empty if there is none."""
     if data is None:
--- a/jackdawfield/gateway/programs/turn_store.py
+++ b/jackdawfield/gateway/programs/turn_store.py
@@ -8,26 +8,31 @@
 from jackdawfield.decisions.table import Committed
 from jackdawfield.gateway.programs.accounts import MAX_RETRY_S
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
-from jackdawfield.gateway.programs.accounts import Puts
 from jackdawfield.gateway.programs.accounts import RETRY_S
 from jackdawfield.gateway.programs.accounts import Verdict
 from jackdawfield.gateway.programs.accounts import WRITE_TIMEOUT_S
 from jackdawfield.gateway.programs.expiry import RowExpiry
+from jackdawfield.gateway.programs.ledger import limits_beside_ledger
 from jackdawfield.gateway.programs.ledger import Settle
 from jackdawfield.gateway.programs.retention import CHAIN_MARGIN_S
 from jackdawfield.gateway.programs.retention import ExpiringRows
-from jackdawfield.gateway.programs.retention import MAX_KEYS_PER_WRITE
 from jackdawfield.gateway.programs.turn_cache import TurnCache
 from jackdawfield.gateway.programs.turns import encode_turn
 from jackdawfield.gateway.programs.turns import ProgramKey
 from jackdawfield.gateway.programs.turns import TurnRecord
 from jackdawfield.gateway.storage.backoff import backoff_delays_s
-from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.storage.rows import RowsRejected
 from jackdawfield.gateway.storage.rows import RowStore
 from jackdawfield.gateway.storage.rows import RowTransaction
+from jackdawfield.gateway.storage.rows import TransactionLimits
+from jackdawfield.gateway.storage.transactions import put_bytes
+from jackdawfield.gateway.storage.transactions import Puts
+from jackdawfield.gateway.storage.transactions import split_entries
 from jackdawfield.logs import log_event
 
 LOG = logging.getLogger(__name__)
+# A transaction of this size reaches the store in time over a slow link.
+MAX_WRITE_BYTES = 524_288
 
 
 def copies_of(
@@ -94,8 +99,12 @@
             return False
         if copies and copies[-1].turn_id == record.parent_id:
             record = replace(record, parent_program=record.program)
-        puts = encode_turn(record, self._row_bytes)
-        self._expire(program, puts, record)
+        rows = encode_turn(record, self._row_bytes)
+        self._expire(program, rows, record)
+        *earlier, puts = self._split_turn(rows)
+        for batch in earlier:
+            if not await self._put_rows(batch, deadline_s):
+                return False
         if settled is None:
             stored = await self._put_rows(puts, deadline_s)
         else:
@@ -108,6 +117,23 @@
                 self._cache.add(kept)
         return stored
 
+    def _split_turn(self, rows: Puts) -> list[Puts]:
+        """Return a turn's rows in the transactions that write them, in order.
+
+        The last one holds the rows with which the turn can be read.
+        """
+        batches = list(split_entries(rows, self._write_limits, put_bytes))
+        if len(batches) == 1:
+            return batches
+        earlier = split_entries(rows[:-2], self._write_limits, put_bytes)
+        return [*earlier, rows[-2:]]
+
+    @property
+    def _write_limits(self) -> TransactionLimits:
+        limits = limits_beside_ledger(self._store.limits)
+        body_bytes = min(limits.body_bytes, MAX_WRITE_BYTES)
+        return replace(limits, body_bytes=body_bytes)
+
     def _expire(
         self, program: ProgramKey, puts: Puts, record: TurnRecord
     ) -> None:
@@ -123,12 +149,11 @@
         deadline_s: float,
     ) -> bool:
         """Write copies of earlier turns; return whether they are durable."""
-        rows: list[tuple[RowKey, bytes]] = []
+        rows: Puts = ()
         for copy in copies:
             # Without an index row: the turn that needs a copy names it.
             rows += encode_turn(copy, self._row_bytes)[:-1]
-        for start in range(0, len(rows), MAX_KEYS_PER_WRITE):
-            puts = tuple(rows[start : start + MAX_KEYS_PER_WRITE])
+        for puts in split_entries(rows, self._write_limits, put_bytes):
             self._expire(program, puts, copies[0])
             if not await self._put_rows(puts, deadline_s):
                 return False
@@ -144,7 +169,13 @@
             outcome = await self._store.transact(
                 RowTransaction((), puts), min(left_s, WRITE_TIMEOUT_S)
             )
-            if isinstance(outcome, Committed):
-                return True
+            match outcome:
+                case Committed():
+                    return True
+                case RowsRejected(reason):
+                    log_event(
+                        LOG, 'turn_rejected', logging.ERROR, reason=reason
+                    )
+                    return False
             await asyncio.sleep(next(delays_s))
         return False
--- a/jackdawfield/gateway/programs/turns.py
+++ b/jackdawfield/gateway/programs/turns.py
@@ -27,6 +27,8 @@
 PART_COUNT = 16
 PROGRAM_KEY_BYTES = 10
 COMPRESSION_LEVEL = 1
+TURN_DIGEST_BYTES = 8
+FIRST_PIECE = '000'
 # Longer ids are hashed in a row's key.
 MAX_PLAIN_ID_LENGTH = 40
 
@@ -103,37 +105,77 @@
 def encode_turn(
     record: TurnRecord, row_bytes: int
 ) -> tuple[tuple[RowKey, bytes], ...]:
-    """Encode a turn as rows of limited size, its index row last."""
+    """Encode a turn as rows of limited size, its index row last.
+
+    Readers ignore the pieces of a turn without its first one, which comes
+    after the others. So it may be written after them: with it, the turn can
+    be read.
+    """
     plain = msgspec.msgpack.encode(record)
     data = zlib.compress(plain, COMPRESSION_LEVEL)
     part = ProgramKey(record.program).part
-    pieces = [
-        data[start : start + row_bytes]
-        for start in range(0, len(data), row_bytes)
+    name = f'{record.program}/{shorten_id(record.turn_id)}'
+    starts = range(row_bytes, len(data), row_bytes)
+    # Pieces of copies that were encoded at other times are not confused.
+    digest = _digest(data)
+    rows = [
+        (
+            RowKey(TURNS_TABLE, part, f'{name}/{digest}.{number:03d}'),
+            data[start : start + row_bytes],
+        )
+        for number, start in enumerate(starts, 1)
     ]
-    rows = []
-    for number, piece in enumerate(pieces):
-        name = f'{record.program}/{shorten_id(record.turn_id)}/{number:03d}'
-        rows.append((RowKey(TURNS_TABLE, part, name), piece))
+    first = RowKey(TURNS_TABLE, part, f'{name}/{FIRST_PIECE}')
+    rows.append((first, data[:row_bytes]))
     index = index_key(record.organisation_id, record.turn_id, part)
     return (*rows, (index, record.program.encode()))
 
 
+def _digest(data: bytes) -> str:
+    return blake2b(data, digest_size=TURN_DIGEST_BYTES).hexdigest()
+
+
 def decode_turns(rows: Iterable[StoredRow]) -> Mapping[TurnId, TurnRecord]:
-    """Decode the turns in some rows; raise TurnError if one is malformed."""
-    pieces_by_name: dict[str, list[bytes]] = {}
+    """Decode the turns in some rows, sorted by their keys.
+
+    Raise TurnError if one is malformed. A turn without its first piece is
+    ignored: it is not written yet, or never will be.
+    """
+    rows_by_name: dict[str, list[StoredRow]] = {}
     for row in rows:
-        if row.value is None:
-            continue
         name = row.key.key.rpartition('/')[0]
-        pieces_by_name.setdefault(name, []).append(row.value)
-    records = [_decode(pieces) for pieces in pieces_by_name.values()]
+        rows_by_name.setdefault(name, []).append(row)
+    found = (_join_pieces(rows) for rows in rows_by_name.values())
+    records = [_decode(data) for data in found if data is not None]
     return {record.turn_id: record for record in records}
 
 
-def _decode(pieces: list[bytes]) -> TurnRecord:
+def _join_pieces(rows: Iterable[StoredRow]) -> bytes | None:
+    """Return the encoded turn in its rows, None without its first piece."""
+    first: bytes | None = None
+    pieces_by_digest: dict[str, list[bytes]] = {}
+    for row in rows:
+        if row.value is None:
+            continue
+        digest, _, number = row.key.key.rpartition('/')[2].rpartition('.')
+        if number == FIRST_PIECE:
+            first = row.value
+            continue
+        pieces_by_digest.setdefault(digest, []).append(row.value)
+    if first is None:
+        return None
+    # Earlier versions wrote all pieces at once and named no digest.
+    unnamed = pieces_by_digest.pop('', [])
+    for digest, pieces in pieces_by_digest.items():
+        data = first + b''.join(pieces)
+        if digest == _digest(data):
+            return data
+    return first + b''.join(unnamed)
+
+
+def _decode(data: bytes) -> TurnRecord:
     try:
-        plain = zlib.decompress(b''.join(pieces))
+        plain = zlib.decompress(data)
         return msgspec.msgpack.decode(plain, type=TurnRecord)
     except (zlib.error, *DECODE_ERRORS) as error:
         raise TurnError(str(error)) from error
--- a/jackdawfield/gateway/storage/measured.py
+++ b/jackdawfield/gateway/storage/measured.py
@@ -12,6 +12,7 @@
 from jackdawfield.gateway.storage.rows import RowStore
 from jackdawfield.gateway.storage.rows import RowTransaction
 from jackdawfield.gateway.storage.rows import StoreError
+from jackdawfield.gateway.storage.rows import TransactionLimits
 
 ANSWERED = 'answered'
 HISTORY_GONE = 'history gone'
@@ -25,6 +26,11 @@
         self._store = store
         self._metrics = metrics
 
+    @property
+    def limits(self) -> TransactionLimits:
+        """Return the limits of one transaction."""
+        return self._store.limits
+
     async def read(
         self, table: str, part: str, start_key: str = '', end_key: str = ''
     ) -> Result[RowsRead, StoreError]:
--- a/jackdawfield/gateway/storage/rows.py
+++ b/jackdawfield/gateway/storage/rows.py
@@ -47,6 +47,18 @@
     removes: tuple[RowKey, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class TransactionLimits:
+    """Holds how much one transaction may contain.
+
+    The entries are its expected, written and removed rows. The bytes are
+    those of its request body, in which values are encoded in base64.
+    """
+
+    entries: int
+    body_bytes: int
+
+
 @dataclass(frozen=True, slots=True)
 class RowConflict:
     """Reports that nothing was written, with the present rows."""
@@ -54,7 +66,16 @@
     rows: tuple[StoredRow, ...]
 
 
-RowOutcome = Committed | RowConflict | NotApplied | OutcomeUnknown
+@dataclass(frozen=True, slots=True)
+class RowsRejected:
+    """Reports that nothing was written, and never will be if sent again."""
+
+    reason: str
+
+
+RowOutcome = (
+    Committed | RowConflict | RowsRejected | NotApplied | OutcomeUnknown
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,6 +129,11 @@
 class RowStore(Protocol):
     """Reads and writes rows; its methods may be called concurrently."""
 
+    @property
+    def limits(self) -> TransactionLimits:
+        """Return the limits of one transaction."""
+        ...
+
     async def read(
         self, table: str, part: str, start_key: str = '', end_key: str = ''
     ) -> Result[RowsRead, StoreError]:
--- a/jackdawfield/platform/store.py
+++ b/jackdawfield/platform/store.py
@@ -22,9 +22,12 @@
 from jackdawfield.gateway.storage.rows import RowOutcome
 from jackdawfield.gateway.storage.rows import RowsChanged
 from jackdawfield.gateway.storage.rows import RowsRead
+from jackdawfield.gateway.storage.rows import RowsRejected
 from jackdawfield.gateway.storage.rows import RowTransaction
 from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.gateway.storage.rows import StoreError
+from jackdawfield.gateway.storage.rows import TransactionLimits
+from jackdawfield.gateway.storage.transactions import is_within
 from jackdawfield.logs import log_event
 from jackdawfield.platform.settings import MS_PER_S
 
@@ -35,7 +38,10 @@
 STATUS_HISTORY_GONE = 410
 STATUS_CONFLICT = 412
 # A store that answers a transaction with one of these has written nothing.
-STATUSES_NOT_APPLIED = (400, 403, 404, 413, 429, 503, 507)
+STATUSES_NOT_APPLIED = (429, 503, 507)
+# Nor will it, if the transaction is sent again.
+STATUSES_REJECTED = (400, 403, 404, 413)
+LIMITS = TransactionLimits(entries=100, body_bytes=1_000_000)
 
 
 class _Row(msgspec.Struct):
@@ -102,6 +108,7 @@
 
     def __init__(self, path: StorePath) -> None:
         self._path = path
+        self.limits = LIMITS
 
     async def read(
         self, table: str, part: str, start_key: str = '', end_key: str = ''
@@ -131,13 +138,18 @@
     ) -> RowOutcome:
         """Write rows and return the outcome.
 
-        The transaction is sent at most once on each path.
+        The transaction is sent at most once on each path, and not at all if
+        it exceeds the limits.
         """
+        if not is_within(self.limits, transaction):
+            return RowsRejected('the transaction exceeds the limits')
         body = encode_transaction(transaction)
         found = await self._path.call('POST', '/-/rows-tx', body, timeout_s)
         if isinstance(found, Err):
             return _outcome_of_error(found.err_value)
         status, data = found.ok_value.status, found.ok_value.body
+        if status in STATUSES_REJECTED:
+            return RowsRejected(f'store answered {status}')
         if status in STATUSES_NOT_APPLIED:
             return NotApplied(f'store answered {status}')
         if status not in (STATUS_OK, STATUS_CONFLICT):
--- a/jackdawfield/standins/platform_store.py
+++ b/jackdawfield/standins/platform_store.py
@@ -15,6 +15,7 @@
 from jackdawfield.decisions.table import OutcomeUnknown
 from jackdawfield.gateway.storage.rows import RowConflict
 from jackdawfield.gateway.storage.rows import RowKey
+from jackdawfield.gateway.storage.rows import RowsRejected
 from jackdawfield.gateway.storage.rows import RowTransaction
 from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.standins.base import close_unanswered
@@ -24,6 +25,9 @@
 MS_PER_S = 1000
 # Only the operators and the platform may write these.
 PROTECTED_TABLES = ('op', 'servers')
+# Limits of the rows in one answer.
+MAX_ROWS = 500
+MAX_ROWS_BYTES = 1_000_000
 
 
 def decode_key(wire: dict[str, Any]) -> RowKey:
@@ -41,6 +45,16 @@
     return {**wire, 'ver': row.version, 'value': value}
 
 
+def first_rows(rows: tuple[StoredRow, ...]) -> tuple[StoredRow, ...]:
+    """Return the first rows that fit into one answer, at least one."""
+    size = 0
+    for count, row in enumerate(rows):
+        size += len(b64encode(row.value or b''))
+        if count and (count >= MAX_ROWS or size > MAX_ROWS_BYTES):
+            return rows[:count]
+    return rows
+
+
 class PlatformStoreStandIn(FreePortServer):
     """Serves a store of rows.
 
@@ -74,9 +88,9 @@
     async def get(self, name: str) -> None:
         """Read rows or wait for changes."""
         argument = partial(self.get_query_argument, strip=False)
-        rows = self.standin.rows
+        stored = self.standin.rows
         if name == 'rows-get':
-            read = await rows.read(
+            read = await stored.read(
                 argument('table'),
                 argument('part', ''),
                 argument('from', ''),
@@ -84,7 +98,7 @@
             )
         elif name == 'rows-feed':
             wait_s = int(argument('waitMs', '0')) / MS_PER_S
-            changed = await rows.changes(
+            changed = await stored.changes(
                 argument('table'), int(argument('after')), wait_s
             )
             if isinstance(changed, Err):
@@ -98,7 +112,9 @@
         if isinstance(read, Err):
             self.send_error(503)
             return
-        self.send_rows(read.ok_value.rows, read.ok_value.version)
+        rows = first_rows(read.ok_value.rows)
+        has_more = len(rows) < len(read.ok_value.rows)
+        self.send_rows(rows, read.ok_value.version, has_more)
 
     async def post(self, name: str) -> None:
         """Apply a transaction."""
@@ -125,8 +141,21 @@
                 close_unanswered(self)
             case NotApplied():
                 self.send_error(503)
+            case RowsRejected():
+                self.send_error(413)
 
-    def send_rows(self, rows: tuple[StoredRow, ...], version: int) -> None:
-        """Send rows and the newest version."""
+    def send_rows(
+        self, rows: tuple[StoredRow, ...], version: int, has_more: bool = False
+    ) -> None:
+        """Send rows, the newest version and whether more rows follow."""
         wire = [encode_row(row) for row in rows]
-        self.finish(json.dumps({'rows': wire, 'ver': version, 'nowMs': 0}))
+        self.finish(
+            json.dumps(
+                {
+                    'rows': wire,
+                    'ver': version,
+                    'nowMs': 0,
+                    'hasMore': has_more,
+                }
+            )
+        )
--- a/jackdawfield/standins/row_store.py
+++ b/jackdawfield/standins/row_store.py
@@ -17,9 +17,15 @@
 from jackdawfield.gateway.storage.rows import RowOutcome
 from jackdawfield.gateway.storage.rows import RowsChanged
 from jackdawfield.gateway.storage.rows import RowsRead
+from jackdawfield.gateway.storage.rows import RowsRejected
 from jackdawfield.gateway.storage.rows import RowTransaction
 from jackdawfield.gateway.storage.rows import StoredRow
 from jackdawfield.gateway.storage.rows import StoreError
+from jackdawfield.gateway.storage.rows import TransactionLimits
+from jackdawfield.gateway.storage.transactions import is_within
+
+MAX_ENTRIES = 100
+MAX_BODY_BYTES = 1_000_000
 
 
 class StoreFault(Enum):
@@ -45,6 +51,7 @@
     """
 
     def __init__(self) -> None:
+        self.limits = TransactionLimits(MAX_ENTRIES, MAX_BODY_BYTES)
         self.rows_by_key: dict[RowKey, StoredRow] = {}
         self.version = 0
         self.injected_faults: deque[StoreFault] = deque()
@@ -95,6 +102,8 @@
     ) -> RowOutcome:
         """Apply a transaction if all rows have the expected versions."""
         self.transactions.append(transaction)
+        if not is_within(self.limits, transaction):
+            return RowsRejected('the transaction is too large')
         fault = self._take_fault()
         if fault is StoreFault.UNAVAILABLE:
             return NotApplied('the store is away')
