Remove all rows of a turn, however many it has

Rows of a turn beyond the 90th stayed in the store for good once its program had expired: the removal took the first 90 keys and forgot the others.

A removal is split by the store's limits, those rows first with which turns are read, the ledger's last. After a failure the rest is tried again.

Test: test_all_rows_of_the_longest_turns_are_removed, failed before.

--- a/jackdawfield/gateway/programs/expiry.py
+++ b/jackdawfield/gateway/programs/expiry.py
@@ -1,5 +1,6 @@
 """Remove the rows of programs that are past their retention."""
 
+from dataclasses import replace
 import logging
 import time
 
@@ -8,15 +9,17 @@
 from jackdawfield.decisions.table import Committed
 from jackdawfield.gateway.programs.ledger import decode_row
 from jackdawfield.gateway.programs.ledger import ledger_key
+from jackdawfield.gateway.programs.ledger import limits_beside_ledger
 from jackdawfield.gateway.programs.retention import ExpiringRows
 from jackdawfield.gateway.programs.retention import is_expired
-from jackdawfield.gateway.programs.retention import MAX_KEYS_PER_WRITE
 from jackdawfield.gateway.programs.retention import RetentionQueue
 from jackdawfield.gateway.programs.turn_rows import read_program
 from jackdawfield.gateway.storage.rows import read_row
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.gateway.storage.rows import RowStore
 from jackdawfield.gateway.storage.rows import RowTransaction
+from jackdawfield.gateway.storage.transactions import key_bytes
+from jackdawfield.gateway.storage.transactions import split_entries
 from jackdawfield.logs import log_event
 
 LOG = logging.getLogger(__name__)
@@ -76,19 +79,30 @@
     async def _remove(
         self, rows: ExpiringRows, key: RowKey, version: int
     ) -> None:
-        removes = rows.keys[:MAX_KEYS_PER_WRITE]
+        """Remove a program's rows, those with which turns are read first.
+
+        The ledger is removed with the last ones. Each removal requires that
+        it has not changed.
+        """
+        limits = limits_beside_ledger(self._store.limits)
+        ordered = tuple(reversed(rows.keys))
+        batches = list(split_entries(ordered, limits, key_bytes)) or [()]
         if version:
-            removes += (key,)
-        if not removes:
-            return
-        transaction = RowTransaction(((key, version),), (), removes)
-        outcome = await self._store.transact(transaction, REMOVE_TIMEOUT_S)
-        log_event(
-            LOG,
-            'turns_removed',
-            program=rows.program.text,
-            rows=len(removes),
-            outcome=type(outcome).__name__,
-        )
-        if not isinstance(outcome, Committed):
-            self.add(rows)
+            batches[-1] += (key,)
+        for number, removes in enumerate(batches):
+            if not removes:
+                return
+            transaction = RowTransaction(((key, version),), (), removes)
+            outcome = await self._store.transact(transaction, REMOVE_TIMEOUT_S)
+            log_event(
+                LOG,
+                'turns_removed',
+                program=rows.program.text,
+                rows=len(removes),
+                outcome=type(outcome).__name__,
+            )
+            if not isinstance(outcome, Committed):
+                done = sum(map(len, batches[:number]))
+                left = rows.keys[: len(rows.keys) - done]
+                self.add(replace(rows, keys=left))
+                return
--- a/jackdawfield/gateway/programs/retention.py
+++ b/jackdawfield/gateway/programs/retention.py
@@ -12,8 +12,6 @@
 # other programs that continue from them within this time need no copies.
 CHAIN_MARGIN_S = 30.0
 STORED_LONGER_S = CLOCK_SKEW_MARGIN_S + CHAIN_MARGIN_S
-# A transaction of the store takes at most 100 entries.
-MAX_KEYS_PER_WRITE = 90
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/gateway/programs/test_long_turn_rows.py
+++ b/tests/gateway/programs/test_long_turn_rows.py
@@ -131,6 +131,16 @@
             await self.expiry.remove_expired()
         self.assertEqual(self.rows.rows_by_key, {})
 
+    async def test_all_rows_of_the_longest_turns_are_removed(self) -> None:
+        long = record('1', None, os.urandom(6_000_000))
+        long = dataclasses.replace(long, kept_until_s=time.time() + 60)
+        self.assertTrue(await self.commit(long, Settle(0, 0, 1000)))
+        self.assertGreater(len(self.rows.rows_by_key), 100)
+        with mock.patch('time.time') as now:
+            now.return_value = long.kept_until_s + STORED_LONGER_S + 1
+            await self.expiry.remove_expired()
+        self.assertEqual(self.rows.rows_by_key, {})
+
     async def test_long_ancestors_of_other_programs_are_copied(self) -> None:
         ancestor = record('1', None, os.urandom(LONG_BYTES))
         ancestor = dataclasses.replace(
