Share loans of tokens among all that may lend

Cause: a loan was known to the process that made it, and at a planned stop to the next lender. The seat came back to the restarted instance, which knew nothing and lent again; after a kill nobody knew. The program's row holds the loan, but can't be read in an outage by those who have not read it before.

Ruled out: a lost hand-over.

Each loan is now known to every holder of a seat, to one beside lender and borrower before it is granted. An instance that starts or takes a seat asks the others before it lends; where nobody knows all loans, it lends nothing until programs from before its start can't return. A loan that the row holds within the budget is given back. Programs that begin in an outage are served as before. MIN_UPTIME_S, a guess at the same, goes.

Tests: gateway.programs.test_loans.

--- a/jackdawfield/gateway/daemon.py
+++ b/jackdawfield/gateway/daemon.py
@@ -350,6 +350,7 @@
         self._tasks.supervise('views', self.rate_owner.poll_views)
         self._tasks.supervise('quarantine', self.quarantine_sharing.run)
         self._tasks.supervise('trials', self.server_paths.run_trials)
+        self._tasks.supervise('loans', self.advances.loans.run)
         log_event(
             LOG,
             'started',
@@ -403,6 +404,7 @@
         self.stream_calls.configuration = configuration
         self.slot_queue.configuration = configuration
         self.rate_owner.configure(configuration)
+        self.advances.configure(configuration)
         self.listeners.apply_body_limit(configuration.body_limit_bytes)
         table = self.configuration_table
         log_event(
--- a/jackdawfield/gateway/model.py
+++ b/jackdawfield/gateway/model.py
@@ -103,6 +103,18 @@
         """Return whether requests need a key, open routes excepted."""
         return bool(self.organisations_by_id)
 
+    @property
+    def longest_retention_s(self) -> float:
+        """Return how long a program may pause and return, on any route."""
+        return max(
+            (
+                route.retention_s
+                for routes in self.routes_by_host.values()
+                for route in routes
+            ),
+            default=0.0,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class ServerEntry:
--- a/jackdawfield/gateway/programs/advances.py
+++ b/jackdawfield/gateway/programs/advances.py
@@ -14,8 +14,10 @@
 from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.fleet.members import Members
 from jackdawfield.gateway.fleet.ownership import Ownership
+from jackdawfield.gateway.model import FleetConfiguration
 from jackdawfield.gateway.programs.accounts import ProgramAccounts
 from jackdawfield.gateway.programs.chains import ChainReader
+from jackdawfield.gateway.programs.loan_sharing import LoanSharing
 from jackdawfield.gateway.programs.overdraft import OverdraftLender
 from jackdawfield.gateway.programs.overdraft import Overdrafts
 from jackdawfield.gateway.programs.served_programs import ServedPrograms
@@ -25,6 +27,9 @@
 from jackdawfield.gateway.programs.turn_copies import TurnCopies
 from jackdawfield.gateway.programs.turns import ProgramKey
 
+# Programs are taken to return for so long, also if no route retains them.
+MIN_RETENTION_S = 60.0
+
 
 @dataclass(frozen=True, slots=True)
 class Advance:
@@ -59,8 +64,11 @@
         accounts: ProgramAccounts,
         pool: TokenPool,
     ) -> None:
-        self.lender = OverdraftLender(ownership)
-        self._overdrafts = Overdrafts(members, links, ownership, self.lender)
+        self.loans = LoanSharing(members, links)
+        self.lender = OverdraftLender(ownership, self.loans)
+        self._overdrafts = Overdrafts(
+            members, links, ownership, self.lender, self.loans
+        )
         self.served = ServedPrograms(members, links, accounts.recent_programs)
         self.transfers = TokenTransfers(
             members, links, accounts, self.lender, pool, self.served
@@ -84,12 +92,18 @@
 
     def register(self, server: PeerServer) -> None:
         """Handle the requests of the other instances."""
+        self.loans.register(server)
         self.lender.register(server)
         self.transfers.register(server)
         self.served.register(server)
         if self.turn_copies is not None:
             self.turn_copies.register(server)
 
+    def configure(self, configuration: FleetConfiguration) -> None:
+        """Take over how long programs may pause and return."""
+        longest_s = configuration.longest_retention_s
+        self.loans.retention_s = max(longest_s, MIN_RETENTION_S)
+
     @property
     def is_store_away(self) -> bool:
         """Return whether the path to the store is known to be lost."""
@@ -105,6 +119,7 @@
         While the store answers, calls that still come use the unused tokens.
         """
         self._tasks.spawn(self.transfers.hand_over_lent(ASK_TIMEOUT_S))
+        self._tasks.spawn(self.loans.hand_over(ASK_TIMEOUT_S))
         if is_store_away:
             self._tasks.spawn(self.transfers.hand_over_unused(ASK_TIMEOUT_S))
 
@@ -126,10 +141,14 @@
         taken = await self.transfers.take(program, most, request_id)
         if taken >= most or not may_borrow:
             return Advance(taken)
-        borrowed = await self._overdrafts.borrow(program, most - taken)
+        borrowed = await self._overdrafts.borrow(
+            program, most - taken, request_id
+        )
         return Advance(taken, borrowed)
 
-    def give_back(self, program: ProgramKey, part: Advance) -> None:
+    def give_back(
+        self, program: ProgramKey, part: Advance, request_id: str
+    ) -> None:
         """Give tokens back that were not handed over, or are reserved now."""
         self.transfers.give(program, part.taken)
-        self._overdrafts.give_back(program, part.borrowed)
+        self._overdrafts.give_back(program, part.borrowed, request_id)
--- a/jackdawfield/gateway/programs/spending.py
+++ b/jackdawfield/gateway/programs/spending.py
@@ -182,15 +182,23 @@
         assert self._reservation is not None
         advance = self._advance
         used = advance.part_used(settled.used)
-        self._advances.give_back(self._program, advance.without(used))
+        self._give_back(advance.without(used))
         if await self._reservation is Verdict.FITS:
             await self._settle_reserved(settled)
-            self._advances.give_back(self._program, used)
+            self._give_back(used)
         elif used.borrowed:
-            await self._record_borrowed(used.borrowed)
+            await self._record_borrowed(used.borrowed, settled.budget)
 
-    async def _record_borrowed(self, used_tokens: int) -> None:
-        """Record tokens beyond the budget; they are not lent again."""
+    def _give_back(self, part: Advance) -> None:
+        request_id = self._call.request_id
+        self._advances.give_back(self._program, part, request_id)
+
+    async def _record_borrowed(self, used_tokens: int, budget: int) -> None:
+        """Record tokens that were lent.
+
+        Those beyond the budget are never given back, so that they are not
+        lent again.
+        """
         verdict = await self._accounts.submit(
             self._program,
             Spend(used_tokens),
@@ -204,6 +212,10 @@
             tokens=used_tokens,
             recorded=verdict is Verdict.FITS,
         )
+        if verdict is not Verdict.FITS:
+            return
+        if self._accounts.granted_tokens(self._program) <= budget:
+            self._give_back(Advance(borrowed=used_tokens))
 
     async def _settle_reserved(self, settled: Settle) -> None:
         if not self._call.route.keeps_turns:
--- a/jackdawfield/messages/fleet_budgets.py
+++ b/jackdawfield/messages/fleet_budgets.py
@@ -29,11 +29,14 @@
 class AskOverdraft:
     """Asks a member for tokens to hand over before they are recorded.
 
-    `most_tokens` is what the member lends at most to the program.
+    `most_tokens` is what the member lends at most to the program, `address`
+    that of the asker. Earlier versions do not name it, nor the request.
     """
 
     program: str
     most_tokens: int
+    request_id: str = ''
+    address: str = ''
 
 
 @message
@@ -51,6 +54,7 @@
 
     program: str
     tokens: int
+    request_id: str = ''
 
 
 @message
--- a/tests/gateway/programs/test_overdraft.py
+++ b/tests/gateway/programs/test_overdraft.py
@@ -10,7 +10,7 @@
 
 from jackdawfield.gateway.clock import boot_time_s
 from jackdawfield.gateway.fleet.ownership import Ownership
-from jackdawfield.gateway.programs.overdraft import MIN_UPTIME_S
+from jackdawfield.gateway.programs.loan_sharing import LoanSharing
 from jackdawfield.gateway.programs.overdraft import OverdraftLender
 from jackdawfield.gateway.programs.turns import program_key
 from jackdawfield.model import OrganisationId
@@ -36,30 +36,35 @@
     received.writer.write(b'0\r\n\r\n')
 
 
-class LenderTest(unittest.TestCase):
+class LenderTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         ownership = mock.Mock(spec=Ownership)
         ownership.is_sole_owner.return_value = True
         self.ownership = ownership
-        self.lender = OverdraftLender(ownership)
-        self.lender._started_at_s -= MIN_UPTIME_S + 1
-
-    def test_tokens_of_one_call_are_lent_once(self) -> None:
-        self.assertEqual(self.lender.lend('p', MOST), MOST)
-        self.assertEqual(self.lender.lend('p', MOST), 0)
-        self.assertEqual(self.lender.lend('q', MOST), MOST)
+        members = mock.Mock(other_rows_by_seat={})
+        members.peer_addresses.return_value = []
+        self.loans = LoanSharing(members, mock.Mock())
+        self.loans.is_informed = True
+        self.lender = OverdraftLender(ownership, self.loans)
+
+    async def test_tokens_of_one_call_are_lent_once(self) -> None:
+        self.assertEqual(await self.lender.lend('p', MOST), MOST)
+        self.assertEqual(await self.lender.lend('p', MOST), 0)
+        self.assertEqual(await self.lender.lend('q', MOST), MOST)
         self.lender.take_back('p', MOST - USED)
-        self.assertEqual(self.lender.lend('p', MOST), MOST - USED)
+        self.assertEqual(await self.lender.lend('p', MOST), MOST - USED)
         self.lender.take_back('p', 10 * MOST)
-        self.assertEqual(self.lender.lend('p', MOST), MOST)
+        self.assertEqual(await self.lender.lend('p', MOST), MOST)
 
-    def test_nothing_is_lent_while_another_may_lend(self) -> None:
+    async def test_nothing_is_lent_while_another_may_lend(self) -> None:
         self.ownership.is_sole_owner.return_value = False
-        self.assertEqual(self.lender.lend('p', MOST), 0)
+        self.assertEqual(await self.lender.lend('p', MOST), 0)
 
-    def test_nothing_is_lent_soon_after_a_start(self) -> None:
-        lender = OverdraftLender(self.ownership)
-        self.assertEqual(lender.lend('p', MOST), 0)
+    async def test_nothing_is_lent_before_earlier_loans_are_known(
+        self,
+    ) -> None:
+        self.loans.is_informed = False
+        self.assertEqual(await self.lender.lend('p', MOST), 0)
 
 
 class OutageTest(unittest.IsolatedAsyncioTestCase):
@@ -72,7 +77,7 @@
             await self.fleet.wait_until(
                 lambda g=gateway: len(g.members.rows_by_seat) == 2
             )
-            gateway.overdraft_lender._started_at_s -= MIN_UPTIME_S + 1
+            gateway.advances.loans.is_informed = True
             # As if the members had not changed for a while.
             ownership = gateway.rate_owner.ownership
             ownership._serving_changed_at_s -= 60
--- a/tests/gateway/programs/test_token_transfers.py
+++ b/tests/gateway/programs/test_token_transfers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import random
 import time
 from typing import Any
@@ -29,7 +30,6 @@
 from jackdawfield.gateway.programs.advances import Advances
 from jackdawfield.gateway.programs.ledger import Reserve
 from jackdawfield.gateway.programs.ledger import Settle
-from jackdawfield.gateway.programs.overdraft import MIN_UPTIME_S
 from jackdawfield.gateway.programs.served_programs import NAME_INTERVAL_S
 from jackdawfield.gateway.programs.served_programs import ProgramDirectory
 from jackdawfield.gateway.programs.served_programs import ServedPrograms
@@ -53,6 +53,7 @@
 BORROW_AFTER = 'jackdawfield.gateway.programs.spending.BORROW_AFTER_S'
 SERVED = 'jackdawfield.gateway.programs.served_programs'
 SEATS = ('a', 'b', 'c')
+REQUEST_NUMBERS = itertools.count()
 
 
 class AwayStore(MemoryRowStore):
@@ -113,6 +114,9 @@
             if seat != name
         }
         members.rows_by_seat = members.other_rows_by_seat
+        members.peer_addresses.return_value = [
+            seat for seat in SEATS if seat != name
+        ]
         self.ownership = ownership = mock.Mock(spec=Ownership)
         ownership.is_sole_owner.return_value = False
         ownership.owner_of.side_effect = lambda key: rank_holders(
@@ -142,7 +146,7 @@
     ) -> int:
         """Serve a call; return the tokens that were handed over."""
         call = mock.Mock(spec=Call)
-        call.request_id = 'r'
+        call.request_id = f'r{next(REQUEST_NUMBERS)}'
         call.deadline_s = time.monotonic() + limit_s
         call.route = mock.Mock(keeps_turns=False)
         call.headers = mock.Mock(budget_tokens=budget, max_tokens=MOST)
@@ -403,13 +407,13 @@
     async def test_next_lender_knows_what_was_lent(self) -> None:
         for instance in self.by_name.values():
             instance.ownership.is_sole_owner.return_value = True
-            instance.advances.lender._started_at_s -= MIN_UPTIME_S + 1
+            instance.advances.loans.is_informed = True
         lender = self.by_name[self.first].advances.lender
-        self.assertEqual(lender.lend(PROGRAM.text, MOST), MOST)
+        self.assertEqual(await lender.lend(PROGRAM.text, MOST), MOST)
         await self.stop(self.first)
-        self.assertEqual(lender.lend(PROGRAM.text, MOST), 0)
+        self.assertEqual(await lender.lend(PROGRAM.text, MOST), 0)
         successor = self.by_name[self.second].advances.lender
-        self.assertEqual(successor.lend(PROGRAM.text, MOST), 0)
+        self.assertEqual(await successor.lend(PROGRAM.text, MOST), 0)
 
     # Guards against a 402 for a budget whose rest was given away.
     async def test_given_tokens_are_collected_before_a_refusal(self) -> None:
@@ -451,7 +455,7 @@
     def start(self, name: str) -> Instance:
         instance = super().start(name)
         lends = name not in self.released
-        instance.advances.lender._started_at_s -= MIN_UPTIME_S + 1
+        instance.advances.loans.is_informed = True
         instance.ownership.owner_of.side_effect = self.lender_of
         instance.ownership.successors_of.side_effect = lambda program: (
             rank_holders(
@@ -485,11 +489,11 @@
     async def test_loans_are_known_after_two_stops(self) -> None:
         self.store.is_away = True
         lender = self.by_name[self.first].advances.lender
-        self.assertEqual(lender.lend(PROGRAM.text, MOST), MOST)
+        self.assertEqual(await lender.lend(PROGRAM.text, MOST), MOST)
         await self.stop(self.first)
         await self.stop(self.second)
         third = self.by_name[self.last].advances.lender
-        self.assertEqual(third.lend(PROGRAM.text, MOST), 0)
+        self.assertEqual(await third.lend(PROGRAM.text, MOST), 0)
 
 
 class OutageTest(unittest.IsolatedAsyncioTestCase):
