--- a/jackdawfield/gateway/programs/accounts.py
+++ b/jackdawfield/gateway/programs/accounts.py
@@ -40,7 +40,7 @@
 from jackdawfield.gateway.storage.rows import RowStore
 from jackdawfield.gateway.storage.rows import RowTransaction
 from jackdawfield.gateway.storage.rows import StoredRow
-from jackdawfield.gateway.storage.transactions import put_bytes
+from jackdawfield.gateway.storage.transactions import count_fitting
 from jackdawfield.gateway.storage.transactions import Puts
 from jackdawfield.logs import log_event
 
@@ -325,7 +325,9 @@
         """Try to write the pending updates; False if the store failed."""
         self._resolve_unknown_writes(account)
         self._expire_updates(account)
-        updates = self._first_updates(account)
+        limits = limits_beside_ledger(self._store.limits)
+        count = count_fitting((u.puts for u in account.pending), limits)
+        updates = account.pending[:count]
         if not updates:
             return True
         ledger = account.ledger
@@ -351,22 +353,6 @@
             program, account, updates, plan, outcome
         )
 
-    def _first_updates(self, account: _Account) -> list[_PendingUpdate]:
-        """Return the first pending updates that fit into a transaction.
-
-        One that does not fit by itself is returned alone.
-        """
-        limits = limits_beside_ledger(self._store.limits)
-        left_entries, left_bytes = limits.entries, limits.body_bytes
-        updates: list[_PendingUpdate] = []
-        for update in account.pending:
-            left_entries -= len(update.puts)
-            left_bytes -= sum(map(put_bytes, update.puts))
-            if updates and min(left_entries, left_bytes) < 0:
-                break
-            updates.append(update)
-        return updates
-
     async def _collect(
         self,
         program: ProgramKey,
--- a/jackdawfield/gateway/storage/transactions.py
+++ b/jackdawfield/gateway/storage/transactions.py
@@ -65,3 +65,19 @@
         left_bytes -= size
     if batch:
         yield tuple(batch)
+
+
+def count_fitting(groups: Iterable[Puts], limits: TransactionLimits) -> int:
+    """Return how many groups of rows, in order, fit into one transaction.
+
+    The first one counts even if it does not fit by itself.
+    """
+    count = 0
+    left_entries, left_bytes = limits.entries, limits.body_bytes
+    for group in groups:
+        left_entries -= len(group)
+        left_bytes -= sum(map(put_bytes, group))
+        if count and min(left_entries, left_bytes) < 0:
+            break
+        count += 1
+    return count
