Take no answer whose status HTTP does not have

Callers got 600 and 999 as answers, with the server's stamp, on plain routes, streams and through a peer; at the daemon of the own interface 000, 099, 600 and 999.

Cause: h11 takes 200 to 999 for a final status, Tornado's client any number, and nothing looked at the range after them.

One rule, is_final_status, is asked where heads are read: connections to servers and to the store, heads relayed by a peer, the daemon's client. Such an answer is malformed, as 000 was at the gateway before. The daemon's streams pass nothing of its body on.

--- a/jackdawfield/drivers/http.py
+++ b/jackdawfield/drivers/http.py
@@ -11,6 +11,8 @@
 import tornado.httpclient
 import tornado.simple_httpclient
 
+from jackdawfield.statuses import is_final_status
+
 MAX_CONNECTIONS = 4_000
 CONNECT_TIMEOUT_S = 2.0
 # An answer without end must not take the memory of a small instance.
@@ -62,6 +64,11 @@
             error = tornado.simple_httpclient.HTTPStreamClosedError('closed')
         self._handle_exception(type(error), error, None)
 
+    def data_received(self, chunk: bytes) -> None:
+        """Take a piece of the body, none of an answer without a status."""
+        if self.code is not None and is_final_status(self.code):
+            super().data_received(chunk)
+
     def finish(self) -> None:
         """Return the answer, or fail if it may have been broken off.
 
@@ -140,6 +147,9 @@
         # Tornado reports requests without an HTTP response as status 599.
         if answer.code == 599:
             return Err(HttpError(HttpFault.LOST, str(answer.error)))
+        if not is_final_status(answer.code):
+            reason = 'malformed answer: no status of HTTP'
+            return Err(HttpError(HttpFault.LOST, reason))
         return Ok(
             HttpAnswer(answer.code, answer.body or b'', dict(answer.headers))
         )
--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -185,6 +185,9 @@
             headers,
             framing_of(request.method, event.status_code, headers),
         )
+        if not head.is_final:
+            self.abort('malformed answer: no status of HTTP')
+            return
         if request.echo_header:
             echoed = head.get(request.echo_header)
             if echoed is None and self._is_reused:
--- a/jackdawfield/gateway/http/messages.py
+++ b/jackdawfield/gateway/http/messages.py
@@ -6,6 +6,7 @@
 import h11
 
 from jackdawfield.decoding import parse_count
+from jackdawfield.statuses import is_final_status
 
 # Assumed idle timeout of a server that announces none.
 DEFAULT_IDLE_S = 3.0
@@ -67,6 +68,11 @@
     headers: tuple[tuple[str, str], ...]
     framing: Framing = Framing.LENGTH
 
+    @property
+    def is_final(self) -> bool:
+        """Return whether the status is one of a final response in HTTP."""
+        return is_final_status(self.status)
+
     def get(self, name: str) -> str | None:
         """Return a header's value by its lower-case name, None if absent."""
         for key, value in self.headers:
--- a/jackdawfield/gateway/servers/relay_client.py
+++ b/jackdawfield/gateway/servers/relay_client.py
@@ -99,9 +99,13 @@
             match answer:
                 case Ok(RelayHead(status, reason, headers, framing)):
                     pairs = tuple((name, value) for name, value in headers)
-                    self._parts.put(
-                        ResponseHead(status, reason, pairs, Framing(framing))
+                    head = ResponseHead(
+                        status, reason, pairs, Framing(framing)
                     )
+                    if not head.is_final:
+                        self.abort('malformed answer: no status of HTTP')
+                        return
+                    self._parts.put(head)
                 case Ok(RelayPiece(data)):
                     self._parts.put(data)
                 case Ok(RelayEnd() as end):
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -30,6 +30,9 @@
 from tests.gateway.scripted_server import ReceivedRequest
 from tests.gateway.scripted_server import Script
 from tests.gateway.scripted_server import ScriptedServer
+from tests.gateway.test_answer_statuses import answer_with
+from tests.gateway.test_answer_statuses import PATHS
+from tests.gateway.test_answer_statuses import STATUSES
 
 MODEL_SERVERS = 2
 STOP_WITHOUT_CALLS_S = 1.0
@@ -100,6 +103,18 @@
                 lambda g=gateway: g.reachability.cut_since_s is not None
             )
 
+    # Guards against a status that HTTP does not have, relayed as an answer.
+    async def test_no_such_status_is_relayed(self) -> None:
+        await self.lose_all_paths(self.first)
+        for status in STATUSES:
+            self.script_all(answer_with(status))
+            for path in PATHS:
+                with self.subTest((status, path)):
+                    answer = await self.fleet.call(
+                        self.first, f'{status}{path}', path
+                    )
+                    self.assertEqual(answer.status, 502)
+
     # Guards against callers of a cut instance who are served far worse than
     # those of the others: each call tried server after server in vain.
     async def test_calls_of_a_cut_instance_are_served_through_a_peer(
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -35,9 +35,11 @@
         self.client = HttpClient('test')
         self.addCleanup(self.client.close)
 
-    async def request(self, port: int) -> Result[HttpAnswer, HttpError]:
+    async def request(
+        self, port: int, on_chunk: Callable[[bytes], None] | None = None
+    ) -> Result[HttpAnswer, HttpError]:
         url = f'http://127.0.0.1:{port}/'
-        return await self.client.request('POST', url, b'{}')
+        return await self.client.request('POST', url, b'{}', on_chunk=on_chunk)
 
     async def answer(
         self, data: bytes, end: End
@@ -53,6 +55,21 @@
         # It is known at once, and not by the end of the caller's patience.
         self.assertNotIn('Timeout', result.err_value.reason)
 
+    # Guards against a status that HTTP does not have, taken as an answer.
+    async def test_no_such_status_is_an_answer(self) -> None:
+        for status in (b'000', b'099', b'600', b'999', b'2000'):
+            with self.subTest(status):
+                head = b'HTTP/1.1 %s Odd\r\nContent-Length: 2\r\n\r\nok'
+                self.assert_lost(await self.answer(head % status, close))
+                chunks: list[bytes] = []
+                script = script_of(head % status, close)
+                server = await ScriptedServer(script).start()
+                self.addAsyncCleanup(server.stop)
+                self.assert_lost(
+                    await self.request(server.port, chunks.append)
+                )
+                self.assertEqual(chunks, [])
+
     async def test_whole_answer_is_returned(self) -> None:
         data = HEAD + b'Content-Length: 2\r\n\r\nok'
         result = await self.answer(data, close)
