Say why an answer was lost in a closed list of reasons

Cause: the text of the parser's error quotes the bytes it has read. It became the reason of the loss, which is told to callers, kept as a label of the metrics and logged.

LossReason lists why a connection ended, with the texts. Errors of the operating system are mapped to it, and what a peer names is taken only if it is listed. The log has the parser's problem without what it quotes. Unreadable answers of the store and rows of turns no longer carry their errors' texts.

--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -6,6 +6,7 @@
 import asyncio
 from collections import deque
 import errno
+import logging
 import socket
 import time
 from typing import cast
@@ -26,10 +27,14 @@
 from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.messages import stated_idle_limit_s
 from jackdawfield.gateway.http.part_queue import PartQueue
+from jackdawfield.gateway.http.reasons import LossReason
+from jackdawfield.gateway.http.reasons import reason_of
 from jackdawfield.gateway.work_slices import SLICE_PIECES
 from jackdawfield.gateway.work_slices import WorkSlices
+from jackdawfield.logs import log_event
 from jackdawfield.sockets import has_unread_input
 
+LOG = logging.getLogger(__name__)
 MAX_HEAD_BYTES = 65536
 # Interim heads and late responses skipped before a request's response.
 MAX_SKIPPED_RESPONSES = 8
@@ -74,7 +79,7 @@
         self._is_lost = False
         # How long the server keeps it idle, None if it did not say.
         self.stated_idle_s: float | None = None
-        self.lost_reason = ''
+        self.lost_reason = LossReason.NONE
         # Whether the server closed the connection, and not this instance.
         self.is_closed_by_server = False
         self._idle_since_s = 0.0
@@ -90,7 +95,7 @@
         """Parse data from the server."""
         if self._request is None or self._has_ended:
             # Kept, these bytes would be parsed as the next request's response.
-            self.abort('bytes without a request')
+            self.abort(LossReason.BYTES_WITHOUT_REQUEST)
             return
         self._parser.receive_data(data)
         if not self._has_unparsed:
@@ -103,7 +108,7 @@
         if self._request is not None and not self._has_ended:
             self._parser.receive_data(b'')
             self._parse()
-        self._mark_lost('closed by the server')
+        self._mark_lost(LossReason.CLOSED_BY_SERVER)
         return False
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -117,9 +122,10 @@
         )
         if not self._is_lost and not has_timed_out:
             self.is_closed_by_server = True
-        self._mark_lost(str(exc) if exc else 'closed')
+        closed = LossReason.CLOSED
+        self._mark_lost(reason_of(exc, closed) if exc else closed)
 
-    def _mark_lost(self, reason: str) -> None:
+    def _mark_lost(self, reason: LossReason) -> None:
         if self._is_lost:
             return
         self._is_lost = True
@@ -136,12 +142,19 @@
         try:
             self._has_unparsed = self._parse_slice()
         except h11.RemoteProtocolError as error:
-            self.abort(f'malformed answer: {error}')
+            self._abort_malformed(str(error))
             return
         if self._has_unparsed:
             self._slices.resume_later(self._parse_rest)
         self._pause_reading()
 
+    def _abort_malformed(self, problem: str) -> None:
+        """Close the connection, and log a problem without received bytes."""
+        # The parser names the problem first, and quotes after a colon.
+        problem = problem.partition(':')[0]
+        log_event(LOG, 'answer_malformed', logging.WARNING, problem=problem)
+        self.abort(LossReason.MALFORMED)
+
     def _parse_rest(self) -> None:
         self._has_unparsed = False
         if self._is_lost or self._has_ended:
@@ -166,7 +179,7 @@
                 case h11.EndOfMessage():
                     self._handle_end()
                 case h11.ConnectionClosed():
-                    self._mark_lost('closed by the server')
+                    self._mark_lost(LossReason.CLOSED_BY_SERVER)
                     return False
                 case h11.NEED_DATA | h11.PAUSED:
                     return False
@@ -186,13 +199,13 @@
             framing_of(request.method, event.status_code, headers),
         )
         if not head.is_final:
-            self.abort('malformed answer: no status of HTTP')
+            self._abort_malformed('no status of HTTP')
             return
         if request.echo_header:
             echoed = head.get(request.echo_header)
             if echoed is None and self._is_reused:
                 # It may be a late response to an earlier request.
-                self.abort('answer without the id of its request')
+                self.abort(LossReason.NO_REQUEST_ID)
                 return
             if echoed is not None and echoed != request.echo_value:
                 # Skip a late response to an earlier request.
@@ -207,7 +220,7 @@
         """Count a skipped response; close the connection after too many."""
         self._skipped_responses += 1
         if self._skipped_responses > MAX_SKIPPED_RESPONSES:
-            self.abort('too many answers that belong to no request')
+            self.abort(LossReason.TOO_MANY_ANSWERS)
 
     def _handle_end(self) -> None:
         if not self._is_late_response:
@@ -222,7 +235,7 @@
         request = self._request
         assert request is not None
         if closed or self._parser.their_state is h11.MUST_CLOSE:
-            self.abort('late answer ended the connection')
+            self.abort(LossReason.LATE_ANSWER)
             return
         self._parser = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
@@ -264,7 +277,7 @@
         late copy of its first response could not be told from the second.
         """
         if self.has_carried(request.echo_value):
-            self.abort('has carried this request before')
+            self.abort(LossReason.CARRIED_BEFORE)
         if not self.is_usable or self._transport is None:
             return Err(ExchangeError(Fault.NOT_SENT, self.lost_reason))
         self._carried.append(request.echo_value)
@@ -318,7 +331,7 @@
             and parser.their_state is h11.DONE
         )
         if not clean:
-            self.abort('not reusable')
+            self.abort(LossReason.NOT_REUSABLE)
             return False
         parser.start_next_cycle()
         self._request = None
@@ -336,7 +349,7 @@
         """Return how long it has been idle, at most until it was closed."""
         return (self._closed_at_s or now_s) - self._idle_since_s
 
-    def abort(self, reason: str) -> None:
+    def abort(self, reason: LossReason) -> None:
         """Close the connection at once, which cancels its request."""
         self._mark_lost(reason)
         if self._transport is not None:
--- a/jackdawfield/gateway/http/pool.py
+++ b/jackdawfield/gateway/http/pool.py
@@ -13,6 +13,8 @@
 from jackdawfield.gateway.http.messages import DEFAULT_IDLE_S
 from jackdawfield.gateway.http.messages import ExchangeError
 from jackdawfield.gateway.http.messages import Fault
+from jackdawfield.gateway.http.reasons import LossReason
+from jackdawfield.gateway.http.reasons import reason_of
 from jackdawfield.gateway.work_slices import WorkSlices
 
 SWEEP_INTERVAL_S = 1.0
@@ -64,9 +66,9 @@
             if not self._can_be_reused(address, connection, now_s):
                 self._end_idle(address, connection, now_s)
             elif connection.has_carried(echo_value):
-                connection.abort('has carried this request before')
+                connection.abort(LossReason.CARRIED_BEFORE)
             elif connection.has_unread_input:
-                connection.abort('closed by the server, or late bytes')
+                connection.abort(LossReason.CLOSED_OR_LATE_BYTES)
             else:
                 return connection
         return None
@@ -95,7 +97,9 @@
                     lambda: Connection(self._slices), host, port
                 )
         except (OSError, ValueError, OverflowError) as error:
-            reason = f'{type(error).__name__} {error}'.strip()
+            reason = reason_of(error, LossReason.NO_CONNECTION)
+            if type(error) is TimeoutError:
+                reason = LossReason.NO_CONNECTION_IN_TIME
             is_refused = isinstance(error, ConnectionRefusedError)
             return Err(ExchangeError(Fault.NOT_SENT, reason, is_refused))
         return Ok(connection)
@@ -130,7 +134,7 @@
         if keep_last and idle:
             self._idle_by_address[(host, port)] = [idle.pop()]
         for connection in idle:
-            connection.abort('others have fallen silent')
+            connection.abort(LossReason.OTHERS_SILENT)
 
     def _sweep(self) -> None:
         now_s = time.monotonic()
@@ -156,7 +160,7 @@
         if connection.is_closed_by_server and connection.stated_idle_s is None:
             idle_s = connection.idle_s(now_s)
             self._idle_limits.record_closed(address, idle_s)
-        connection.abort('idle for too long')
+        connection.abort(LossReason.IDLE)
 
     def _can_be_reused(
         self, address: tuple[str, int], connection: Connection, now_s: float
@@ -173,7 +177,7 @@
         """Close every idle connection."""
         for idle in self._idle_by_address.values():
             for connection in idle:
-                connection.abort('stopping')
+                connection.abort(LossReason.STOPPING)
         self._idle_by_address.clear()
         if self._sweep_timer is not None:
             self._sweep_timer.cancel()
--- a/jackdawfield/gateway/programs/turn_rows.py
+++ b/jackdawfield/gateway/programs/turn_rows.py
@@ -34,6 +34,6 @@
         return Err(read.err_value.reason)
     try:
         return Ok(decode_turns(read.ok_value.rows))
-    except TurnError as error:
+    except TurnError:
         log_event(LOG, 'turn_unreadable', program=program.text)
-        return Err(f'unreadable turn: {error}')
+        return Err('unreadable turn')
--- a/jackdawfield/gateway/servers/exchange.py
+++ b/jackdawfield/gateway/servers/exchange.py
@@ -17,6 +17,7 @@
 from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.http.pool import Listening
+from jackdawfield.gateway.http.reasons import LossReason
 from jackdawfield.gateway.model import CallKind
 from jackdawfield.gateway.servers.choice import HANG_S
 from jackdawfield.gateway.servers.choice import record_failure
@@ -137,7 +138,7 @@
         connection = connected.ok_value
         left_s = call.deadline_s - now_s
         if left_s < MIN_TIME_LEFT_S:
-            connection.abort('too late to send')
+            connection.abort(LossReason.TOO_LATE)
             return Unreached('too late to send')
         if isinstance(connection.send(self._request(attempt, left_s)), Err):
             return Unreached(connection.lost_reason)
@@ -205,18 +206,18 @@
                     attempt, connection, sent_at_s
                 )
         except TimeoutError:
-            connection.abort('no answer in time')
+            connection.abort(LossReason.NO_ANSWER_IN_TIME)
             self._record_failure(server, time.monotonic(), 'no answer in time')
             return ResponseLost('no answer in time')
         except asyncio.CancelledError:
-            connection.abort('caller left')
+            connection.abort(LossReason.CALLER_LEFT)
             raise
         if isinstance(connection, RelayedConnection) and connection.is_unsent:
-            connection.abort('not sent')
+            connection.abort(LossReason.NOT_SENT)
             return Unreached(connection.lost_reason)
         if response is None:
             self._record_failure(server, time.monotonic(), 'answer lost')
-            connection.abort('answer lost')
+            connection.abort(LossReason.ANSWER_LOST)
             return ResponseLost(
                 connection.lost_reason or 'answer lost',
                 connection.is_closed_by_server,
@@ -294,7 +295,7 @@
                 while isinstance(await connection.next_part(), bytes):
                     pass
         except TimeoutError:
-            connection.abort('refusal without end')
+            connection.abort(LossReason.REFUSAL_WITHOUT_END)
             return
         self._give_back(server, connection)
 
@@ -307,7 +308,7 @@
             case Connection():
                 self._pool.release(entry.host, entry.port, connection)
             case RelayedConnection():
-                connection.abort('done')
+                connection.abort(LossReason.DONE)
 
     def release(self, response: ResponseStream, end: BodyEnd | None) -> None:
         """Return a response's connection to the pool, or close it.
@@ -319,10 +320,10 @@
             id(response.connection), None
         )
         if end is None:
-            response.connection.abort('caller left')
+            response.connection.abort(LossReason.CALLER_LEFT)
             return
         if end is BodyEnd.CUT:
-            response.connection.abort('answer cut')
+            response.connection.abort(LossReason.ANSWER_CUT)
             self._record_failure(server, time.monotonic(), 'answer cut')
             return
         if response.head.status >= STATUS_SERVER_ERROR:
--- a/jackdawfield/gateway/servers/relay_client.py
+++ b/jackdawfield/gateway/servers/relay_client.py
@@ -22,6 +22,8 @@
 from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.part_queue import PartQueue
 from jackdawfield.gateway.http.pool import Listening
+from jackdawfield.gateway.http.reasons import LossReason
+from jackdawfield.gateway.http.reasons import parse_reason
 from jackdawfield.gateway.model import ServerEntry
 from jackdawfield.gateway.servers.relay_server import WINDOW_BYTES
 from jackdawfield.messages.fleet_relays import OpenRelay
@@ -68,7 +70,7 @@
         self._parts = PartQueue()
         self._unreported_bytes = 0
         self._has_ended = False
-        self.lost_reason = ''
+        self.lost_reason = LossReason.NONE
         self.is_closed_by_server = False
         # Nothing of the request was sent to the server.
         self.is_unsent = False
@@ -103,20 +105,20 @@
                         status, reason, pairs, Framing(framing)
                     )
                     if not head.is_final:
-                        self.abort('malformed answer: no status of HTTP')
+                        self.abort(LossReason.MALFORMED)
                         return
                     self._parts.put(head)
                 case Ok(RelayPiece(data)):
                     self._parts.put(data)
                 case Ok(RelayEnd() as end):
-                    self.lost_reason = end.reason
+                    self.lost_reason = parse_reason(end.reason)
                     self.is_unsent = end.is_unsent
                     self.is_closed_by_server = end.is_closed_by_server
                     self._end(BodyEnd(end.end))
-                case Err(error):
-                    self.lost_reason = f'peer: {error.reason}'
+                case Err():
+                    self.lost_reason = LossReason.PEER_FAILED
         if not self._has_ended:
-            self.lost_reason = self.lost_reason or 'peer ended the relay'
+            self.lost_reason = self.lost_reason or LossReason.PEER_ENDED
             self._end(BodyEnd.CUT)
 
     def _end(self, end: BodyEnd) -> None:
@@ -141,7 +143,7 @@
             self._links.request(self.peer, message, SEND_TIMEOUT_S)
         )
 
-    def abort(self, reason: str) -> None:
+    def abort(self, reason: LossReason) -> None:
         """End the relay at once, which cancels its request."""
         if not self._has_ended:
             self.lost_reason = reason
@@ -169,7 +171,7 @@
         The error tells whether peers have tried in vain to reach the server.
         """
         failed_peers = 0
-        last = RelayRefused('no peer', False)
+        last = RelayRefused(LossReason.NO_PEER, False)
         message = OpenRelay(entry.server_id, entry.started_ms, has_token)
         for peer in self._ranked_peers()[:MAX_PEERS]:
             opened = await self._open_at(peer, message)
@@ -204,7 +206,7 @@
             async with asyncio.timeout(OPEN_TIMEOUT_S):
                 first = await anext(answers, None)
         except TimeoutError:
-            return Err(RelayRefused('peer is silent', False))
+            return Err(RelayRefused(LossReason.PEER_SILENT, False))
         match first:
             case Ok(RelayReady(relay_id)):
                 return Ok(
@@ -212,12 +214,12 @@
                         self._links, peer, relay_id, answers, self._tasks
                     )
                 )
-            case Ok(RelayRefused() as refused):
-                return Err(refused)
-            case Err(error):
-                return Err(RelayRefused(error.reason, False))
+            case Ok(RelayRefused(reason, has_tried)):
+                return Err(RelayRefused(parse_reason(reason), has_tried))
+            case Err():
+                return Err(RelayRefused(LossReason.PEER_FAILED, False))
             case _:
-                return Err(RelayRefused('peer answered nothing', False))
+                return Err(RelayRefused(LossReason.PEER_ENDED, False))
 
     async def probe(self, entry: ServerEntry) -> Listening:
         """Return whether peers find that a server takes connections.
--- a/jackdawfield/gateway/servers/relay_server.py
+++ b/jackdawfield/gateway/servers/relay_server.py
@@ -18,6 +18,7 @@
 from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
 from jackdawfield.gateway.http.pool import Listening
+from jackdawfield.gateway.http.reasons import LossReason
 from jackdawfield.gateway.servers.choice import ServerState
 from jackdawfield.gateway.servers.notices import NoticeRecorder
 from jackdawfield.gateway.servers.reachability import CONNECT_TIMEOUT_S
@@ -113,16 +114,16 @@
 
     def _refusal(self, state: ServerState | None) -> RelayRefused | None:
         if self._is_stopping():
-            return RelayRefused('stopping', False)
+            return RelayRefused(LossReason.STOPPING, False)
         if len(self._relays_by_id) >= MAX_RELAYED:
-            return RelayRefused('too many relayed calls', False)
+            return RelayRefused(LossReason.TOO_MANY_RELAYED, False)
         if state is None:
-            return RelayRefused('server not listed here', False)
+            return RelayRefused(LossReason.SERVER_UNKNOWN, False)
         if not state.takes_calls(time.monotonic()):
-            return RelayRefused('server is leaving', False)
+            return RelayRefused(LossReason.SERVER_LEAVING, False)
         address = (state.entry.host, state.entry.port)
         if self._reachability.path(address) is not Path.DIRECT:
-            return RelayRefused('not reached from here either', False)
+            return RelayRefused(LossReason.NOT_REACHED_EITHER, False)
         return None
 
     async def _serve(self, message: OpenRelay) -> AsyncIterator[object]:
@@ -134,7 +135,7 @@
         if not message.has_token and not await self._limits.take_for_peer(
             state
         ):
-            yield RelayRefused('server is at its limit', False)
+            yield RelayRefused(LossReason.SERVER_AT_LIMIT, False)
             return
         entry = state.entry
         acquired = await self._pool.acquire(
@@ -168,12 +169,13 @@
                 request = await relay.request
         except TimeoutError:
             log_event(LOG, 'relay_without_request', logging.WARNING)
-            yield RelayEnd(BodyEnd.CUT.value, 'no request', True, False)
+            reason = LossReason.NO_REQUEST
+            yield RelayEnd(BodyEnd.CUT.value, reason, True, False)
             return
         sent_at_s = time.monotonic()
         sent = connection.send(request)
         if isinstance(sent, Err):
-            reason = sent.err_value.reason
+            reason = connection.lost_reason
             yield RelayEnd(BodyEnd.CUT.value, reason, True, False)
             return
         while True:
--- a/jackdawfield/gateway/storage/connections.py
+++ b/jackdawfield/gateway/storage/connections.py
@@ -13,6 +13,7 @@
 from jackdawfield.gateway.http.messages import OutgoingRequest
 from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.http.reasons import LossReason
 from jackdawfield.messages.store_calls import StoreCall
 from jackdawfield.messages.store_calls import StoreReply
 
@@ -61,11 +62,11 @@
             async with asyncio.timeout(call.timeout_s):
                 reply = await read_reply(connection)
         except TimeoutError:
-            connection.abort('timeout')
+            connection.abort(LossReason.TIMEOUT)
             self.discard_idle()
             return Err(ExchangeError(Fault.LOST, 'timeout'))
         except asyncio.CancelledError:
-            connection.abort('cancelled')
+            connection.abort(LossReason.CANCELLED)
             raise
         if reply is None:
             reason = connection.lost_reason
@@ -94,5 +95,5 @@
                 return StoreReply(head.status, b''.join(pieces))
             case _:
                 return None
-    connection.abort('answer too large')
+    connection.abort(LossReason.ANSWER_TOO_LARGE)
     return None
--- a/jackdawfield/platform/store.py
+++ b/jackdawfield/platform/store.py
@@ -78,8 +78,9 @@
 def _decode_answer(body: bytes) -> Result[_Answer, StoreError]:
     try:
         return Ok(msgspec.json.decode(body, type=_Answer))
-    except DECODE_ERRORS as error:
-        return Err(StoreError(f'unreadable answer: {error}'))
+    except DECODE_ERRORS:
+        log_event(LOG, 'store_answer_unreadable', logging.WARNING)
+        return Err(StoreError('unreadable answer'))
 
 
 def _encode_key(key: RowKey) -> dict[str, object]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -19,6 +19,7 @@
 from jackdawfield.gateway.http.messages import OutgoingRequest
 from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.http.reasons import LossReason
 from jackdawfield.gateway.work_slices import WorkSlices
 from soak.backend import short_digest
 from soak.instances import CALLER_PORT
@@ -222,7 +223,7 @@
                     break
                 await asyncio.sleep(self._rng.uniform(*KEPT_IDLE_RANGE_S))
                 await self._wait_for_last_use(instance)
-            connection.abort('stopping')
+            connection.abort(LossReason.STOPPING)
 
     async def _wait_for_last_use(self, instance: Instance) -> None:
         last_use_s = self._rng.uniform(*LAST_USE_RANGE_S)
@@ -341,7 +342,7 @@
         if outcome.whole:
             self._pool.release(instance.host, CALLER_PORT, connection)
         else:
-            connection.abort('no whole answer')
+            connection.abort(LossReason.ANSWER_LOST)
         return outcome, retry_after_s
 
     async def _attempt_on(
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -11,6 +11,7 @@
 from jackdawfield.gateway.http.messages import OutgoingRequest
 from jackdawfield.gateway.http.messages import ResponseHead
 from jackdawfield.gateway.http.pool import ConnectionPool
+from jackdawfield.gateway.http.reasons import LossReason
 from jackdawfield.gateway.model import GatewaySettings
 from jackdawfield.gateway.storage.rows import RowKey
 from jackdawfield.platform.__main__ import ADAPTER
@@ -236,7 +237,7 @@
                         answer.whole = end is BodyEnd.WHOLE
                         answer.end = end
                         break
-        connection.abort('done')
+        connection.abort(LossReason.DONE)
         return answer
 
     async def turn(
--- a/tests/gateway/test_gateway.py
+++ b/tests/gateway/test_gateway.py
@@ -10,6 +10,7 @@
 from jackdawfield.gateway.http.messages import BodyEnd
 from jackdawfield.gateway.http.messages import OutgoingRequest
 from jackdawfield.gateway.http.messages import ResponseHead
+from jackdawfield.gateway.http.reasons import LossReason
 from jackdawfield.gateway.storage.rows import RowKey
 from tests.gateway.harness import configuration
 from tests.gateway.harness import engine
@@ -404,7 +405,7 @@
             )
             await asyncio.sleep(0.4)
             asked.cancel()
-            self.fleet.last_connection.abort('left')
+            self.fleet.last_connection.abort(LossReason.CALLER_LEFT)
             await asyncio.sleep(0.2)
         left = [line for line in logs.output if 'caller_left' in line]
         self.assertEqual(len(left), 1)
--- a/tests/gateway/test_relays.py
+++ b/tests/gateway/test_relays.py
@@ -20,6 +20,7 @@
 from jackdawfield.gateway.http.messages import ExchangeError
 from jackdawfield.gateway.http.messages import Fault
 from jackdawfield.gateway.http.messages import OutgoingRequest
+from jackdawfield.gateway.http.reasons import LossReason
 from jackdawfield.gateway.servers.reachability import Path
 from jackdawfield.gateway.servers.relay_server import MAX_RELAYED
 from jackdawfield.gateway.storage.rows import RowKey
@@ -188,7 +189,7 @@
         self.assertEqual(await connection.next_part(), b'id: 0\ndata: a\n\n')
         may_go_on.set()
         self.assertEqual(await connection.next_part(), b'id: 1\ndata: b\n\n')
-        connection.abort('done')
+        connection.abort(LossReason.DONE)
 
     async def test_caller_who_leaves_cancels_the_relayed_call(self) -> None:
         await self.lose_all_paths(self.first)
@@ -204,7 +205,7 @@
         self.script_all(endless)
         connection = await self.send_turn('r1')
         await connection.next_part()
-        connection.abort('caller leaves')
+        connection.abort(LossReason.CALLER_LEFT)
         await self.fleet.wait_until(
             lambda: sum(s.lost for s in self.servers) > lost_before
         )
--- a/tests/gateway/test_streams.py
+++ b/tests/gateway/test_streams.py
@@ -8,6 +8,7 @@
 from jackdawfield.gateway.http.messages import BodyEnd
 from jackdawfield.gateway.http.messages import OutgoingRequest
 from jackdawfield.gateway.http.messages import ResponseHead
+from jackdawfield.gateway.http.reasons import LossReason
 from jackdawfield.gateway.storage.rows import RowKey
 from tests.gateway.harness import Answer
 from tests.gateway.harness import Fleet
@@ -378,7 +379,7 @@
         while not isinstance(part := await connection.next_part(), BodyEnd):
             body += part if isinstance(part, bytes) else b''
         self.assertEqual(body, event(4) + event(5))
-        connection.abort('done')
+        connection.abort(LossReason.DONE)
 
     async def test_trickling_stream_ends_by_its_last_event(self) -> None:
         self.server.script = trickle
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -7,6 +7,7 @@
 
 from jackdawfield.gateway.http.messages import BodyEnd
 from jackdawfield.gateway.http.messages import OutgoingRequest
+from jackdawfield.gateway.http.reasons import LossReason
 from soak.callers import CallerConnection
 from soak.callers import CallerPool
 
@@ -28,7 +29,7 @@
             act(connection, other)
             async with asyncio.timeout(2.0):
                 self.assertIs(await connection.next_part(), BodyEnd.CUT)
-            connection.abort('done')
+            connection.abort(LossReason.DONE)
             return connection
 
     async def test_request_was_read(self) -> None:
