Ask for loans at growing pauses, and count from when a seat is held

Read before the landing: an instance that nobody could inform asked all others five times a second for a minute; and one that took a seat late counted the time since its start, in which nobody had told it of loans, and lent.

The pause between questions grows to 5 s. The time after which programs from before can't return begins as the seat is taken.

Test: test_one_without_a_seat_is_told_of_no_loans; with the time counted from the start it fails.

--- a/jackdawfield/gateway/programs/loan_sharing.py
+++ b/jackdawfield/gateway/programs/loan_sharing.py
@@ -22,6 +22,7 @@
 from jackdawfield.gateway.hedging import first_answer
 from jackdawfield.gateway.hedging import Source
 from jackdawfield.gateway.programs.loan_book import LoanBook
+from jackdawfield.gateway.storage.backoff import backoff_delays_s
 from jackdawfield.logs import log_event
 from jackdawfield.messages.fleet_loans import AskLoans
 from jackdawfield.messages.fleet_loans import Loan
@@ -36,8 +37,13 @@
 # The next member is asked if one has not answered within this time.
 WITNESS_OVERDUE_S = 0.03
 WITNESSES_ASKED = 3
-# Pause before other members are asked or told again.
+# Pause before a member is told again.
 RETRY_S = 0.2
+# Pauses before the others are asked again; only time may tell if none of them
+# knows the loans.
+MIN_LEARN_PAUSE_S = 0.5
+MAX_LEARN_PAUSE_S = 5.0
+SEAT_CHECK_INTERVAL_S = 1.0
 # At the fleet's first start, those who take seats this early have no earlier
 # incarnation.
 FIRST_START_S = 10.0
@@ -52,6 +58,8 @@
         self._links = links
         self._tasks = BackgroundTasks()
         self._started_at_s = boot_time_s()
+        # Since when this instance holds a seat, and is told of loans.
+        self._told_since_s = self._started_at_s
         # Whether every loan to a program that may return is known here.
         self.is_informed = False
         # How long a program may pause and return, unknown without a
@@ -74,13 +82,17 @@
 
     async def run(self) -> None:
         """Learn the loans whenever this instance has taken a seat."""
+        pauses_s = backoff_delays_s(MIN_LEARN_PAUSE_S, MAX_LEARN_PAUSE_S)
         while True:
             if self._members.own_seat is None:
-                # Members without a seat are told of no loans.
                 self.is_informed = False
+                self._told_since_s = boot_time_s()
             elif not self.is_informed:
                 await self.learn()
-            await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(next(pauses_s))
+                continue
+            await asyncio.sleep(SEAT_CHECK_INTERVAL_S)
+            pauses_s = backoff_delays_s(MIN_LEARN_PAUSE_S, MAX_LEARN_PAUSE_S)
 
     async def learn(self) -> None:
         """Ask the other members for the loans that they know."""
@@ -100,7 +112,7 @@
         self.is_informed = (
             informed_count > 0
             or self._is_first_start
-            or boot_time_s() - self._started_at_s > self.retention_s
+            or boot_time_s() - self._told_since_s > self.retention_s
         )
         if self.is_informed:
             log_event(
@@ -168,19 +180,19 @@
 
     async def _tell(self, address: str) -> None:
         """Tell one member until it has noted all, or has left."""
-        while address in self._addresses():
-            untold = self._untold_by_address[address]
-            if not untold:
-                break
-            told = tuple(untold.values())
-            found = await self._links.request(
-                address, NoteLoans(told), ASK_TIMEOUT_S
-            )
-            if isinstance(found, Ok):
-                _drop_told(untold, told)
-            else:
-                await asyncio.sleep(RETRY_S)
-        del self._untold_by_address[address]
+        untold = self._untold_by_address[address]
+        try:
+            while untold and address in self._addresses():
+                told = tuple(untold.values())
+                found = await self._links.request(
+                    address, NoteLoans(told), ASK_TIMEOUT_S
+                )
+                if isinstance(found, Ok):
+                    _drop_told(untold, told)
+                else:
+                    await asyncio.sleep(RETRY_S)
+        finally:
+            del self._untold_by_address[address]
 
 
 def _drop_told(
--- a/tests/gateway/programs/test_loans.py
+++ b/tests/gateway/programs/test_loans.py
@@ -206,10 +206,24 @@
         self.assertEqual(await self.outage(), 0)
         for instance in self.by_name.values():
             loans = instance.advances.loans
-            loans._started_at_s -= RETENTION_S + 1
+            loans._told_since_s -= RETENTION_S + 1
             await loans.learn()
         self.assertEqual(await self.outage(), MOST)
 
+    # Guards against one that takes a seat late and knows no earlier loan.
+    async def test_one_without_a_seat_is_told_of_no_loans(self) -> None:
+        instance = self.by_name['a']
+        loans = instance.advances.loans
+        loans._members.own_seat = None
+        loans._told_since_s -= RETENTION_S + 1
+        running = asyncio.create_task(loans.run())
+        self.addCleanup(running.cancel)
+        await asyncio.sleep(0.01)
+        self.assertFalse(loans.is_informed)
+        self.links.ended.update(SEATS)
+        await loans.learn()
+        self.assertFalse(loans.is_informed)
+
     async def test_first_start_of_the_fleet_lends_at_once(self) -> None:
         for name in SEATS:
             self.by_name[name] = self.start(name)
--- a/tests/gateway/test_long_turns.py
+++ b/tests/gateway/test_long_turns.py
@@ -5,8 +5,9 @@
 
 from tests.gateway.harness import Answer
 from tests.gateway.harness import Fleet
-from tests.gateway.harness import PREFIX
 from tests.gateway.scripted_server import ReceivedRequest
+from tests.gateway.test_withheld_ends import EVENT_STREAM
+from tests.gateway.test_withheld_ends import head
 
 # Within the limit of a body, and over that of a transaction.
 LONG_INPUT_BYTES = 1_500_000
@@ -17,14 +18,8 @@
 
 async def answer_at_length(received: ReceivedRequest) -> None:
     """Answer with events that can't be compressed."""
-    request_id = received.header('x-jackdawfield-request-id')
-    head = (
-        f'HTTP/1.1 200 OK\r\n{PREFIX}Request-Id: {request_id}\r\n'
-        f'{PREFIX}Server-Stamp: stamp\r\n'
-        'Content-Type: text/event-stream\r\n'
-        'Transfer-Encoding: chunked\r\n\r\n'
-    )
-    received.writer.write(head.encode())
+    framing = 'Transfer-Encoding: chunked\r\n'
+    received.writer.write(head(received, EVENT_STREAM, framing))
     for number in range(LONG_ANSWER_EVENTS):
         text = os.urandom(EVENT_BYTES // 2).hex()
         event = f'id: {number}\ndata: {text}\n\n'
