Tell an answer that was cut from one that is malformed

Read before the landing: each answer whose server closed in the middle was logged as answer_malformed, and its callers were told of a malformed answer.

Cause: the parser reports a close inside an answer as a violation of the protocol, as it does bytes that are none. Once the server has closed, the reason is that.

Test: test_a_cut_answer_is_not_logged_as_malformed, failed before.

--- a/jackdawfield/gateway/http/connection.py
+++ b/jackdawfield/gateway/http/connection.py
@@ -142,6 +142,9 @@
         try:
             self._has_unparsed = self._parse_slice()
         except h11.RemoteProtocolError as error:
+            if self.is_closed_by_server:
+                self.abort(LossReason.CLOSED_BY_SERVER)
+                return
             self._abort_malformed(str(error))
             return
         if self._has_unparsed:
--- a/tests/gateway/http/test_connection.py
+++ b/tests/gateway/http/test_connection.py
@@ -204,6 +204,17 @@
         status, body, end = await self.exchange(server, 'a')
         self.assertEqual((status, body, end), (200, b'who', BodyEnd.CUT))
 
+    # Guards against a log that names a server's bytes where it has closed.
+    async def test_a_cut_answer_is_not_logged_as_malformed(self) -> None:
+        async def script(received: ReceivedRequest) -> None:
+            received.writer.write(received.answer(b'whole')[:-2])
+            await received.writer.drain()
+            received.writer.close()
+
+        server = await self.serve(script)
+        with self.assertNoLogs('jackdawfield.gateway.http', 'WARNING'):
+            await self.exchange(server, 'a')
+
     async def test_response_without_length_ends_with_its_connection(
         self,
     ) -> None:
